--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -169,6 +169,12 @@
     UpstreamLimit,
     Verdict,
 )
+from sycamorespoke.decisions._weight_rollout import (
+    EngineVersion,
+    compute_turn_s,
+    count_loads_at_once,
+    select_loads,
+)
 
 __all__ = [
     "ALIVE_WITHIN_S",
@@ -193,6 +199,7 @@
     "ColdRate",
     "ColdShare",
     "Cost",
+    "EngineVersion",
     "EventEstimates",
     "FairQueue",
     "FaultRecord",
@@ -237,7 +244,9 @@
     "choose_store",
     "choose_upstream",
     "combine_refusals",
+    "compute_turn_s",
     "confirmed_by_peers",
+    "count_loads_at_once",
     "count_used",
     "decide_permit",
     "end_transfer",
@@ -281,6 +290,7 @@
     "reserve_bytes",
     "return_permit",
     "select_due",
+    "select_loads",
     "select_not_ejected",
     "share_cold_rate",
     "take_conflict",
--- a/sycamorespoke/decisions/_lease_state.py
+++ b/sycamorespoke/decisions/_lease_state.py
@@ -5,7 +5,9 @@
 import attrs
 
 LEASE_DURATION_S = 6.0
-RENEW_INTERVAL_S = 2.0
+# Share of its duration after which a lease is renewed.
+RENEW_SHARE = 1 / 3
+RENEW_INTERVAL_S = LEASE_DURATION_S * RENEW_SHARE
 # Covers clocks that run at slightly different rates.
 HOLDER_SHARE = 0.9
 READ_INTERVAL_S = 1.0
@@ -97,6 +99,8 @@
         When the platform was last asked for the object.
     must_read : bool, default=False
         A write failed in a way that only a read explains.
+    duration_s : float, default=6.0
+        Seconds for which a renewal of this process counts.
     """
 
     holder: str
@@ -105,6 +109,12 @@
     unresolved_s: float | None = None
     read_s: float = float("-inf")
     must_read: bool = False
+    duration_s: float = LEASE_DURATION_S
+
+    @property
+    def renew_interval_s(self):
+        """Seconds after which this process renews its lease."""
+        return self.duration_s * RENEW_SHARE
 
 
 def is_held(held, now):
--- a/sycamorespoke/decisions/_leases.py
+++ b/sycamorespoke/decisions/_leases.py
@@ -29,7 +29,7 @@
     if state.seen is None or state.must_read:
         return _lease_state.LeaseAction.READ
     if state.held is not None:
-        is_due = now - state.held.sent_s >= _lease_state.RENEW_INTERVAL_S
+        is_due = now - state.held.sent_s >= state.renew_interval_s
         return (
             _lease_state.LeaseAction.WRITE if is_due else _lease_state.LeaseAction.WAIT
         )
@@ -53,11 +53,11 @@
         With the same fencing number for a renewal, the next for a new holder.
     """
     if state.held is not None:
-        return _lease_state.LeaseRecord(state.holder, state.held.fencing_number)
-    former = state.seen.record
-    return _lease_state.LeaseRecord(
-        state.holder, former.fencing_number + 1 if former else 1
-    )
+        number = state.held.fencing_number
+    else:
+        former = state.seen.record
+        number = former.fencing_number + 1 if former else 1
+    return _lease_state.LeaseRecord(state.holder, number, state.duration_s)
 
 
 def take_read(state, record, version, asked_s, now):
--- a/sycamorespoke/gateway/__init__.py
+++ b/sycamorespoke/gateway/__init__.py
@@ -22,6 +22,13 @@
     Service,
     Upstream,
 )
+from sycamorespoke.gateway._orders import (
+    EngineReport,
+    LeaseSeen,
+    OrderOutcome,
+    RolloutMode,
+    VersionOrder,
+)
 from sycamorespoke.gateway._program import (
     Deployment,
     GatewayProgram,
@@ -50,18 +57,23 @@
     "Deployment",
     "Dispatch",
     "EngineFacts",
+    "EngineReport",
     "Failure",
     "GatewayProgram",
     "HistoryGone",
     "Kind",
     "Kinds",
+    "LeaseSeen",
     "Listing",
     "NamedVersion",
+    "OrderOutcome",
     "Prompt",
     "PromptPart",
+    "RolloutMode",
     "Route",
     "RouteKind",
     "Service",
     "Unavailable",
     "Upstream",
+    "VersionOrder",
 ]
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -15,6 +15,10 @@
     world.ErrorKind.ANSWER_MISMATCH: 0.7,
     world.ErrorKind.DEADLINE_AFTER_SEND: 0.5,
 }
+# Failures before anything was sent.
+NOT_SENT_KINDS = frozenset(
+    {world.ErrorKind.UPSTREAM_UNREACHABLE, world.ErrorKind.OVERLOADED}
+)
 SERVER_ERROR_WEIGHT = 0.5
 SERVER_ERROR_STATUS = 500
 # A full upstream is passed over for this long.
@@ -24,6 +28,7 @@
 HIGHEST_URGENCY = 0
 LOWEST_URGENCY = 9
 PRIVATE_SCOPE = "account"
+SHARED_SCOPE = "shared"
 
 
 @attrs.define
@@ -230,16 +235,18 @@
             left_s=self.ends_s - self.parts.read_clock(),
             priority=_clamp_urgency(priority) if prompt else None,
             weight_version=choice.weight_version,
-            cache_scope=self._make_scope(choice) if prompt else "",
+            cache_scope=self._make_scope() if prompt else "",
             last_event_id=last_event_id,
         )
 
-    def _make_scope(self, choice):
-        """Name the cached parts that this call may share."""
-        scope = f"v{choice.weight_version or 0}"
+    def _make_scope(self):
+        """Name the cached parts that this call may share.
+
+        An engine drops what it has cached when it loads other weights.
+        """
         if self.account is not None and self.account.is_isolated:
-            return f"{scope} {PRIVATE_SCOPE} {self.account.name}"
-        return scope
+            return f"{PRIVATE_SCOPE} {self.account.name}"
+        return SHARED_SCOPE
 
     def _take_failure(self, choice, failure):
         """Handle a failed attempt; return a refusal if it was the last."""
@@ -253,7 +260,7 @@
             return None if self._may_send_on(upstream.service) else self._worst
         self._excluded.add(upstream.boot)
         self._note_fault(upstream, refusal.kind)
-        if refusal.kind is world.ErrorKind.UPSTREAM_UNREACHABLE:
+        if refusal.kind in NOT_SENT_KINDS:
             return None
         self._reached.add(upstream.boot)
         return None if self._may_repeat(upstream.service) else self._worst
--- a/sycamorespoke/gateway/_chooser.py
+++ b/sycamorespoke/gateway/_chooser.py
@@ -11,13 +11,12 @@
 AFFINITY_BOUND = 1.3
 AFFINITY_SLACK_REQUESTS = 4.0
 NEAR_ADVANTAGE = 0.25
-# From this age on a named version is the only one that new requests run on.
-OLD_WEIGHTS_S = 3.5
+# Before the time from which no request may begin on older weights, this long is
+# left for requests that wait at an engine.
+OLD_WEIGHTS_MARGIN_S = 2.0
 DEFAULT_CONNECTIONS = 64
 # Left of an upstream's connections for hosts that have not registered yet.
 CONNECTION_SHARE = 0.9
-COLD_TOLERATED = 1.5
-COLD_SLACK = 5.0
 
 
 @attrs.frozen
@@ -29,7 +28,7 @@
     upstream : Upstream
         The upstream.
     weight_version : int or None
-        Weights that it is believed to hold.
+        Weights that it must hold.
     connections : int
         Most connections of this host to it.
     """
@@ -39,6 +38,25 @@
     connections: int
 
 
+@attrs.frozen
+class UpstreamLimits:
+    """What the deployment states of its upstreams.
+
+    Parameters
+    ----------
+    cold_tolerated : float
+        Times its rate that a cold upstream bears for one second.
+    cold_slack : float
+        Requests beyond that in one second.
+    version_s : float
+        Time after which no request may begin on older weights, seconds.
+    """
+
+    cold_tolerated: float
+    cold_slack: float
+    version_s: float
+
+
 class Chooser:
     """Chooses upstreams.
 
@@ -50,14 +68,17 @@
         Where it stands.
     table : UpstreamTable
         What was seen of the upstreams.
+    limits : UpstreamLimits
+        What upstreams bear.
     generator : random.Random or None, default=None
         Breaks ties.
     """
 
-    def __init__(self, host, data_centre, table, generator=None):
+    def __init__(self, host, data_centre, table, limits, generator=None):
         self.host = host
         self.data_centre = data_centre
         self.table = table
+        self.limits = limits
         self.generator = generator or random.Random()
 
     def choose(self, view, route, call, excluded, now):
@@ -120,24 +141,28 @@
         while upstreams:
             upstream = self._place(upstreams, states_by_boot, call)
             if self._bears(view, upstream, now):
-                return self._make_choice(view, upstream, states_by_boot, call)
+                return self._make_choice(view, upstream, call, now)
             upstreams = [other for other in upstreams if other is not upstream]
         return None
 
     def _keep_current(self, view, upstreams, states_by_boot, call, now):
-        """Prefer upstreams with the named weights; later take only these."""
-        model = call.prompt.model if call.prompt else ""
-        named = (view.versions_by_model or {}).get(model)
-        if named is None or not upstreams:
+        """Keep those that may begin a call; ``None`` if all have old weights."""
+        named = self._named_version(view, call)
+        if named is None or not upstreams or not self._is_due(named, now):
             return upstreams
         current = [
             upstream
             for upstream in upstreams
-            if _version_of(upstream, states_by_boot, model) >= named.version
+            if version_of(upstream, states_by_boot, named.model) >= named.version
         ]
-        if current or now - named.seen_s >= OLD_WEIGHTS_S:
-            return current or None
-        return upstreams
+        return current or None
+
+    def _named_version(self, view, call):
+        model = call.prompt.model if call.prompt else ""
+        return (view.versions_by_model or {}).get(model)
+
+    def _is_due(self, named, now):
+        return now - named.seen_s >= self.limits.version_s - OLD_WEIGHTS_MARGIN_S
 
     def _place(self, upstreams, states_by_boot, call):
         is_prompt = call.prompt is not None
@@ -169,20 +194,25 @@
         if service.cold_requests_per_s <= 0:
             return True
         rate = decisions.ColdRate(
-            service.cold_requests_per_s, COLD_TOLERATED, COLD_SLACK
+            service.cold_requests_per_s,
+            self.limits.cold_tolerated,
+            self.limits.cold_slack,
         )
         share = decisions.share_cold_rate(rate, self.host, view.hosts, upstream.boot)
         return self.table.take_cold(upstream, share, now)
 
-    def _make_choice(self, view, upstream, states_by_boot, call):
-        version = None
-        if call.prompt is not None:
-            version = _version_of(upstream, states_by_boot, call.prompt.model) or None
+    def _make_choice(self, view, upstream, call, now):
+        named = self._named_version(view, call)
+        is_due = named is not None and self._is_due(named, now)
         service = view.configuration.services_by_name.get(upstream.service)
         limit = service.connection_limit if service else 0
         hosts = max(len(view.hosts), 1)
         connections = int(limit * CONNECTION_SHARE / hosts) or 1
-        return Choice(upstream, version, connections if limit else DEFAULT_CONNECTIONS)
+        return Choice(
+            upstream,
+            named.version if is_due else None,
+            connections if limit else DEFAULT_CONNECTIONS,
+        )
 
 
 def affinity_key(prompt):
@@ -213,7 +243,23 @@
     return state.work if is_prompt else float(state.requests)
 
 
-def _version_of(upstream, states_by_boot, model):
+def version_of(upstream, states_by_boot, model):
+    """Return the newest weights of a model that an upstream has shown.
+
+    Parameters
+    ----------
+    upstream : Upstream
+        As it registered.
+    states_by_boot : dict of str to UpstreamState
+        What was seen of it.
+    model : str
+        The model.
+
+    Returns
+    -------
+    int
+        0 if unknown.
+    """
     seen = states_by_boot[upstream.boot].versions_by_model.get(model, 0)
     return max(seen, upstream.versions_by_model.get(model, 0))
 
--- a/sycamorespoke/gateway/_connections.py
+++ b/sycamorespoke/gateway/_connections.py
@@ -126,7 +126,11 @@
         """
         stale = []
         with self._lock:
-            connection = self._take_idle(upstream.boot, now, stale, fresh)
+            connection = None
+            if not fresh:
+                connection = self._take_idle(upstream.boot, now, stale)
+            elif self._open_by_boot[upstream.boot] >= limit:
+                self._drop_oldest_idle(upstream.boot, stale)
             if connection is None and self._open_by_boot[upstream.boot] < limit:
                 self._open_by_boot[upstream.boot] += 1
                 connection = Connection(upstream.address)
@@ -195,10 +199,14 @@
         with self._lock:
             return dict(self._open_by_boot)
 
-    def _take_idle(self, boot, now, stale, fresh):
+    def _drop_oldest_idle(self, boot, stale):
+        idle = self._idle_by_boot.get(boot, [])
+        if idle:
+            stale.append(idle.pop(0))
+            self._forget(boot)
+
+    def _take_idle(self, boot, now, stale):
         idle = self._idle_by_boot.get(boot, [])
-        if fresh:
-            return None
         while idle:
             connection = idle.pop()
             if connection.is_usable(now):
--- a/sycamorespoke/gateway/_events.py
+++ b/sycamorespoke/gateway/_events.py
@@ -17,10 +17,10 @@
     Examples
     --------
     >>> splitter = EventSplitter()
-    >>> splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
-    b'id: 1\\ndata: a\\n\\n'
-    >>> splitter.last_id, splitter.feed(b"ta: b\\n\\n")
-    (1, b'id: 2\\ndata: b\\n\\n')
+    >>> splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+    b'id: 1\ndata: a\n\n'
+    >>> splitter.last_id, splitter.feed(b"ta: b\n\n")
+    (1, b'id: 2\ndata: b\n\n')
     """
 
     def __init__(self, last_id=None):
--- a/sycamorespoke/gateway/_exchange.py
+++ b/sycamorespoke/gateway/_exchange.py
@@ -77,7 +77,7 @@
         now = self.read_clock()
         connection = self.pool.take(self.upstream, limit, now, fresh)
         if connection is None:
-            return _fail(world.ErrorKind.UPSTREAM_REFUSED, "no connection is free")
+            return _fail(world.ErrorKind.OVERLOADED, "no connection is free")
         self._connection = connection
         if not connection.is_kept:
             failure = self._connect(connection)
--- /dev/null
+++ b/sycamorespoke/gateway/_orders.py
@@ -0,0 +1,86 @@
+"""Orders to engines and what they report."""
+
+import enum
+
+import attrs
+
+
+class RolloutMode(enum.Enum):
+    """What happens to the requests that an engine runs when it gets an order."""
+
+    FINISH_FIRST = "finish first"
+    CUT = "cut"
+
+
+class OrderOutcome(enum.Enum):
+    """What became of an order."""
+
+    ACCEPTED = "accepted"
+    HOLDS = "holds already"
+    BUSY = "busy"
+    FENCED = "fenced"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen
+class VersionOrder:
+    """An order to load a version.
+
+    Parameters
+    ----------
+    model : str
+        The model.
+    version : int
+        Its version.
+    fencing_number : int
+        Of the lease under which the order is given.
+    after_orders : int
+        Orders that the engine has accepted before this one.
+    mode : RolloutMode, default=RolloutMode.FINISH_FIRST
+        What happens to running requests.
+    """
+
+    model: str
+    version: int
+    fencing_number: int
+    after_orders: int
+    mode: RolloutMode = RolloutMode.FINISH_FIRST
+
+
+@attrs.frozen
+class EngineReport:
+    """What an engine says of itself.
+
+    Parameters
+    ----------
+    orders : int
+        Orders accepted since it started.
+    is_loading : bool
+        An order is being carried out.
+    versions_by_model : dict of str to int
+        Weights that it holds.
+    """
+
+    orders: int
+    is_loading: bool
+    versions_by_model: dict[str, int]
+
+
+@attrs.frozen
+class LeaseSeen:
+    """A version of a lease that was received by a watch.
+
+    Parameters
+    ----------
+    name : str
+        Name of the lease.
+    value : object
+        JSON value.
+    version : int
+        Version of the object.
+    """
+
+    name: str
+    value: object
+    version: int
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -15,12 +15,14 @@
     _gateway,
     _model,
     _readiness,
+    _rollout,
     _server,
     _table,
     _views,
 )
 
 UPDATE_INTERVAL_S = 0.25
+MS_PER_S = 1000.0
 THREADS = 96
 # Descriptors for the store, logs, listeners and files.
 RESERVED_FILES = 300
@@ -48,6 +50,10 @@
         Names and readers of the kinds of shared objects.
     registry : object
         Has ``register(name)`` and ``unregister(name)`` for this host.
+    leases : object
+        Lease objects, see `Rollout`.
+    engines : object
+        Reports of engines and orders to them, see `Rollout`.
     ready_path : str
         Path on which the balancer asks.
     """
@@ -56,6 +62,8 @@
     source: object
     kinds: object
     registry: object
+    leases: object
+    engines: object
     ready_path: str
 
 
@@ -81,8 +89,8 @@
 
     Parameters
     ----------
-    configuration, upstreams, data_centres_out, versions, hosts : Kind
-        One for each part of the view.
+    configuration, upstreams, data_centres_out, versions, hosts, leases : Kind
+        One for each part of the view, and the leases.
     """
 
     configuration: Kind
@@ -90,6 +98,7 @@
     data_centres_out: Kind
     versions: Kind
     hosts: Kind
+    leases: Kind
 
 
 class GatewayProgram:
@@ -121,6 +130,14 @@
             int(self._files * CALLER_FILES_SHARE),
             self._limits,
         )
+        self.rollout = _rollout.Rollout.start(
+            gateway_settings.name,
+            self.views,
+            self.table,
+            deployment.leases,
+            deployment.engines,
+            gateway_settings.lease_ms / MS_PER_S,
+        )
         self.followers = self._make_followers()
 
     def start(self):
@@ -165,6 +182,7 @@
     def update(self, now):
         """Let the parts follow the view at ``now``, seconds of the boot clock."""
         view = self.views.get()
+        self.rollout.tell(_rollout.Tick(now))
         boots = view.list_boots()
         self.pool.retain(boots, now)
         self.table.retain(boots)
@@ -187,6 +205,7 @@
         ends_s = begun_s + self.settings.grace_s - EXIT_MARGIN_S
         loguru.logger.info("shutdown started")
         self.server.close_connections_after_answers()
+        self.rollout.stop(block=False)
         self._unregister()
         self._wait_until(begun_s + BALANCER_NOTICE_S)
         self.server.close_listener()
@@ -232,7 +251,9 @@
         return _gateway.Gateway(
             protocol=self.deployment.protocol,
             views=self.views,
-            chooser=_chooser.Chooser(settings.name, settings.data_centre, self.table),
+            chooser=_chooser.Chooser(
+                settings.name, settings.data_centre, self.table, self._make_limits()
+            ),
             table=self.table,
             pool=self.pool,
             budgets=_attempts.RetryBudgets(settings.retry_ratio, settings.retry_slack),
@@ -240,6 +261,13 @@
             read_clock=_clock.read_clock,
         )
 
+    def _make_limits(self):
+        return _chooser.UpstreamLimits(
+            self.settings.cold_tolerated,
+            self.settings.cold_slack,
+            self.settings.version_ms / MS_PER_S,
+        )
+
     def _make_followers(self):
         kinds = self.deployment.kinds
         readers = [
@@ -248,6 +276,7 @@
             self._make_reader(kinds.data_centres_out, self._take_data_centres_out),
             self._make_reader(kinds.versions, self._take_versions),
             self._make_reader(kinds.hosts, self._take_hosts),
+            self._make_reader(kinds.leases, self._take_leases),
         ]
         return [
             _follower.Follower(
@@ -297,10 +326,16 @@
         self.views.set_parts(versions_by_model=versions_by_model)
         shown = {model: named.version for model, named in versions_by_model.items()}
         loguru.logger.bind(versions=shown).info("weights named")
+        self.rollout.tell(_rollout.Tick(now))
 
     def _take_hosts(self, items_by_name, now):
         self.views.set_parts(hosts=frozenset(items_by_name))
 
+    def _take_leases(self, items_by_name, now):
+        seen = items_by_name.get(_rollout.LEASE_NAME)
+        if seen is not None:
+            self.rollout.tell(seen)
+
     def _register(self):
         while not self.stop_requested.is_set():
             if self.deployment.registry.register(self.settings.name):
--- /dev/null
+++ b/sycamorespoke/gateway/_rollout.py
@@ -0,0 +1,275 @@
+"""Brings engines to the weights that the operators name, one host at a time."""
+
+import concurrent.futures
+import threading
+
+import attrs
+import loguru
+import pykka
+
+from sycamorespoke import decisions, membership
+from sycamorespoke.gateway import _chooser, _clock, _orders, _source
+
+LEASE_NAME = "weights"
+# An engine that did not answer is asked again after this time.
+PUT_OFF_S = 0.7
+POLL_S = 0.15
+LONGEST_LOAD_S = 5.0
+# An accepted order shows in the report within this time.
+REPORT_LAG_S = 0.4
+MOST_LOADS = 24
+
+
+@attrs.frozen
+class Tick:
+    """Message: look whether there is something to do.
+
+    Parameters
+    ----------
+    now : float
+        Present time, seconds of the boot clock.
+    """
+
+    now: float
+
+
+class Rollout(pykka.ThreadingActor):
+    """Gives orders while this host holds the lease of that duty.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host.
+    views : Views
+        What this host believes.
+    table : UpstreamTable
+        What was seen of the upstreams.
+    leases : object
+        Has ``get(name)`` and ``put(name, value, version)``.
+    engines : object
+        Has ``read_report(upstream)`` and ``order_version(upstream, order)``.
+    lease_s : float
+        Time for which a lease counts, seconds.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(self, host, views, table, leases, engines, lease_s):
+        super().__init__()
+        self.host = host
+        self.views = views
+        self.table = table
+        self.engines = engines
+        self.keeper = membership.LeaseKeeper(
+            LEASE_NAME, host, leases, _clock.read_clock, lease_s
+        )
+        self._executor = concurrent.futures.ThreadPoolExecutor(MOST_LOADS, "load")
+        self._loading_by_boot = {}
+        self._put_off_until_s_by_boot = {}
+        self._behind_since_s = None
+        self._was_held = False
+        self._lock = threading.Lock()
+
+    def on_receive(self, message):
+        """Take a `Tick` or a `LeaseSeen`."""
+        try:
+            if isinstance(message, _orders.LeaseSeen):
+                now = _clock.read_clock()
+                self.keeper.observe(message.value, message.version, now)
+            else:
+                self.step(message.now)
+        except Exception:
+            loguru.logger.exception("the rollout of weights failed")
+
+    def on_stop(self):
+        """Start no further load."""
+        self._executor.shutdown(wait=False, cancel_futures=True)
+
+    def step(self, now):
+        """Take or renew the lease and start loads, if engines are behind.
+
+        Parameters
+        ----------
+        now : float
+            Present time, seconds of the boot clock.
+        """
+        view = self.views.get()
+        engines = self._list_engines(view)
+        wanted_by_model = {
+            model: named.version
+            for model, named in (view.versions_by_model or {}).items()
+        }
+        behind = [
+            each
+            for each in engines
+            if each.version < wanted_by_model.get(each.model, 0)
+        ]
+        if not behind:
+            self._behind_since_s = None
+            return
+        if self._behind_since_s is None:
+            self._behind_since_s = now
+        if not self._hold(view, wanted_by_model, now):
+            return
+        self._start_loads(view, engines, wanted_by_model, now)
+
+    def _list_engines(self, view):
+        upstreams = [
+            upstream
+            for upstream in (view.upstreams_by_id or {}).values()
+            if upstream.versions_by_model and not upstream.is_draining
+        ]
+        states_by_boot = self.table.read(upstreams)
+        return [
+            decisions.EngineVersion(
+                upstream.boot,
+                model,
+                _chooser.version_of(upstream, states_by_boot, model),
+            )
+            for upstream in upstreams
+            for model in upstream.versions_by_model
+        ]
+
+    def _hold(self, view, wanted_by_model, now):
+        """Take or renew the lease; return whether it may be acted on."""
+        if not self.keeper.is_held(now):
+            turn_s = decisions.compute_turn_s(
+                self.host,
+                view.hosts,
+                self.keeper.last_holder,
+                f"{LEASE_NAME} {sorted(wanted_by_model.items())}",
+            )
+            if now - self._behind_since_s < turn_s:
+                return False
+        self.keeper.step()
+        is_held = self.keeper.is_held(_clock.read_clock())
+        if is_held != self._was_held:
+            self._was_held = is_held
+            number = self.keeper.held.fencing_number if is_held else None
+            loguru.logger.bind(lease=LEASE_NAME, fencing_number=number).info(
+                "lease taken" if is_held else "lease lost"
+            )
+        return is_held
+
+    def _start_loads(self, view, engines, wanted_by_model, now):
+        put_off = {
+            boot
+            for boot, until_s in self._put_off_until_s_by_boot.items()
+            if now < until_s
+        }
+        with self._lock:
+            loading = set(self._loading_by_boot)
+        upstreams_by_boot = {
+            upstream.boot: upstream for upstream in view.upstreams_by_id.values()
+        }
+        number = self.keeper.held.fencing_number
+        for engine in decisions.select_loads(
+            engines, wanted_by_model, loading, put_off
+        ):
+            load = Load(self, upstreams_by_boot[engine.name], engine.model, number)
+            with self._lock:
+                self._loading_by_boot[engine.name] = load
+            self._executor.submit(self._run_load, engine.name, load)
+
+    def _run_load(self, boot, load):
+        try:
+            is_done = load.run()
+        except Exception:
+            loguru.logger.exception("a load of weights failed")
+            is_done = False
+        with self._lock:
+            self._loading_by_boot.pop(boot, None)
+            if not is_done:
+                until_s = _clock.read_clock() + PUT_OFF_S
+                self._put_off_until_s_by_boot[boot] = until_s
+        # The next engine need not wait for the next tick.
+        self.actor_ref.tell(Tick(_clock.read_clock()))
+
+
+class Load:
+    """Brings one engine to the version that is wanted.
+
+    Parameters
+    ----------
+    rollout : Rollout
+        The duty.
+    upstream : Upstream
+        The engine.
+    model : str
+        The model.
+    fencing_number : int
+        Of the lease.
+    """
+
+    def __init__(self, rollout, upstream, model, fencing_number):
+        self.rollout = rollout
+        self.upstream = upstream
+        self.model = model
+        self.fencing_number = fencing_number
+        self._ordered_s = None
+        self._pause = threading.Event()
+
+    def run(self):
+        """Order and ask until the engine has the version.
+
+        Returns
+        -------
+        bool
+            Whether it has; else it is tried again later.
+        """
+        ends_s = _clock.read_clock() + LONGEST_LOAD_S
+        while _clock.read_clock() < ends_s:
+            report = self.rollout.engines.read_report(self.upstream)
+            if isinstance(report, _source.Unavailable):
+                self._log("engine does not report", reason=report.reason)
+                return False
+            wanted = self._wanted()
+            held = report.versions_by_model.get(self.model, 0)
+            if held >= wanted:
+                self.rollout.table.note_version(self.upstream, self.model, held)
+                self._log("engine has the version", version=held)
+                return True
+            if self._may_order(report) and not self._order(report, wanted):
+                return False
+            self._pause.wait(POLL_S)
+        self._log("engine takes too long", version=self._wanted())
+        return False
+
+    def _wanted(self):
+        named = (self.rollout.views.get().versions_by_model or {}).get(self.model)
+        return named.version if named else 0
+
+    def _may_order(self, report):
+        if report.is_loading:
+            return False
+        now = _clock.read_clock()
+        return self._ordered_s is None or now - self._ordered_s >= REPORT_LAG_S
+
+    def _order(self, report, version):
+        """Give the order; return whether to go on."""
+        # The lease is looked at last, since the host may have been suspended.
+        now = _clock.read_clock()
+        if not self.rollout.keeper.is_held(now):
+            return False
+        order = _orders.VersionOrder(
+            self.model, version, self.fencing_number, report.orders
+        )
+        outcome = self.rollout.engines.order_version(self.upstream, order)
+        self._log(
+            "engine ordered",
+            version=version,
+            fencing_number=self.fencing_number,
+            after_orders=report.orders,
+            outcome=outcome.value,
+        )
+        if outcome is _orders.OrderOutcome.FENCED:
+            self.rollout.keeper.give_up()
+            return False
+        if outcome is _orders.OrderOutcome.ACCEPTED:
+            self._ordered_s = now
+        return outcome is not _orders.OrderOutcome.REFUSED
+
+    def _log(self, event, **fields):
+        loguru.logger.bind(upstream=self.upstream.id, model=self.model, **fields).info(
+            event
+        )
--- a/sycamorespoke/membership/_lease_keeper.py
+++ b/sycamorespoke/membership/_lease_keeper.py
@@ -21,14 +21,24 @@
         The platform.
     clock : callable, default=time.monotonic
         Returns the present time, seconds.
+    duration_s : float, default=6.0
+        Time for which a renewal counts, seconds.
     """
 
-    def __init__(self, shard, holder, platform, clock=time.monotonic):
+    def __init__(
+        self,
+        shard,
+        holder,
+        platform,
+        clock=time.monotonic,
+        duration_s=decisions.LEASE_DURATION_S,
+    ):
         self.shard = shard
         self.holder = holder
         self.platform = platform
         self.clock = clock
-        self._state = decisions.LeaseState(holder)
+        self.duration_s = duration_s
+        self._state = decisions.LeaseState(holder, duration_s=duration_s)
 
     @property
     def held(self):
@@ -50,6 +60,30 @@
         """
         return decisions.is_held(self._state.held, now)
 
+    @property
+    def last_holder(self):
+        """Holder that the newest version names; empty if there is none."""
+        seen = self._state.seen
+        return seen.record.holder if seen is not None and seen.record else ""
+
+    def observe(self, value, version, now):
+        """Take a version of the lease that was received without asking.
+
+        Parameters
+        ----------
+        value : object
+            JSON value of the lease.
+        version : int
+            Its version.
+        now : float
+            When it was received, seconds of the clock.
+        """
+        record = _parse(value)
+        if record is None:
+            logger.error("the lease of {} is malformed", self.shard)
+            return
+        self._state = decisions.take_read(self._state, record, version, now, now)
+
     def step(self):
         """Read or write the lease once, if it is time."""
         action = decisions.plan_lease_step(self._state, self.clock())
@@ -60,7 +94,7 @@
 
     def give_up(self):
         """Act on the lease no more; another process was found to hold it."""
-        self._state = decisions.LeaseState(self.holder)
+        self._state = decisions.LeaseState(self.holder, duration_s=self.duration_s)
 
     def release(self):
         """Let another process take the lease at once; a failure lets it lapse."""
--- a/sycamorespoke/platform/__main__.py
+++ b/sycamorespoke/platform/__main__.py
@@ -10,8 +10,6 @@
 
 SETTINGS_PATH_VARIABLE = "SYCAMORESPOKE_BOOT"
 LOG_FLUSH_S = 0.2
-# Threads are many and shallow; their default stacks would count as memory.
-THREAD_STACK_BYTES = 262144
 
 
 def main():
@@ -32,7 +30,8 @@
         print(loaded, file=sys.stderr)
         return settings.EXIT_WRONG
     sink = telemetry.configure_bounded_logging(loaded.name, loaded.log_level)
-    program = gateway.GatewayProgram(loaded, platform.make_deployment(loaded.platform))
+    deployment = platform.make_deployment(loaded.name, loaded.platform)
+    program = gateway.GatewayProgram(loaded, deployment)
     signal.signal(signal.SIGTERM, lambda *_: program.stop_requested.set())
     signal.signal(signal.SIGINT, lambda *_: program.stop_requested.set())
     signal.signal(signal.SIGHUP, lambda *_: reload(path))
--- a/sycamorespoke/platform/_deployment.py
+++ b/sycamorespoke/platform/_deployment.py
@@ -1,7 +1,14 @@
 """The platform as the gateway needs it."""
 
 from sycamorespoke import gateway
-from sycamorespoke.platform import _documents, _names, _protocol, _store
+from sycamorespoke.platform import (
+    _documents,
+    _engines,
+    _leases,
+    _names,
+    _protocol,
+    _store,
+)
 
 
 class HostRegistry:
@@ -42,11 +49,13 @@
         return written.outcome is _store.WriteOutcome.DONE
 
 
-def make_deployment(address):
+def make_deployment(host, address):
     """Make the platform for a gateway.
 
     Parameters
     ----------
+    host : str
+        Name of this host.
     address : str
         IP number and port of the store.
 
@@ -69,8 +78,11 @@
             ),
             versions=_make_kind(_names.KIND_VERSIONS, _documents.read_named_version),
             hosts=_make_kind(_names.KIND_HOSTS, _documents.read_name),
+            leases=_make_kind(_names.KIND_LEASES, _leases.read_lease),
         ),
         registry=HostRegistry(store),
+        leases=_leases.LeaseObjects(store),
+        engines=_engines.EngineControl(host),
         ready_path=_names.READY_PATH,
     )
 
--- /dev/null
+++ b/sycamorespoke/platform/_engines.py
@@ -0,0 +1,112 @@
+"""Reports of model engines and orders to them."""
+
+import msgspec
+import urllib3
+
+from sycamorespoke import gateway
+from sycamorespoke.platform import _names
+
+CONNECT_TIMEOUT_S = 0.3
+CALL_TIMEOUT_S = 0.6
+POOLS = 64
+# The engine's name of the mode in which it first finishes what it runs.
+MODE_BY_ROLLOUT_MODE = {
+    gateway.RolloutMode.FINISH_FIRST: "queue",
+    gateway.RolloutMode.CUT: "truncate",
+}
+OUTCOME_BY_STATUS = {
+    200: gateway.OrderOutcome.HOLDS,
+    202: gateway.OrderOutcome.ACCEPTED,
+    409: gateway.OrderOutcome.BUSY,
+    412: gateway.OrderOutcome.FENCED,
+}
+
+
+class EngineControl:
+    """Asks engines for reports and gives them orders; safe to share.
+
+    Parameters
+    ----------
+    holder : str
+        Name of this host in its orders.
+    """
+
+    def __init__(self, holder):
+        self.holder = holder
+        self._pools = urllib3.PoolManager(num_pools=POOLS, maxsize=2, retries=False)
+
+    def read_report(self, upstream):
+        """Read what an engine says of itself, some hundred milliseconds old.
+
+        Parameters
+        ----------
+        upstream : gateway.Upstream
+            The engine.
+
+        Returns
+        -------
+        gateway.EngineReport or gateway.Unavailable
+            The report.
+        """
+        response = self._call("GET", upstream, _names.REPORT_PATH)
+        if isinstance(response, gateway.Unavailable):
+            return response
+        if response.status != 200:
+            return gateway.Unavailable(f"status {response.status}", response.status)
+        try:
+            value = msgspec.json.decode(response.data)
+            return gateway.EngineReport(
+                # "Seq" counts the orders accepted since the engine started.
+                orders=value["Seq"],
+                is_loading=bool(value["Busy"]),
+                versions_by_model={
+                    model["Name"]: model["Version"] for model in value["Models"]
+                },
+            )
+        except (msgspec.DecodeError, KeyError, TypeError) as error:
+            return gateway.Unavailable(f"malformed report: {error!r}")
+
+    def order_version(self, upstream, order):
+        """Order an engine to load a version of a model.
+
+        Parameters
+        ----------
+        upstream : gateway.Upstream
+            The engine; another one at its address refuses the order.
+        order : gateway.VersionOrder
+            The order.
+
+        Returns
+        -------
+        gateway.OrderOutcome
+            What became of it.
+        """
+        value = {
+            "Op": "Version",
+            "Model": order.model,
+            "Version": order.version,
+            "Mode": MODE_BY_ROLLOUT_MODE[order.mode],
+            "Holder": self.holder,
+            "Fence": order.fencing_number,
+            # Carried out only if the engine accepted no other order since.
+            "Precondition": order.after_orders,
+        }
+        headers = {_names.EXPECTED_UPSTREAM: upstream.id}
+        response = self._call("POST", upstream, _names.ORDER_PATH, value, headers)
+        if isinstance(response, gateway.Unavailable):
+            return gateway.OrderOutcome.UNKNOWN
+        return OUTCOME_BY_STATUS.get(response.status, gateway.OrderOutcome.REFUSED)
+
+    def _call(self, method, upstream, path, value=None, headers=None):
+        body = None if value is None else msgspec.json.encode(value)
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=CALL_TIMEOUT_S)
+        try:
+            return self._pools.request(
+                method,
+                f"http://{upstream.address}{path}",
+                body=body,
+                headers={"Content-Type": "application/json", **(headers or {})},
+                timeout=timeout,
+            )
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            return gateway.Unavailable(f"no answer: {type(error).__name__}")
