A channel whose answer began before the shutdown is closed after it

Ruled out: the listener (closed 2.3 s after SIGTERM). Change: every answer that ends during the shutdown closes its channel.

--- a/sycamorespoke/gateway/_server.py
+++ b/sycamorespoke/gateway/_server.py
@@ -46,6 +46,12 @@
         if not may_stay:
             super().set_close_on_finish()
 
+    def finish(self):
+        super().finish()
+        if self.channel.server.closes_connections:
+            # The answer may have begun before the shutdown.
+            self.close_on_finish = True
+
     def build_response_header(self):
         if self.channel.server.closes_connections:
             super().set_close_on_finish()
--- /dev/null
+++ b/tests/fakes/path_gateway.py
@@ -0,0 +1,116 @@
+"""A gateway in this process, in front of upstreams of a test."""
+
+import http.client
+
+from sycamorespoke import telemetry
+from sycamorespoke.gateway import (
+    _attempts,
+    _chooser,
+    _clock,
+    _connections,
+    _gateway,
+    _model,
+    _server,
+    _table,
+    _views,
+)
+from sycamorespoke.platform import _protocol
+
+HOST = "calls.example"
+KEY = "key-1"
+
+
+def make_route(name, kind, service="s", **changes):
+    fields = {
+        "name": name,
+        "host": HOST,
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_s": 3.0,
+        "target_latency_s": 0.5,
+        "priority": 1,
+        "weights_by_service": {service: 1.0},
+        "attempts": 2,
+    }
+    return _model.Route(**{**fields, **changes})
+
+
+ROUTES = (
+    make_route("safe", _model.RouteKind.SAFE),
+    make_route("unsafe", _model.RouteKind.UNSAFE, attempts=1),
+    make_route("stream", _model.RouteKind.STREAM, is_resumable=True),
+    make_route("once", _model.RouteKind.STREAM, attempts=1),
+)
+
+
+class PathGateway:
+    """A gateway on a free port; ``upstreams`` are of one service ``s``."""
+
+    def __init__(self, upstreams=(), routes=ROUTES, threads=8):
+        self.views = _views.Views()
+        self.table = _table.UpstreamTable()
+        self.pool = _connections.ConnectionPool()
+        self.metrics = telemetry.Metrics()
+        limits = _chooser.UpstreamLimits(1.5, 5.0, 6.0)
+        self.gateway = _gateway.Gateway(
+            protocol=_protocol,
+            views=self.views,
+            chooser=_chooser.Chooser("host-1", "dc-1", self.table, limits),
+            table=self.table,
+            pool=self.pool,
+            budgets=_attempts.RetryBudgets(0.2, 100.0),
+            metrics=self.metrics,
+            read_clock=_clock.read_clock,
+        )
+        self.server = _server.GatewayServer(
+            "127.0.0.1:0", self.gateway, threads, 100, _model.CallerLimits()
+        )
+        self.configure(routes)
+        self.register(upstreams)
+        self.views.set_parts(data_centres_out=frozenset(), versions_by_model={})
+        self.server.start()
+
+    def configure(self, routes, version=1):
+        configuration = _model.Configuration(
+            version=version,
+            routes=tuple(routes),
+            services_by_name={"s": _model.Service("s", connection_limit=100)},
+            accounts_by_key={KEY: _model.Account("account-1")},
+            needs_key=True,
+        )
+        self.views.set_configuration(configuration)
+
+    def register(self, upstreams):
+        entries = {}
+        for stub in upstreams:
+            entries[stub.name] = _model.Upstream(
+                stub.name, 1, "s", stub.address, "dc-1", slots=8
+            )
+        self.views.set_parts(upstreams_by_id=entries)
+
+    def connect(self):
+        return http.client.HTTPConnection("127.0.0.1", self.server.port, timeout=10)
+
+    def call(self, path, method="POST", body=b"ask", connection=None, **headers):
+        """Send a request; return status, headers and body."""
+        connection = connection or self.connect()
+        send(connection, path, method, body, **headers)
+        response = connection.getresponse()
+        return response.status, response.headers, response.read()
+
+    def close(self):
+        self.server.close_listener()
+        self.server.wait_closed(1.0)
+
+
+def send(connection, path, method="POST", body=b"ask", **headers):
+    """Send a request with an id, a key and a deadline."""
+    sent = {
+        "Host": HOST,
+        "X-Sycamorespoke-Request-Id": "call-1",
+        "X-Sycamorespoke-Deadline-Ms": "3000",
+        "Authorization": f"Bearer {KEY}",
+    }
+    sent.update({name.replace("_", "-"): text for name, text in headers.items()})
+    sent = {name: text for name, text in sent.items() if text is not None}
+    connection.request(method, path, body=body, headers=sent)
--- /dev/null
+++ b/tests/fakes/path_upstream.py
@@ -0,0 +1,105 @@
+"""An upstream on a free port that answers as a test tells it, byte by byte."""
+
+import http.server
+import threading
+import time
+
+RECEIPT = "X-Sycamorespoke-Response-Stamp"
+
+
+class PathUpstream:
+    """Serves requests with a function of the test.
+
+    ``behave(request)`` gets the `http.server` handler, with ``body`` read.
+    """
+
+    def __init__(self, behave, name="i-1"):
+        self.name = name
+        self.behave = behave
+        self.requests = []
+        self.dropped = threading.Event()
+        upstream = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def _serve(self):
+                length = int(self.headers.get("Content-Length") or 0)
+                self.body = self.rfile.read(length)
+                upstream.requests.append(self)
+                try:
+                    upstream.behave(self)
+                except OSError:
+                    upstream.dropped.set()
+                    self.close_connection = True
+
+            def log_message(self, *arguments):
+                pass
+
+        for method in ("GET", "POST", "PUT"):
+            setattr(Handler, f"do_{method}", Handler._serve)
+
+        class Server(http.server.ThreadingHTTPServer):
+            daemon_threads = True
+
+            def handle_error(self, request, client_address):
+                upstream.dropped.set()
+
+        self._server = Server(("127.0.0.1", 0), Handler)
+        self.address = f"127.0.0.1:{self._server.server_address[1]}"
+        self._thread = threading.Thread(
+            target=self._server.serve_forever, kwargs={"poll_interval": 0.02}
+        )
+        self._thread.start()
+
+    def close(self):
+        self._server.shutdown()
+        self._server.server_close()
+        self._thread.join()
+
+
+def answer(request, status=200, body=b"done", **headers):
+    """Answer whole, with the request's id and a receipt."""
+    request.send_response(status)
+    request_id = request.headers.get("X-Sycamorespoke-Request-Id", "")
+    request.send_header("X-Sycamorespoke-Request-Id", headers.pop("id", request_id))
+    request.send_header(RECEIPT, "stamp")
+    for name, text in headers.items():
+        request.send_header(name.replace("_", "-"), text)
+    request.send_header("Content-Length", str(len(body)))
+    request.end_headers()
+    request.wfile.write(body)
+
+
+def begin_stream(request, **headers):
+    """Send the head of a stream in chunks."""
+    request.send_response(200)
+    request.send_header(
+        "X-Sycamorespoke-Request-Id", request.headers["X-Sycamorespoke-Request-Id"]
+    )
+    request.send_header(RECEIPT, "stamp")
+    request.send_header("Content-Type", "text/event-stream")
+    request.send_header("Transfer-Encoding", "chunked")
+    for name, text in headers.items():
+        request.send_header(name.replace("_", "-"), text)
+    request.end_headers()
+
+
+def send_chunk(request, text):
+    """Send one chunk; an empty one ends the stream."""
+    request.wfile.write(b"%x\r\n%s\r\n" % (len(text), text))
+    request.wfile.flush()
+
+
+def send_events(request, first, last, pause_s=0.0):
+    """Send events with ids from ``first`` to ``last``."""
+    for number in range(first, last + 1):
+        send_chunk(request, b"id: %d\ndata: t%d\n\n" % (number, number))
+        time.sleep(pause_s)
+
+
+def cut(request):
+    """Cut the connection without the end of the answer."""
+    request.connection.close()
+    request.close_connection = True
+    raise OSError("cut by the test")
