--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -16,6 +16,11 @@
     RETRIED_KINDS,
     combine_refusals,
 )
+from sycamorespoke.decisions._block_plan import (
+    BlockPlan,
+    StoreState,
+    plan_blocks,
+)
 from sycamorespoke.decisions._claim_messages import (
     Applied,
     Claim,
@@ -133,6 +138,7 @@
     place_by_key,
     place_by_load,
     rank_by_key,
+    rank_weighted,
 )
 from sycamorespoke.decisions._publication import (
     OutKind,
@@ -191,6 +197,7 @@
     "RETRIED_KINDS",
     "WATCHERS_PER_DATA_CENTRE",
     "Applied",
+    "BlockPlan",
     "Candidate",
     "ChangeRecord",
     "Claim",
@@ -230,6 +237,7 @@
     "SetOut",
     "ShardStep",
     "StoreCandidate",
+    "StoreState",
     "StoredRules",
     "StoredServiceState",
     "TokenBucket",
@@ -282,11 +290,13 @@
     "pick_weighted",
     "place_by_key",
     "place_by_load",
+    "plan_blocks",
     "plan_lease_step",
     "plan_load_orders",
     "plan_preparations",
     "rank_by_key",
     "rank_hosts",
+    "rank_weighted",
     "reserve_bytes",
     "return_permit",
     "select_due",
--- a/sycamorespoke/decisions/_placement.py
+++ b/sycamorespoke/decisions/_placement.py
@@ -5,6 +5,8 @@
 between hosts, until that upstream has clearly more to do than the others.
 """
 
+import math
+
 import attrs
 import xxhash
 
@@ -69,6 +71,35 @@
     )
 
 
+def rank_weighted(key, weights_by_name):
+    """Rank names for a key, each first as often as its weight says.
+
+    Parameters
+    ----------
+    key : str
+        What shall stay together.
+    weights_by_name : dict of str to float
+        Weights above 0.
+
+    Returns
+    -------
+    list of str
+        Best first, the same on every host.
+
+    Examples
+    --------
+    >>> first = [rank_weighted(str(n), {"a": 3.0, "b": 1.0})[0] for n in range(1000)]
+    >>> 700 < first.count("a") < 800
+    True
+    """
+
+    def score(name):
+        uniform = (_hash(f"{key}\0{name}") + 1) / (HASH_RANGE + 1)
+        return -weights_by_name[name] / math.log(uniform)
+
+    return sorted(weights_by_name, key=lambda name: (score(name), name), reverse=True)
+
+
 def place_by_key(key, candidates, cost, bound, slack):
     """Choose the upstream for a request by what it shares with others.
 
--- a/sycamorespoke/gateway/__init__.py
+++ b/sycamorespoke/gateway/__init__.py
@@ -1,5 +1,6 @@
 """Serves callers by routes of host name and path, for upstreams that register."""
 
+from sycamorespoke.gateway._blocks import StoreEvent, StoreEvents
 from sycamorespoke.gateway._calls import (
     Answer,
     AnswerHead,
@@ -73,6 +74,8 @@
     "Route",
     "RouteKind",
     "Service",
+    "StoreEvent",
+    "StoreEvents",
     "Unavailable",
     "Upstream",
     "VersionOrder",
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -6,7 +6,7 @@
 import loguru
 
 from sycamorespoke import decisions, world
-from sycamorespoke.gateway import _calls, _chooser, _exchange, _model
+from sycamorespoke.gateway import _blocks, _calls, _chooser, _exchange, _model
 
 # How much each failure says of its upstream, 0 to 1.
 FAULT_WEIGHT_BY_KIND = {
@@ -28,7 +28,6 @@
 HIGHEST_URGENCY = 0
 LOWEST_URGENCY = 9
 PRIVATE_SCOPE = "account"
-SHARED_SCOPE = "shared"
 
 
 @attrs.define
@@ -229,24 +228,41 @@
         priority = self.route.priority
         if self.account is not None and self.account.priority is not None:
             priority = self.account.priority
+        scope, blocks, until_ms = "", decisions.BlockPlan(), 0
+        if prompt:
+            scope = self._make_scope(choice)
+            blocks, until_ms = self._plan_blocks(choice, scope)
         return _calls.Dispatch(
             upstream=choice.upstream,
             account=self.account,
             left_s=self.ends_s - self.parts.read_clock(),
             priority=_clamp_urgency(priority) if prompt else None,
             weight_version=choice.weight_version,
-            cache_scope=self._make_scope() if prompt else "",
+            cache_scope=scope,
             last_event_id=last_event_id,
+            blocks=blocks,
+            fetch_until_ms=until_ms,
         )
 
-    def _make_scope(self):
-        """Name the cached parts that this call may share.
-
-        An engine drops what it has cached when it loads other weights.
-        """
+    def _plan_blocks(self, choice, scope):
+        """Plan transfers for a call that must run on the newest weights."""
+        view = self.parts.views.get()
+        now = self.parts.read_clock()
+        if choice.weight_version is None:
+            return decisions.BlockPlan(), 0
+        # The parts of older weights are freed; no fetch of them may begin.
+        named = (view.versions_by_model or {}).get(self.call.prompt.model)
+        is_newest = named is None or choice.weight_version >= named.version
+        is_recent = now - view.versions_confirmed_s <= _blocks.OFFER_S
+        is_confirmed = is_newest and is_recent
+        return self.parts.blocks.plan(self.call.prompt, scope, is_confirmed, now)
+
+    def _make_scope(self, choice):
+        """Name the cached parts that this call may share."""
+        scope = f"v{choice.weight_version or 0}"
         if self.account is not None and self.account.is_isolated:
-            return f"{PRIVATE_SCOPE} {self.account.name}"
-        return SHARED_SCOPE
+            return f"{scope} {PRIVATE_SCOPE} {self.account.name}"
+        return scope
 
     def _take_failure(self, choice, failure):
         """Handle a failed attempt; return a refusal if it was the last."""
--- /dev/null
+++ b/sycamorespoke/gateway/_blocks.py
@@ -0,0 +1,305 @@
+"""What the stores of cached prompt parts hold, and what requests do with it."""
+
+import threading
+
+import attrs
+import loguru
+
+from sycamorespoke import decisions
+from sycamorespoke.gateway import _clock, _source
+
+POLL_S = 0.4
+# What a store holds is believed for this long after its last answer. It is
+# shorter than a restart takes, after which a part may be half written.
+BELIEVED_S = 0.9
+RETRY_S = 0.3
+# A fetch that has not ended by then is thrown away.
+FETCH_S = 2.5
+# A fetch starts only if the named weights were confirmed this recently.
+OFFER_S = 6.0
+FORGET_SAVES_S = 10.0
+
+
+@attrs.frozen
+class StoreEvent:
+    """A part was completed in a store, or has left it.
+
+    Parameters
+    ----------
+    scope : str
+        Text under which it is found.
+    part_id : str
+        The part.
+    tokens : int
+        Tokens stored now.
+    is_added : bool
+        It is complete; else it has left.
+    """
+
+    scope: str
+    part_id: str
+    tokens: int
+    is_added: bool
+
+
+@attrs.frozen
+class StoreEvents:
+    """Events of a store since a number.
+
+    Parameters
+    ----------
+    epoch : int
+        Changes with each start of the store.
+    next_number : int
+        To ask from next.
+    is_gap : bool
+        Events before these are not kept any more.
+    events : tuple of StoreEvent
+        In order.
+    clock_ms : float
+        The clock of the stores and engines, Unix milliseconds.
+    """
+
+    epoch: int
+    next_number: int
+    is_gap: bool
+    events: tuple[StoreEvent, ...]
+    clock_ms: float
+
+
+class StoreIndex:
+    """What one store holds, from its events; safe to share among threads.
+
+    Parameters
+    ----------
+    store : BlockStore
+        The store.
+    """
+
+    def __init__(self, store):
+        self.store = store
+        self.epoch = None
+        self.next_number = 0
+        self.used_tokens = 0
+        self._tokens_by_key = {}
+        self._confirmed_s = float("-inf")
+        self._clock_offset_ms = 0.0
+        self._lock = threading.Lock()
+
+    def take(self, page, now):
+        """Take events that were received at ``now``, seconds of the boot clock.
+
+        Returns
+        -------
+        bool
+            Whether the store has started anew.
+        """
+        with self._lock:
+            is_new = page.epoch != self.epoch
+            if is_new:
+                self._tokens_by_key = {}
+                self.epoch = page.epoch
+            for event in page.events:
+                key = (event.scope, event.part_id)
+                if event.is_added:
+                    self._tokens_by_key[key] = event.tokens
+                else:
+                    self._tokens_by_key.pop(key, None)
+            self.next_number = page.next_number
+            self.used_tokens = sum(self._tokens_by_key.values())
+            self._confirmed_s = now
+            self._clock_offset_ms = page.clock_ms - now * 1000
+            return is_new
+
+    def forget(self):
+        """Believe nothing of it until it answers again."""
+        with self._lock:
+            self._confirmed_s = float("-inf")
+
+    def is_known(self, now):
+        """Return whether its content is known at ``now``."""
+        return now - self._confirmed_s <= BELIEVED_S
+
+    def holds(self, scope, part):
+        """Return whether it holds a whole part."""
+        return self._tokens_by_key.get((scope, part.id), -1) == part.tokens
+
+    def read_clock_ms(self, now):
+        """Return the clock of the stores at ``now``, Unix milliseconds."""
+        return now * 1000 + self._clock_offset_ms
+
+    def list_parts(self):
+        """Return the complete parts as (scope, id) with their tokens."""
+        with self._lock:
+            return dict(self._tokens_by_key)
+
+
+class StoreFollower:
+    """Keeps a `StoreIndex` up to date in a thread of its own.
+
+    Parameters
+    ----------
+    client : object
+        Has ``read_events(address, since, wait_s)``.
+    index : StoreIndex
+        What it keeps.
+    """
+
+    def __init__(self, client, index):
+        self.client = client
+        self.index = index
+        self._stopped = threading.Event()
+        self._was_away = False
+
+    def start(self):
+        """Follow until `stop`."""
+        threading.Thread(target=self._run, name="store", daemon=True).start()
+
+    def stop(self):
+        """Stop following."""
+        self._stopped.set()
+
+    def step(self):
+        """Ask once; return the seconds to wait before the next step."""
+        address = self.index.store.address
+        page = self.client.read_events(address, self.index.next_number, POLL_S)
+        if isinstance(page, _source.Unavailable):
+            self.index.forget()
+            if not self._was_away:
+                self._was_away = True
+                self._log("store of parts lost", reason=page.reason)
+            return RETRY_S
+        is_new = self.index.take(page, _clock.read_clock())
+        if is_new or self._was_away or page.is_gap:
+            self._was_away = False
+            self._log("store of parts known", epoch=page.epoch, gap=page.is_gap)
+        return 0.0
+
+    def _run(self):
+        while not self._stopped.is_set():
+            try:
+                wait_s = self.step()
+            except Exception:
+                loguru.logger.exception("following a store failed")
+                wait_s = RETRY_S
+            if wait_s:
+                self._stopped.wait(wait_s)
+
+    def _log(self, event, **fields):
+        loguru.logger.bind(store=self.index.store.address, **fields).info(event)
+
+
+class Blocks:
+    """Plans what requests fetch and save.
+
+    Parameters
+    ----------
+    client : object
+        Has ``read_events``, see `StoreFollower`.
+    """
+
+    def __init__(self, client):
+        self.client = client
+        self._followers_by_address = {}
+        self._indexes_by_address = {}
+        self._saved_s_by_key = {}
+        self._lock = threading.Lock()
+
+    def configure(self, configuration):
+        """Follow the managed stores of a configuration, and no others."""
+        stores_by_address = {
+            service.store.address: service.store
+            for service in configuration.services_by_name.values()
+            if service.store is not None and service.store.is_managed
+        }
+        for address in self._followers_by_address.keys() - stores_by_address.keys():
+            self._followers_by_address.pop(address).stop()
+            self._indexes_by_address.pop(address)
+        for address, store in stores_by_address.items():
+            if address not in self._followers_by_address:
+                index = StoreIndex(store)
+                follower = StoreFollower(self.client, index)
+                self._indexes_by_address[address] = index
+                self._followers_by_address[address] = follower
+                follower.start()
+
+    def plan(self, prompt, scope, is_confirmed, now):
+        """Plan the transfers of a request that is about to be sent.
+
+        Parameters
+        ----------
+        prompt : Prompt
+            Its prompt.
+        scope : str
+            Text under which its parts are found.
+        is_confirmed : bool
+            The named weights were confirmed recently, see `OFFER_S`.
+        now : float
+            Present time, seconds of the boot clock.
+
+        Returns
+        -------
+        (decisions.BlockPlan, int)
+            The plan, and when a fetch is thrown away, on the stores' clock.
+        """
+        indexes_by_address = dict(self._indexes_by_address)
+        if not is_confirmed or not indexes_by_address:
+            return decisions.BlockPlan(), 0
+        states = [
+            decisions.StoreState(
+                address,
+                index.store.capacity_tokens,
+                index.used_tokens,
+                index.is_known(now),
+            )
+            for address, index in indexes_by_address.items()
+        ]
+        plan = decisions.plan_blocks(
+            prompt.parts,
+            states,
+            lambda address, part: indexes_by_address[address].holds(scope, part),
+            lambda part: self._saved_s_by_key.get((scope, part.id), float("-inf")),
+            now,
+        )
+        self._note_saves(prompt, scope, plan, now)
+        return plan, self._compute_until_ms(plan, indexes_by_address, now)
+
+    def forget_old_saves(self, now):
+        """Forget the saves that are old by ``now``."""
+        with self._lock:
+            for key, saved_s in list(self._saved_s_by_key.items()):
+                if now - saved_s > FORGET_SAVES_S:
+                    del self._saved_s_by_key[key]
+
+    def list_indexes(self):
+        """Return the indexes of all stores."""
+        return list(self._indexes_by_address.values())
+
+    def dump(self, now):
+        """Return what the stores hold as JSON values, by address."""
+        return {
+            address: {
+                "known": index.is_known(now),
+                "epoch": index.epoch,
+                "parts": len(index.list_parts()),
+                "used_tokens": index.used_tokens,
+                "capacity_tokens": index.store.capacity_tokens,
+            }
+            for address, index in dict(self._indexes_by_address).items()
+        }
+
+    def _note_saves(self, prompt, scope, plan, now):
+        if not plan.saves:
+            return
+        with self._lock:
+            for part, address in zip(prompt.parts, plan.save_to, strict=True):
+                if address is not None:
+                    self._saved_s_by_key[scope, part.id] = now
+
+    def _compute_until_ms(self, plan, indexes_by_address, now):
+        clocks_ms = [
+            indexes_by_address[address].read_clock_ms(now)
+            for address in plan.fetch_from
+            if address is not None
+        ]
+        return int(min(clocks_ms) + FETCH_S * 1000) if clocks_ms else 0
--- a/sycamorespoke/gateway/_calls.py
+++ b/sycamorespoke/gateway/_calls.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from sycamorespoke import world
+from sycamorespoke import decisions, world
 
 
 @attrs.frozen
@@ -111,6 +111,10 @@
         Cached parts are found only under the same text.
     last_event_id : int or None, default=None
         Event after which a stream goes on.
+    blocks : decisions.BlockPlan
+        Parts of the prompt that are fetched from stores or saved there.
+    fetch_until_ms : int, default=0
+        When a fetch is thrown away, on the stores' clock, Unix milliseconds.
     """
 
     upstream: object
@@ -120,6 +124,8 @@
     weight_version: int | None = None
     cache_scope: str = ""
     last_event_id: int | None = None
+    blocks: decisions.BlockPlan = attrs.field(factory=decisions.BlockPlan)
+    fetch_until_ms: int = 0
 
 
 @attrs.frozen
--- a/sycamorespoke/gateway/_chooser.py
+++ b/sycamorespoke/gateway/_chooser.py
@@ -141,7 +141,7 @@
         while upstreams:
             upstream = self._place(upstreams, states_by_boot, call)
             if self._bears(view, upstream, now):
-                return self._make_choice(view, upstream, call, now)
+                return self._make_choice(view, upstream, states_by_boot, call)
             upstreams = [other for other in upstreams if other is not upstream]
         return None
 
@@ -201,16 +201,17 @@
         share = decisions.share_cold_rate(rate, self.host, view.hosts, upstream.boot)
         return self.table.take_cold(upstream, share, now)
 
-    def _make_choice(self, view, upstream, call, now):
-        named = self._named_version(view, call)
-        is_due = named is not None and self._is_due(named, now)
+    def _make_choice(self, view, upstream, states_by_boot, call):
+        version = None
+        if call.prompt is not None:
+            version = version_of(upstream, states_by_boot, call.prompt.model) or None
         service = view.configuration.services_by_name.get(upstream.service)
         limit = service.connection_limit if service else 0
         hosts = max(len(view.hosts), 1)
         connections = int(limit * CONNECTION_SHARE / hosts) or 1
         return Choice(
             upstream,
-            named.version if is_due else None,
+            version,
             connections if limit else DEFAULT_CONNECTIONS,
         )
 
--- a/sycamorespoke/gateway/_follower.py
+++ b/sycamorespoke/gateway/_follower.py
@@ -22,6 +22,8 @@
 
     Parameters
     ----------
+    part : str
+        Part of the view that it keeps.
     kind : str
         Kind of objects at the source.
     read : callable
@@ -34,6 +36,7 @@
         around an outage of the source.
     """
 
+    part: str
     kind: str
     read: object
     publish: object
@@ -52,7 +55,7 @@
     read_clock : callable
         Returns seconds of the boot clock.
     confirm : callable
-        Takes the kind and the time of each answer of the source.
+        Takes the part and the time of each answer of the source.
     """
 
     def __init__(self, source, reader, read_clock, confirm):
@@ -72,7 +75,7 @@
 
     def start(self):
         """Follow in a thread of its own until `stop`."""
-        name = f"follow {self.reader.kind}"
+        name = f"follow {self.reader.part}"
         threading.Thread(target=self._run, name=name, daemon=True).start()
 
     def stop(self):
@@ -105,7 +108,7 @@
         if changed or not self._published:
             self._published = True
             self.reader.publish(dict(self.items_by_name), now)
-        self.confirm(self.reader.kind, now)
+        self.confirm(self.reader.part, now)
         return 0.0
 
     def _run(self):
@@ -113,7 +116,7 @@
             try:
                 wait_s = self.step()
             except Exception:
-                loguru.logger.exception(f"following {self.reader.kind} failed")
+                loguru.logger.exception(f"following {self.reader.part} failed")
                 wait_s = LONGEST_RETRY_S
             if wait_s:
                 self._stopped.wait(wait_s)
@@ -216,7 +219,7 @@
             return name, None
 
     def _log(self, event, **fields):
-        loguru.logger.bind(kind=self.reader.kind, **fields).info(event)
+        loguru.logger.bind(part=self.reader.part, **fields).info(event)
 
 
 def _name_of(value):
--- a/sycamorespoke/gateway/_gateway.py
+++ b/sycamorespoke/gateway/_gateway.py
@@ -30,6 +30,8 @@
         What was seen of the upstreams.
     pool : ConnectionPool
         Connections to upstreams.
+    blocks : Blocks
+        Stores of cached prompt parts.
     budgets : RetryBudgets
         Retries.
     metrics : telemetry.Metrics
@@ -43,6 +45,7 @@
     chooser: object
     table: object
     pool: object
+    blocks: object
     budgets: object
     metrics: object
     read_clock: object
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -8,6 +8,7 @@
 from sycamorespoke import telemetry
 from sycamorespoke.gateway import (
     _attempts,
+    _blocks,
     _chooser,
     _clock,
     _connections,
@@ -54,6 +55,8 @@
         Lease objects, see `Rollout`.
     engines : object
         Reports of engines and orders to them, see `Rollout`.
+    block_stores : object
+        Stores of cached prompt parts, see `Blocks`.
     ready_path : str
         Path on which the balancer asks.
     """
@@ -64,6 +67,7 @@
     registry: object
     leases: object
     engines: object
+    block_stores: object
     ready_path: str
 
 
@@ -119,6 +123,7 @@
         self.views = _views.Views()
         self.table = _table.UpstreamTable()
         self.pool = _connections.ConnectionPool()
+        self.blocks = _blocks.Blocks(deployment.block_stores)
         self.stop_requested = threading.Event()
         self._limits = _model.CallerLimits()
         self._files = max(gateway_settings.files - RESERVED_FILES, 64)
@@ -186,12 +191,13 @@
         boots = view.list_boots()
         self.pool.retain(boots, now)
         self.table.retain(boots)
+        self.blocks.forget_old_saves(now)
         if view.configuration and view.configuration.limits != self._limits:
             self._limits = view.configuration.limits
             self.server.set_limits(self._limits)
         self.metrics.gauge("caller_connections", self.server.count_connections())
-        for kind, confirmed_s in view.confirmed_s_by_kind.items():
-            self.metrics.gauge("view_age_seconds", now - confirmed_s, kind=kind)
+        for part, confirmed_s in view.confirmed_s_by_part.items():
+            self.metrics.gauge("view_age_seconds", now - confirmed_s, part=part)
 
     def stop(self):
         """Shut down gracefully.
@@ -225,8 +231,8 @@
             "ready": self.is_ready(),
             "stopping": self.stop_requested.is_set(),
             "view_age_s": {
-                kind: round(now - confirmed_s, 3)
-                for kind, confirmed_s in view.confirmed_s_by_kind.items()
+                part: round(now - confirmed_s, 3)
+                for part, confirmed_s in view.confirmed_s_by_part.items()
             },
             "hosts": sorted(view.hosts),
             "data_centres_out": sorted(view.data_centres_out or ()),
@@ -236,6 +242,7 @@
             },
             "upstreams": self.table.dump(now),
             "connections": self.pool.count_open(),
+            "stores": self.blocks.dump(now),
         }
 
     def _in_force(self):
@@ -256,6 +263,7 @@
             ),
             table=self.table,
             pool=self.pool,
+            blocks=self.blocks,
             budgets=_attempts.RetryBudgets(settings.retry_ratio, settings.retry_slack),
             metrics=self.metrics,
             read_clock=_clock.read_clock,
@@ -269,14 +277,13 @@
         )
 
     def _make_followers(self):
-        kinds = self.deployment.kinds
         readers = [
-            self._make_reader(kinds.configuration, self._take_configuration),
-            self._make_reader(kinds.upstreams, self._take_upstreams, _is_kept),
-            self._make_reader(kinds.data_centres_out, self._take_data_centres_out),
-            self._make_reader(kinds.versions, self._take_versions),
-            self._make_reader(kinds.hosts, self._take_hosts),
-            self._make_reader(kinds.leases, self._take_leases),
+            self._make_reader("configuration", self._take_configuration),
+            self._make_reader("upstreams", self._take_upstreams, _is_kept),
+            self._make_reader("data_centres_out", self._take_data_centres_out),
+            self._make_reader(_views.VERSIONS, self._take_versions),
+            self._make_reader("hosts", self._take_hosts),
+            self._make_reader("leases", self._take_leases),
         ]
         return [
             _follower.Follower(
@@ -285,12 +292,14 @@
             for reader in readers
         ]
 
-    def _make_reader(self, kind, publish, keeps_missing=None):
-        return _follower.Reader(kind.name, kind.read, publish, keeps_missing)
+    def _make_reader(self, part, publish, keeps_missing=None):
+        kind = getattr(self.deployment.kinds, part)
+        return _follower.Reader(part, kind.name, kind.read, publish, keeps_missing)
 
     def _take_configuration(self, items_by_name, now):
         for configuration in items_by_name.values():
             if self.views.set_configuration(configuration):
+                self.blocks.configure(configuration)
                 loguru.logger.bind(
                     version=configuration.version, routes=len(configuration.routes)
                 ).info("configuration in force")
--- a/sycamorespoke/gateway/_rollout.py
+++ b/sycamorespoke/gateway/_rollout.py
@@ -7,8 +7,8 @@
 import loguru
 import pykka
 
-from sycamorespoke import decisions, membership
-from sycamorespoke.gateway import _chooser, _clock, _orders, _source
+from sycamorespoke import decisions
+from sycamorespoke.gateway import _chooser, _clock, _duty, _orders, _source
 
 LEASE_NAME = "weights"
 # An engine that did not answer is asked again after this time.
@@ -56,26 +56,22 @@
 
     def __init__(self, host, views, table, leases, engines, lease_s):
         super().__init__()
-        self.host = host
         self.views = views
         self.table = table
         self.engines = engines
-        self.keeper = membership.LeaseKeeper(
-            LEASE_NAME, host, leases, _clock.read_clock, lease_s
+        self.duty = _duty.Duty(
+            LEASE_NAME, host, views, leases, _clock.read_clock, lease_s
         )
         self._executor = concurrent.futures.ThreadPoolExecutor(MOST_LOADS, "load")
         self._loading_by_boot = {}
         self._put_off_until_s_by_boot = {}
-        self._behind_since_s = None
-        self._was_held = False
         self._lock = threading.Lock()
 
     def on_receive(self, message):
         """Take a `Tick` or a `LeaseSeen`."""
         try:
             if isinstance(message, _orders.LeaseSeen):
-                now = _clock.read_clock()
-                self.keeper.observe(message.value, message.version, now)
+                self.duty.observe(message)
             else:
                 self.step(message.now)
         except Exception:
@@ -105,11 +101,9 @@
             if each.version < wanted_by_model.get(each.model, 0)
         ]
         if not behind:
-            self._behind_since_s = None
+            self.duty.rest()
             return
-        if self._behind_since_s is None:
-            self._behind_since_s = now
-        if not self._hold(view, wanted_by_model, now):
+        if not self.duty.hold(str(sorted(wanted_by_model.items())), now):
             return
         self._start_loads(view, engines, wanted_by_model, now)
 
@@ -130,27 +124,6 @@
             for model in upstream.versions_by_model
         ]
 
-    def _hold(self, view, wanted_by_model, now):
-        """Take or renew the lease; return whether it may be acted on."""
-        if not self.keeper.is_held(now):
-            turn_s = decisions.compute_turn_s(
-                self.host,
-                view.hosts,
-                self.keeper.last_holder,
-                f"{LEASE_NAME} {sorted(wanted_by_model.items())}",
-            )
-            if now - self._behind_since_s < turn_s:
-                return False
-        self.keeper.step()
-        is_held = self.keeper.is_held(_clock.read_clock())
-        if is_held != self._was_held:
-            self._was_held = is_held
-            number = self.keeper.held.fencing_number if is_held else None
-            loguru.logger.bind(lease=LEASE_NAME, fencing_number=number).info(
-                "lease taken" if is_held else "lease lost"
-            )
-        return is_held
-
     def _start_loads(self, view, engines, wanted_by_model, now):
         put_off = {
             boot
@@ -162,7 +135,7 @@
         upstreams_by_boot = {
             upstream.boot: upstream for upstream in view.upstreams_by_id.values()
         }
-        number = self.keeper.held.fencing_number
+        number = self.duty.fencing_number
         for engine in decisions.select_loads(
             engines, wanted_by_model, loading, put_off
         ):
@@ -249,7 +222,7 @@
         """Give the order; return whether to go on."""
         # The lease is looked at last, since the host may have been suspended.
         now = _clock.read_clock()
-        if not self.rollout.keeper.is_held(now):
+        if not self.rollout.duty.is_held():
             return False
         order = _orders.VersionOrder(
             self.model, version, self.fencing_number, report.orders
@@ -263,7 +236,7 @@
             outcome=outcome.value,
         )
         if outcome is _orders.OrderOutcome.FENCED:
-            self.rollout.keeper.give_up()
+            self.rollout.duty.give_up()
             return False
         if outcome is _orders.OrderOutcome.ACCEPTED:
             self._ordered_s = now
--- a/sycamorespoke/gateway/_views.py
+++ b/sycamorespoke/gateway/_views.py
@@ -6,6 +6,8 @@
 
 from sycamorespoke.gateway import _model
 
+VERSIONS = "versions"
+
 
 @attrs.frozen
 class View:
@@ -23,7 +25,7 @@
         Weights that the operators want; ``None`` while not known.
     hosts : frozenset of str, default=()
         Entry hosts that have registered.
-    confirmed_s_by_kind : dict of str to float
+    confirmed_s_by_part : dict of str to float
         When the source last confirmed each part, seconds of the boot clock.
     """
 
@@ -32,7 +34,7 @@
     data_centres_out: frozenset[str] | None = None
     versions_by_model: dict[str, _model.NamedVersion] | None = None
     hosts: frozenset[str] = frozenset()
-    confirmed_s_by_kind: dict[str, float] = attrs.field(factory=dict)
+    confirmed_s_by_part: dict[str, float] = attrs.field(factory=dict)
 
     @property
     def is_complete(self):
@@ -44,6 +46,11 @@
             self.versions_by_model,
         )
 
+    @property
+    def versions_confirmed_s(self):
+        """When the named weights were last confirmed, seconds of the boot clock."""
+        return self.confirmed_s_by_part.get(VERSIONS, float("-inf"))
+
     def list_upstreams(self, service):
         """List the upstreams of a service that may get new work.
 
@@ -101,8 +108,8 @@
         with self._lock:
             self._view = attrs.evolve(self._view, **parts)
 
-    def confirm(self, kind, now):
+    def confirm(self, part, now):
         """Note that the source has confirmed a part at ``now``."""
         with self._lock:
-            confirmed = {**self._view.confirmed_s_by_kind, kind: now}
-            self._view = attrs.evolve(self._view, confirmed_s_by_kind=confirmed)
+            confirmed = {**self._view.confirmed_s_by_part, part: now}
+            self._view = attrs.evolve(self._view, confirmed_s_by_part=confirmed)
--- a/sycamorespoke/platform/_deployment.py
+++ b/sycamorespoke/platform/_deployment.py
@@ -2,6 +2,7 @@
 
 from sycamorespoke import gateway
 from sycamorespoke.platform import (
+    _block_stores,
     _documents,
     _engines,
     _leases,
@@ -83,6 +84,7 @@
         registry=HostRegistry(store),
         leases=_leases.LeaseObjects(store),
         engines=_engines.EngineControl(host),
+        block_stores=_block_stores.BlockStoreClient(),
         ready_path=_names.READY_PATH,
     )
 
--- a/sycamorespoke/platform/_names.py
+++ b/sycamorespoke/platform/_names.py
@@ -71,6 +71,8 @@
 OBJECTS_PATH = "/sycamorespoke/objects/"
 REPORT_PATH = "/sycamorespoke/report"
 ORDER_PATH = "/sycamorespoke/order"
+EVENTS_PATH = "/sycamorespoke/kv-events"
+FREE_PATH = "/sycamorespoke/kv-free"
 
 KIND_CONFIGURATION = "config"
 KIND_UPSTREAMS = "servers"
--- a/sycamorespoke/platform/_protocol.py
+++ b/sycamorespoke/platform/_protocol.py
@@ -94,6 +94,11 @@
         headers[_names.EXPECTED_VERSION] = str(dispatch.weight_version)
     if dispatch.cache_scope:
         headers[_names.CACHE_SCOPE] = dispatch.cache_scope
+    if dispatch.blocks.fetches:
+        headers[_names.FETCH_FROM] = _list_addresses(dispatch.blocks.fetch_from)
+        headers[_names.FETCH_UNTIL] = str(dispatch.fetch_until_ms)
+    if dispatch.blocks.saves:
+        headers[_names.SAVE_TO] = _list_addresses(dispatch.blocks.save_to)
     if dispatch.last_event_id is not None:
         headers[_names.LAST_EVENT_ID] = str(dispatch.last_event_id)
     return headers
@@ -157,6 +162,11 @@
     return headers
 
 
+def _list_addresses(addresses):
+    # One entry for each part of the prompt; a dash stands for none.
+    return ",".join(address or "-" for address in addresses)
+
+
 def _read_headers(environ):
     for name, text in environ.items():
         if name.startswith("HTTP_"):
--- a/tests/fakes/path_gateway.py
+++ b/tests/fakes/path_gateway.py
@@ -5,6 +5,7 @@
 from sycamorespoke import telemetry
 from sycamorespoke.gateway import (
     _attempts,
+    _blocks,
     _chooser,
     _clock,
     _connections,
@@ -58,6 +59,7 @@
             chooser=_chooser.Chooser("host-1", "dc-1", self.table, limits),
             table=self.table,
             pool=self.pool,
+            blocks=_blocks.Blocks(None),
             budgets=_attempts.RetryBudgets(0.2, 100.0),
             metrics=self.metrics,
             read_clock=_clock.read_clock,
