Overload: requests that cannot meet their target stand back; parts of older weights are freed

Change: each host estimates the wait for the first event at each engine from its own urgent requests; a request that cannot meet its target is sent five ranks less urgent. A host under a lease frees the parts of older weights 6.5 s after the new ones are named.

--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -6,7 +6,7 @@
 import loguru
 
 from sycamorespoke import decisions, world
-from sycamorespoke.gateway import _blocks, _calls, _chooser, _exchange, _model
+from sycamorespoke.gateway import _calls, _chooser, _exchange, _model
 
 # How much each failure says of its upstream, 0 to 1.
 FAULT_WEIGHT_BY_KIND = {
@@ -25,9 +25,8 @@
 FULL_S = 0.1
 # A refusal is answered this long before the deadline at the latest.
 LEAST_LEFT_S = 0.02
-HIGHEST_URGENCY = 0
-LOWEST_URGENCY = 9
-PRIVATE_SCOPE = "account"
+# Prompt tokens that an engine reads in a second when it does nothing else.
+READ_TOKENS_PER_S = 90000.0
 
 
 @attrs.define
@@ -109,6 +108,9 @@
         self._deposited = set()
         # Upstreams that received the call, whether or not they ran it.
         self._reached = set()
+        self._sent_s = 0.0
+        self._read_s = 0.0
+        self._is_urgent = False
 
     def leave(self):
         """Stop at once since the caller has gone; from any thread."""
@@ -228,15 +230,16 @@
         priority = self.route.priority
         if self.account is not None and self.account.priority is not None:
             priority = self.account.priority
-        scope, blocks, until_ms = "", decisions.BlockPlan(), 0
+        scope, blocks, until_ms, urgency = "", decisions.BlockPlan(), 0, None
         if prompt:
             scope = self._make_scope(choice)
             blocks, until_ms = self._plan_blocks(choice, scope)
+            urgency = self._choose_urgency(choice, priority, blocks)
         return _calls.Dispatch(
             upstream=choice.upstream,
             account=self.account,
             left_s=self.ends_s - self.parts.read_clock(),
-            priority=_clamp_urgency(priority) if prompt else None,
+            priority=urgency,
             weight_version=choice.weight_version,
             cache_scope=scope,
             last_event_id=last_event_id,
@@ -244,25 +247,50 @@
             fetch_until_ms=until_ms,
         )
 
+    def _choose_urgency(self, choice, priority, blocks):
+        now = self.parts.read_clock()
+        self._sent_s = now
+        self._read_s = _estimate_read_s(self.call.prompt, blocks)
+        urgency = decisions.choose_urgency(
+            priority,
+            self.route.target_latency_s,
+            now - self.call.arrived_s,
+            self.parts.table.read_wait_s(choice.upstream, now),
+            self._read_s,
+        )
+        self._is_urgent = urgency == priority
+        return urgency
+
+    def note_first_event(self):
+        """Note how long the upstream took to begin."""
+        if self._is_urgent:
+            now = self.parts.read_clock()
+            wait_s = now - self._sent_s - self._read_s
+            self.parts.table.note_wait(self.exchange.upstream, wait_s, now)
+
     def _plan_blocks(self, choice, scope):
         """Plan transfers for a call that must run on the newest weights."""
         view = self.parts.views.get()
         now = self.parts.read_clock()
         if choice.weight_version is None:
             return decisions.BlockPlan(), 0
-        # The parts of older weights are freed; no fetch of them may begin.
         named = (view.versions_by_model or {}).get(self.call.prompt.model)
-        is_newest = named is None or choice.weight_version >= named.version
-        is_recent = now - view.versions_confirmed_s <= _blocks.OFFER_S
-        is_confirmed = is_newest and is_recent
-        return self.parts.blocks.plan(self.call.prompt, scope, is_confirmed, now)
+        may_fetch = decisions.may_fetch(
+            choice.weight_version,
+            named.version if named else 0,
+            view.versions_confirmed_s,
+            now,
+        )
+        return self.parts.blocks.plan(self.call.prompt, scope, may_fetch, now)
 
     def _make_scope(self, choice):
         """Name the cached parts that this call may share."""
-        scope = f"v{choice.weight_version or 0}"
-        if self.account is not None and self.account.is_isolated:
-            return f"{scope} {PRIVATE_SCOPE} {self.account.name}"
-        return scope
+        is_private = self.account is not None and self.account.is_isolated
+        return decisions.Scope(
+            self.call.prompt.model,
+            choice.weight_version or 0,
+            self.account.name if is_private else "",
+        ).text
 
     def _take_failure(self, choice, failure):
         """Handle a failed attempt; return a refusal if it was the last."""
@@ -352,5 +380,10 @@
         ).info(event)
 
 
-def _clamp_urgency(priority):
-    return min(max(int(priority), HIGHEST_URGENCY), LOWEST_URGENCY)
+def _estimate_read_s(prompt, blocks):
+    held = sum(
+        part.tokens
+        for part, address in zip(prompt.parts, blocks.fetch_from, strict=False)
+        if address is not None
+    )
+    return max(prompt.input_tokens - held, 0) / READ_TOKENS_PER_S
--- a/sycamorespoke/gateway/_blocks.py
+++ b/sycamorespoke/gateway/_blocks.py
@@ -13,10 +13,6 @@
 # shorter than a restart takes, after which a part may be half written.
 BELIEVED_S = 0.9
 RETRY_S = 0.3
-# A fetch that has not ended by then is thrown away.
-FETCH_S = 2.5
-# A fetch starts only if the named weights were confirmed this recently.
-OFFER_S = 6.0
 FORGET_SAVES_S = 10.0
 
 
@@ -233,7 +229,7 @@
         scope : str
             Text under which its parts are found.
         is_confirmed : bool
-            The named weights were confirmed recently, see `OFFER_S`.
+            The request may fetch, see `decisions.may_fetch`.
         now : float
             Present time, seconds of the boot clock.
 
@@ -302,4 +298,4 @@
             for address in plan.fetch_from
             if address is not None
         ]
-        return int(min(clocks_ms) + FETCH_S * 1000) if clocks_ms else 0
+        return int(min(clocks_ms) + decisions.FETCH_S * 1000) if clocks_ms else 0
--- a/sycamorespoke/gateway/_gateway.py
+++ b/sycamorespoke/gateway/_gateway.py
@@ -210,6 +210,7 @@
             self._status = head.status
             chunk = self._read()
             if not isinstance(chunk, _calls.Failure):
+                self.attempts.note_first_event()
                 self._first = chunk
                 return head
             refusal = self.attempts.retry_after(chunk)
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -16,6 +16,7 @@
     _gateway,
     _model,
     _readiness,
+    _retirement,
     _rollout,
     _server,
     _table,
@@ -143,6 +144,14 @@
             deployment.engines,
             gateway_settings.lease_ms / MS_PER_S,
         )
+        self.retirement = _retirement.Retirement.start(
+            gateway_settings.name,
+            self.views,
+            self.blocks,
+            deployment.block_stores,
+            deployment.leases,
+            gateway_settings.lease_ms / MS_PER_S,
+        )
         self.followers = self._make_followers()
 
     def start(self):
@@ -188,6 +197,7 @@
         """Let the parts follow the view at ``now``, seconds of the boot clock."""
         view = self.views.get()
         self.rollout.tell(_rollout.Tick(now))
+        self.retirement.tell(_rollout.Tick(now))
         boots = view.list_boots()
         self.pool.retain(boots, now)
         self.table.retain(boots)
@@ -212,6 +222,7 @@
         loguru.logger.info("shutdown started")
         self.server.close_connections_after_answers()
         self.rollout.stop(block=False)
+        self.retirement.stop(block=False)
         self._unregister()
         self._wait_until(begun_s + BALANCER_NOTICE_S)
         self.server.close_listener()
@@ -341,9 +352,13 @@
         self.views.set_parts(hosts=frozenset(items_by_name))
 
     def _take_leases(self, items_by_name, now):
-        seen = items_by_name.get(_rollout.LEASE_NAME)
-        if seen is not None:
-            self.rollout.tell(seen)
+        duties_by_lease = {
+            _rollout.LEASE_NAME: self.rollout,
+            _retirement.LEASE_NAME: self.retirement,
+        }
+        for name, actor in duties_by_lease.items():
+            if name in items_by_name:
+                actor.tell(items_by_name[name])
 
     def _register(self):
         while not self.stop_requested.is_set():
--- /dev/null
+++ b/sycamorespoke/gateway/_retirement.py
@@ -0,0 +1,88 @@
+"""Frees cached parts of older weights in the stores, one host at a time."""
+
+import loguru
+import pykka
+
+from sycamorespoke import decisions
+from sycamorespoke.gateway import _clock, _duty, _orders, _rollout
+
+LEASE_NAME = "stores"
+PARTS_A_CALL = 200
+# A call that arrives later than this is refused by the store.
+CALL_S = 1.0
+STEP_S = 0.5
+
+
+class Retirement(pykka.ThreadingActor):
+    """Frees parts while this host holds the lease of that duty.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host.
+    views : Views
+        What this host believes.
+    blocks : Blocks
+        What the stores hold.
+    client : object
+        Has ``free(address, keys, epoch, until_ms)``.
+    leases : object
+        Lease objects, see `Duty`.
+    lease_s : float
+        Time for which a lease counts, seconds.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(self, host, views, blocks, client, leases, lease_s):
+        super().__init__()
+        self.views = views
+        self.blocks = blocks
+        self.client = client
+        self.duty = _duty.Duty(
+            LEASE_NAME, host, views, leases, _clock.read_clock, lease_s
+        )
+        self._next_s = 0.0
+
+    def on_receive(self, message):
+        """Take a `Tick` or a `LeaseSeen`."""
+        try:
+            if isinstance(message, _orders.LeaseSeen):
+                self.duty.observe(message)
+            elif isinstance(message, _rollout.Tick) and message.now >= self._next_s:
+                self._next_s = message.now + STEP_S
+                self.step(message.now)
+        except Exception:
+            loguru.logger.exception("freeing parts failed")
+
+    def step(self, now):
+        """Free what can be freed at ``now``, seconds of the boot clock."""
+        named = self.views.get().versions_by_model or {}
+        newest = {model: (each.version, each.seen_s) for model, each in named.items()}
+        retired_by_index = {}
+        for index in self.blocks.list_indexes():
+            retired = decisions.select_retired(index.list_parts(), newest, now)
+            if retired and index.is_known(now):
+                retired_by_index[index] = retired
+        if not retired_by_index:
+            self.duty.rest()
+            return
+        if not self.duty.hold(str(sorted(newest)), now):
+            return
+        for index, retired in retired_by_index.items():
+            self._free(index, retired)
+
+    def _free(self, index, retired):
+        for start in range(0, len(retired), PARTS_A_CALL):
+            now = _clock.read_clock()
+            if not self.duty.is_held():
+                return
+            keys = retired[start : start + PARTS_A_CALL]
+            until_ms = int(index.read_clock_ms(now) + CALL_S * 1000)
+            address = index.store.address
+            is_done = self.client.free(address, keys, index.epoch, until_ms)
+            loguru.logger.bind(store=address, parts=len(keys), done=is_done).info(
+                "parts of older weights freed"
+            )
+            if not is_done:
+                return
--- a/sycamorespoke/gateway/_table.py
+++ b/sycamorespoke/gateway/_table.py
@@ -23,6 +23,8 @@
         Weights that its answers showed, where newer than its entry.
     cold_bucket : decisions.TokenBucket or None, default=None
         This host's share while it is cold.
+    wait : decisions.WaitEstimate
+        How long urgent requests wait there for their first event.
     full_until_s : float, default=-inf
         It refused a request as full; others are preferred until then.
     """
@@ -32,6 +34,7 @@
     faults: decisions.FaultRecord = attrs.field(factory=decisions.FaultRecord)
     versions_by_model: dict[str, int] = attrs.field(factory=dict)
     cold_bucket: decisions.TokenBucket | None = None
+    wait: decisions.WaitEstimate = attrs.field(factory=decisions.WaitEstimate)
     full_until_s: float = float("-inf")
 
 
@@ -100,6 +103,17 @@
         with self._lock:
             self._state(upstream.boot).full_until_s = until_s
 
+    def note_wait(self, upstream, wait_s, now):
+        """Note how long an urgent request waited for its first event."""
+        with self._lock:
+            state = self._state(upstream.boot)
+            state.wait = state.wait.observe(wait_s, now)
+
+    def read_wait_s(self, upstream, now):
+        """Return how long urgent requests wait at an upstream, seconds."""
+        with self._lock:
+            return self._state(upstream.boot).wait.read(now)
+
     def note_version(self, upstream, model, version):
         """Note the weights that an upstream showed.
 
