Stores: at large size a few hosts read them and tell the rest

A store serves 12 readers; at 74 hosts the others were refused, each refusal priced as a probe. Readers are chosen by hash, spread over the data centres; the others ask one of them over pynng.

--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -156,6 +156,7 @@
     judge_read_back,
     next_value,
 )
+from sycamorespoke.decisions._readers import ReaderPlan, plan_reading
 from sycamorespoke.decisions._routing import (
     Candidate,
     Cost,
@@ -239,6 +240,7 @@
     "PreparationKind",
     "PublishRules",
     "ReadBackVerdict",
+    "ReaderPlan",
     "Record",
     "Recorded",
     "Release",
@@ -309,6 +311,7 @@
     "plan_lease_step",
     "plan_load_orders",
     "plan_preparations",
+    "plan_reading",
     "rank_by_key",
     "rank_hosts",
     "rank_weighted",
--- /dev/null
+++ b/sycamorespoke/decisions/_readers.py
@@ -0,0 +1,77 @@
+"""Which hosts read the events of the stores themselves, and who tells the rest.
+
+Answers large deployments: a store serves only a few readers at a time.
+"""
+
+import attrs
+
+from sycamorespoke.decisions import _placement
+
+OCCASION = "store readers"
+
+
+@attrs.frozen
+class ReaderPlan:
+    """How one host learns what the stores hold.
+
+    Parameters
+    ----------
+    is_reader : bool
+        It reads the stores itself.
+    tellers : tuple of str
+        Else the hosts to ask, in order.
+    """
+
+    is_reader: bool
+    tellers: tuple[str, ...] = ()
+
+
+def plan_reading(host, data_centres_by_host, most):
+    """Plan how a host learns what the stores hold.
+
+    Parameters
+    ----------
+    host : str
+        This host.
+    data_centres_by_host : dict of str to str
+        All hosts and where they stand.
+    most : int
+        Readers that every store serves at least, above 0.
+
+    Returns
+    -------
+    ReaderPlan
+        Readers are spread over the data centres, so that hosts ask near ones.
+
+    Examples
+    --------
+    >>> hosts = {f"h{n}": f"dc{n % 3}" for n in range(30)}
+    >>> plans = {host: plan_reading(host, hosts, 6) for host in hosts}
+    >>> sum(plan.is_reader for plan in plans.values())
+    6
+    >>> asking = next(host for host in hosts if not plans[host].is_reader)
+    >>> hosts[plans[asking].tellers[0]] == hosts[asking]
+    True
+    """
+    if host not in data_centres_by_host or len(data_centres_by_host) <= most:
+        return ReaderPlan(is_reader=True)
+    readers = _choose_readers(data_centres_by_host, most)
+    if host in readers:
+        return ReaderPlan(is_reader=True)
+    ranked = _placement.rank_by_key(host, readers)
+    here = data_centres_by_host[host]
+    near = [each for each in ranked if data_centres_by_host[each] == here]
+    far = [each for each in ranked if data_centres_by_host[each] != here]
+    return ReaderPlan(is_reader=False, tellers=tuple(near + far))
+
+
+def _choose_readers(data_centres_by_host, most):
+    ranked = _placement.rank_by_key(OCCASION, data_centres_by_host)
+    turns_by_data_centre = {}
+    order = []
+    for host in ranked:
+        data_centre = data_centres_by_host[host]
+        turn = turns_by_data_centre.get(data_centre, 0)
+        turns_by_data_centre[data_centre] = turn + 1
+        order.append((turn, ranked.index(host), host))
+    return {host for _, _, host in sorted(order)[:most]}
--- a/sycamorespoke/gateway/_blocks.py
+++ b/sycamorespoke/gateway/_blocks.py
@@ -1,19 +1,25 @@
 """What the stores of cached prompt parts hold, and what requests do with it."""
 
+import collections
 import threading
 
 import attrs
 import loguru
 
-from sycamorespoke import decisions
+from sycamorespoke import decisions, messages
 from sycamorespoke.gateway import _clock, _source
 
-POLL_S = 0.4
+POLL_S = 0.25
 # What a store holds is believed for this long after its last answer. It is
 # shorter than a restart takes, after which a part may be half written.
 BELIEVED_S = 0.9
 RETRY_S = 0.3
 FORGET_SAVES_S = 10.0
+# Events kept for hosts that ask; a host that is further behind gets all parts.
+LOG_EVENTS = 2000
+# Readers that a store serves, if it does not say; some are left for operators.
+DEFAULT_READERS = 10
+SPARE_READERS = 2
 
 
 @attrs.frozen
@@ -75,8 +81,10 @@
     def __init__(self, store):
         self.store = store
         self.epoch = None
-        self.next_number = 0
+        self.number = 0
         self.used_tokens = 0
+        self._log = collections.deque(maxlen=LOG_EVENTS)
+        self._log_start = 0
         self._tokens_by_key = {}
         self._confirmed_s = float("-inf")
         self._clock_offset_ms = 0.0
@@ -93,20 +101,90 @@
         with self._lock:
             is_new = page.epoch != self.epoch
             if is_new:
-                self._tokens_by_key = {}
-                self.epoch = page.epoch
+                self._restart(page.epoch, page.next_number)
             for event in page.events:
-                key = (event.scope, event.part_id)
-                if event.is_added:
-                    self._tokens_by_key[key] = event.tokens
-                else:
-                    self._tokens_by_key.pop(key, None)
-            self.next_number = page.next_number
-            self.used_tokens = sum(self._tokens_by_key.values())
-            self._confirmed_s = now
-            self._clock_offset_ms = page.clock_ms - now * 1000
+                tokens = event.tokens if event.is_added else 0
+                self._apply(event.scope, event.part_id, tokens, page.next_number)
+            self._confirm(page.next_number, now, page.clock_ms)
             return is_new
 
+    def make_page(self, epoch, number, now):
+        """Make the page for a host that knows events up to a number.
+
+        Parameters
+        ----------
+        epoch, number : int
+            How far the other host has come.
+        now : float
+            Present time, seconds of the boot clock.
+
+        Returns
+        -------
+        messages.StorePage
+            All that the store holds, if the events since are not kept.
+        """
+        with self._lock:
+            is_whole = epoch != self.epoch or number < self._log_start
+            if is_whole:
+                events = [(*key, each) for key, each in self._tokens_by_key.items()]
+            else:
+                events = [each for last, each in self._log if last > number]
+            age_s = now - self._confirmed_s
+            clock_ms = self.read_clock_ms(now)
+            return messages.StorePage(
+                self.epoch, self.number, is_whole, events, age_s, clock_ms
+            )
+
+    def take_page(self, page, asked_s):
+        """Take what another host told.
+
+        Parameters
+        ----------
+        page : messages.StorePage
+            Its answer.
+        asked_s : float
+            When it was asked, seconds of the boot clock.
+        """
+        with self._lock:
+            if page.is_whole:
+                self._restart(page.epoch, page.number)
+            elif page.epoch != self.epoch:
+                return
+            for scope, part_id, tokens in page.events:
+                self._apply(scope, part_id, tokens, page.number)
+            self._confirm(page.number, asked_s - page.age_s, None)
+            # The clock that was sent is older by now; a fetch ends rather early.
+            self._clock_offset_ms = page.clock_ms - _clock.read_clock() * 1000
+
+    def drop(self, keys):
+        """Forget parts that were freed; the event of that may be lost."""
+        with self._lock:
+            for scope, part_id in keys:
+                self._apply(scope, part_id, 0, self.number)
+            self.used_tokens = sum(self._tokens_by_key.values())
+
+    def _restart(self, epoch, number):
+        self.epoch = epoch
+        self._tokens_by_key = {}
+        self._log.clear()
+        self._log_start = number
+
+    def _apply(self, scope, part_id, tokens, number):
+        if tokens:
+            self._tokens_by_key[scope, part_id] = tokens
+        else:
+            self._tokens_by_key.pop((scope, part_id), None)
+        if len(self._log) == LOG_EVENTS:
+            self._log_start = self._log[0][0]
+        self._log.append((number, (scope, part_id, tokens)))
+
+    def _confirm(self, number, confirmed_s, clock_ms):
+        self.number = number
+        self.used_tokens = sum(self._tokens_by_key.values())
+        self._confirmed_s = confirmed_s
+        if clock_ms is not None:
+            self._clock_offset_ms = clock_ms - confirmed_s * 1000
+
     def forget(self):
         """Believe nothing of it until it answers again."""
         with self._lock:
@@ -158,7 +236,7 @@
     def step(self):
         """Ask once; return the seconds to wait before the next step."""
         address = self.index.store.address
-        page = self.client.read_events(address, self.index.next_number, POLL_S)
+        page = self.client.read_events(address, self.index.number, POLL_S)
         if isinstance(page, _source.Unavailable):
             self.index.forget()
             if not self._was_away:
@@ -201,21 +279,35 @@
         self._saved_s_by_key = {}
         self._lock = threading.Lock()
 
-    def configure(self, configuration):
-        """Follow the managed stores of a configuration, and no others."""
+    def configure(self, configuration, is_reader):
+        """Follow the managed stores of a configuration, and no others.
+
+        Parameters
+        ----------
+        configuration : Configuration
+            Lists the stores.
+        is_reader : bool
+            This host reads the stores itself; else it is told by others.
+        """
         stores_by_address = {
             service.store.address: service.store
             for service in configuration.services_by_name.values()
             if service.store is not None and service.store.is_managed
         }
-        for address in self._followers_by_address.keys() - stores_by_address.keys():
-            self._followers_by_address.pop(address).stop()
+        for address in self._indexes_by_address.keys() - stores_by_address.keys():
             self._indexes_by_address.pop(address)
         for address, store in stores_by_address.items():
+            if address not in self._indexes_by_address:
+                self._indexes_by_address[address] = StoreIndex(store)
+        self._follow(stores_by_address if is_reader else {})
+
+    def _follow(self, addresses):
+        for address in self._followers_by_address.keys() - set(addresses):
+            self._followers_by_address.pop(address).stop()
+        for address in addresses:
             if address not in self._followers_by_address:
-                index = StoreIndex(store)
+                index = self._indexes_by_address[address]
                 follower = StoreFollower(self.client, index)
-                self._indexes_by_address[address] = index
                 self._followers_by_address[address] = follower
                 follower.start()
 
@@ -260,6 +352,15 @@
         self._note_saves(prompt, scope, plan, now)
         return plan, self._compute_until_ms(plan, indexes_by_address, now)
 
+    def count_readers(self, configuration):
+        """Return how many hosts may read every store of a configuration."""
+        readers = [
+            service.store.readers
+            for service in configuration.services_by_name.values()
+            if service.store is not None and service.store.readers
+        ]
+        return max(min(readers, default=DEFAULT_READERS) - SPARE_READERS, 1)
+
     def forget_old_saves(self, now):
         """Forget the saves that are old by ``now``."""
         with self._lock:
--- a/sycamorespoke/gateway/_model.py
+++ b/sycamorespoke/gateway/_model.py
@@ -106,6 +106,8 @@
         Time that each transfer waits in addition, seconds.
     is_managed : bool
         Drops nothing by itself.
+    readers : int, default=12
+        Hosts that may read its events at the same time.
     """
 
     address: str
@@ -114,6 +116,7 @@
     link_bits_per_s: float
     first_byte_s: float
     is_managed: bool
+    readers: int = 12
 
 
 @attrs.frozen
@@ -300,6 +303,25 @@
         return self.cold_s > 0 and now < self.seen_s + self.cold_s
 
 
+@attrs.frozen
+class Host:
+    """An entry host as it registered itself.
+
+    Parameters
+    ----------
+    name : str
+        Unique name.
+    data_centre : str
+        Where it stands.
+    peer_address : str
+        IP number and port for messages between hosts.
+    """
+
+    name: str
+    data_centre: str
+    peer_address: str
+
+
 @attrs.frozen
 class NamedVersion:
     """Weights that the operators want in use.
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -1,11 +1,12 @@
 """Builds a gateway from its settings and runs it until a shutdown ends."""
 
+import secrets
 import threading
 
 import attrs
 import loguru
 
-from sycamorespoke import telemetry
+from sycamorespoke import decisions, messages, telemetry
 from sycamorespoke.gateway import (
     _attempts,
     _blocks,
@@ -19,12 +20,15 @@
     _retirement,
     _rollout,
     _server,
+    _store_relay,
     _table,
     _views,
 )
 
 UPDATE_INTERVAL_S = 0.25
 MS_PER_S = 1000.0
+PEER_KEY_BYTES = 32
+PEER_THREADS = 2
 THREADS = 96
 # Descriptors for the store, logs, listeners and files.
 RESERVED_FILES = 300
@@ -51,7 +55,7 @@
     kinds : Kinds
         Names and readers of the kinds of shared objects.
     registry : object
-        Has ``register(name)`` and ``unregister(name)`` for this host.
+        Has ``register(host)``, ``unregister(name)`` and ``agree_key(proposed)``.
     leases : object
         Lease objects, see `Rollout`.
     engines : object
@@ -127,6 +131,7 @@
         self.blocks = _blocks.Blocks(deployment.block_stores)
         self.stop_requested = threading.Event()
         self._limits = _model.CallerLimits()
+        self._reading = decisions.ReaderPlan(is_reader=True)
         self._files = max(gateway_settings.files - RESERVED_FILES, 64)
         self.gateway = self._make_gateway()
         self.server = _server.GatewayServer(
@@ -201,6 +206,7 @@
         boots = view.list_boots()
         self.pool.retain(boots, now)
         self.table.retain(boots)
+        self._plan_reading(view)
         self.blocks.forget_old_saves(now)
         if view.configuration and view.configuration.limits != self._limits:
             self._limits = view.configuration.limits
@@ -310,7 +316,7 @@
     def _take_configuration(self, items_by_name, now):
         for configuration in items_by_name.values():
             if self.views.set_configuration(configuration):
-                self.blocks.configure(configuration)
+                self._plan_reading(self.views.get())
                 loguru.logger.bind(
                     version=configuration.version, routes=len(configuration.routes)
                 ).info("configuration in force")
@@ -349,7 +355,7 @@
         self.rollout.tell(_rollout.Tick(now))
 
     def _take_hosts(self, items_by_name, now):
-        self.views.set_parts(hosts=frozenset(items_by_name))
+        self.views.set_parts(hosts_by_name=items_by_name)
 
     def _take_leases(self, items_by_name, now):
         duties_by_lease = {
@@ -361,12 +367,55 @@
                 actor.tell(items_by_name[name])
 
     def _register(self):
+        """Join the other hosts; tried again until the store takes it."""
+        registry = self.deployment.registry
+        host = _model.Host(
+            self.settings.name,
+            self.settings.data_centre,
+            f"{self.settings.peer_ip}:{self.settings.peer_port}",
+        )
+        key = None
         while not self.stop_requested.is_set():
-            if self.deployment.registry.register(self.settings.name):
+            key = key or registry.agree_key(secrets.token_hex(PEER_KEY_BYTES))
+            if key and registry.register(host):
                 loguru.logger.info("host registered")
+                self._join(key)
                 return
             self.stop_requested.wait(UPDATE_INTERVAL_S * 2)
 
+    def _join(self, key):
+        messages.Server(
+            f"{self.settings.peer_ip}:{self.settings.peer_port}",
+            key,
+            self._answer_peer,
+            PEER_THREADS,
+        )
+        _store_relay.StoreAsker(
+            self.blocks.list_indexes, self._list_tellers, messages.Codec(key)
+        ).start()
+
+    def _answer_peer(self, message):
+        if isinstance(message, messages.StoreEventsRequest):
+            now = _clock.read_clock()
+            return _store_relay.make_reply(self.blocks.list_indexes(), message, now)
+        return None
+
+    def _plan_reading(self, view):
+        if view.configuration is None:
+            return
+        readers = self.blocks.count_readers(view.configuration)
+        places = {host.name: host.data_centre for host in view.hosts_by_name.values()}
+        self._reading = decisions.plan_reading(self.settings.name, places, readers)
+        self.blocks.configure(view.configuration, self._reading.is_reader)
+
+    def _list_tellers(self):
+        hosts_by_name = self.views.get().hosts_by_name
+        return [
+            hosts_by_name[name].peer_address
+            for name in self._reading.tellers
+            if name in hosts_by_name
+        ]
+
     def _unregister(self):
         if not self.deployment.registry.unregister(self.settings.name):
             loguru.logger.info("host could not be unregistered")
--- a/sycamorespoke/gateway/_retirement.py
+++ b/sycamorespoke/gateway/_retirement.py
@@ -86,3 +86,4 @@
             )
             if not is_done:
                 return
+            index.drop(keys)
--- a/sycamorespoke/gateway/_views.py
+++ b/sycamorespoke/gateway/_views.py
@@ -23,7 +23,7 @@
         Data centres whose upstreams get nothing; ``None`` while not known.
     versions_by_model : dict of str to NamedVersion or None, default=None
         Weights that the operators want; ``None`` while not known.
-    hosts : frozenset of str, default=()
+    hosts_by_name : dict of str to Host
         Entry hosts that have registered.
     confirmed_s_by_part : dict of str to float
         When the source last confirmed each part, seconds of the boot clock.
@@ -33,7 +33,7 @@
     upstreams_by_id: dict[str, _model.Upstream] | None = None
     data_centres_out: frozenset[str] | None = None
     versions_by_model: dict[str, _model.NamedVersion] | None = None
-    hosts: frozenset[str] = frozenset()
+    hosts_by_name: dict[str, _model.Host] = attrs.field(factory=dict)
     confirmed_s_by_part: dict[str, float] = attrs.field(factory=dict)
 
     @property
@@ -46,6 +46,11 @@
             self.versions_by_model,
         )
 
+    @property
+    def hosts(self):
+        """Names of the entry hosts."""
+        return self.hosts_by_name.keys()
+
     @property
     def versions_confirmed_s(self):
         """When the named weights were last confirmed, seconds of the boot clock."""
--- a/sycamorespoke/messages/__init__.py
+++ b/sycamorespoke/messages/__init__.py
@@ -22,6 +22,9 @@
     PermitReply,
     PermitRequest,
     PermitReturn,
+    StoreEventsReply,
+    StoreEventsRequest,
+    StorePage,
 )
 
 __all__ = [
@@ -46,5 +49,8 @@
     "PermitRequest",
     "PermitReturn",
     "Server",
+    "StoreEventsReply",
+    "StoreEventsRequest",
+    "StorePage",
     "ask",
 ]
--- a/sycamorespoke/messages/_types.py
+++ b/sycamorespoke/messages/_types.py
@@ -216,6 +216,57 @@
     upstream: str
 
 
+class StoreEventsRequest(Message, tag="s"):
+    """Ask a host what the stores of cached parts hold.
+
+    Parameters
+    ----------
+    seen_by_store : dict of str to (int, int)
+        For each store its epoch and the number up to which events are known.
+    """
+
+    seen_by_store: dict[str, tuple[int, int]] = {}
+
+
+class StorePage(Message, tag="sp"):
+    """Events of one store, or all that it holds.
+
+    Parameters
+    ----------
+    epoch : int
+        Changes with each start of the store.
+    number : int
+        Number up to which these events go.
+    is_whole : bool
+        The events are all that it holds.
+    events : list of (str, str, int)
+        Scope, id and tokens of each part; 0 tokens for one that has left.
+    age_s : float
+        Seconds since the store was last heard.
+    clock_ms : float
+        Clock of the stores when this was sent, Unix milliseconds.
+    """
+
+    epoch: int
+    number: int
+    is_whole: bool
+    events: list[tuple[str, str, int]]
+    age_s: float
+    clock_ms: float
+
+
+class StoreEventsReply(Message, tag="sr"):
+    """What the stores hold.
+
+    Parameters
+    ----------
+    pages_by_store : dict of str to StorePage
+        By address; a store that is not known at present is left out.
+    """
+
+    pages_by_store: dict[str, StorePage] = {}
+
+
 MESSAGE_TYPES = (
     Heartbeat,
     HeartbeatReply,
@@ -228,4 +279,6 @@
     PermitRequest,
     PermitReply,
     PermitReturn,
+    StoreEventsRequest,
+    StoreEventsReply,
 )
--- a/sycamorespoke/platform/_deployment.py
+++ b/sycamorespoke/platform/_deployment.py
@@ -24,19 +24,46 @@
     def __init__(self, store):
         self.store = store
 
-    def register(self, name):
+    def register(self, host):
         """Register a host.
 
+        Parameters
+        ----------
+        host : gateway.Host
+            The host.
+
         Returns
         -------
         bool
             Whether it is registered; one that was before counts too.
         """
-        written = self.store.create(_names.KIND_HOSTS, name, {})
-        return written.outcome in (
-            _store.WriteOutcome.DONE,
-            _store.WriteOutcome.CONFLICT,
-        )
+        spec = _documents.write_host(host)
+        written = self.store.create(_names.KIND_HOSTS, host.name, spec)
+        if written.outcome is _store.WriteOutcome.CONFLICT:
+            # It was registered before, maybe at another address.
+            written = self.store.replace(_names.KIND_HOSTS, host.name, spec)
+        return written.outcome is _store.WriteOutcome.DONE
+
+    def agree_key(self, proposed):
+        """Agree on the key of the messages between hosts.
+
+        Parameters
+        ----------
+        proposed : str
+            Key that counts if none has been agreed yet.
+
+        Returns
+        -------
+        str or None
+            The key; ``None`` if it is not known.
+        """
+        written = self.store.create(_names.KIND_KEYS, _names.PEER_KEY, proposed)
+        if written.outcome is _store.WriteOutcome.DONE:
+            return proposed
+        stored = self.store.read(_names.KIND_KEYS, _names.PEER_KEY)
+        if stored is None or isinstance(stored, gateway.Unavailable):
+            return None
+        return stored.spec if isinstance(stored.spec, str) else None
 
     def unregister(self, name):
         """Take a host out of the registry.
@@ -78,7 +105,7 @@
                 _names.KIND_DATA_CENTRES_OUT, _documents.read_name
             ),
             versions=_make_kind(_names.KIND_VERSIONS, _documents.read_named_version),
-            hosts=_make_kind(_names.KIND_HOSTS, _documents.read_name),
+            hosts=_make_kind(_names.KIND_HOSTS, _documents.read_host),
             leases=_make_kind(_names.KIND_LEASES, _leases.read_lease),
         ),
         registry=HostRegistry(store),
--- a/sycamorespoke/platform/_documents.py
+++ b/sycamorespoke/platform/_documents.py
@@ -147,6 +147,27 @@
     return stored.name
 
 
+def read_host(stored, now):
+    """Read an entry host as it registered itself.
+
+    Raises
+    ------
+    MalformedObjectError
+        If a field is missing or of another type.
+    """
+    spec = _check(stored.spec, dict, "host")
+    return gateway.Host(
+        name=stored.name,
+        data_centre=_field(spec, "data_centre", str),
+        peer_address=_read_address(_field(spec, "peer_address", str)),
+    )
+
+
+def write_host(host):
+    """Write what `read_host` reads."""
+    return {"data_centre": host.data_centre, "peer_address": host.peer_address}
+
+
 def _read_route(value):
     kind = ROUTE_KINDS.get(_field(value, "Kind", str))
     if kind is None:
@@ -208,6 +229,7 @@
         link_bits_per_s=_number(value.get("LinkMbps"), "LinkMbps") * BITS_PER_MBIT,
         first_byte_s=_number(value.get("first_ms") or 0, "first_ms") / MS_PER_S,
         is_managed=bool(value.get("Managed")),
+        readers=int(_number(value.get("MaxInflight") or 0, "MaxInflight")),
     )
 
 
--- a/sycamorespoke/platform/_names.py
+++ b/sycamorespoke/platform/_names.py
@@ -79,6 +79,8 @@
 KIND_DATA_CENTRES_OUT = "evacuations"
 KIND_VERSIONS = "versions"
 KIND_HOSTS = "syk-hosts"
+KIND_KEYS = "syk-keys"
+PEER_KEY = "peers"
 KIND_LEASES = "syk-leases"
 
 CONFIGURATION_NAME = "main"
