Weights change under running requests; renewals of a lease are seen by others

Change: runs go on when the weights change; hosts are told which engines load and send them nothing new; a part is fetched only if it was complete when the weights were last confirmed, so that a run that changed its weights can put nothing wrong into a store; each renewal differs.

--- a/sycamorespoke/decisions/_lease_state.py
+++ b/sycamorespoke/decisions/_lease_state.py
@@ -25,11 +25,15 @@
         Increases with each change of the holder, above 0.
     duration_s : float, default=6.0
         Seconds for which a renewal counts, above 0.
+    renewal : int, default=0
+        Increases with each renewal: a platform may take a write that changes
+        nothing for none, and tell nobody of it.
     """
 
     holder: str
     fencing_number: int
     duration_s: float = LEASE_DURATION_S
+    renewal: int = 0
 
 
 @attrs.frozen
--- a/sycamorespoke/decisions/_leases.py
+++ b/sycamorespoke/decisions/_leases.py
@@ -52,12 +52,14 @@
     LeaseRecord
         With the same fencing number for a renewal, the next for a new holder.
     """
+    former = state.seen.record
     if state.held is not None:
         number = state.held.fencing_number
+        renewal = former.renewal + 1 if former else 0
     else:
-        former = state.seen.record
         number = former.fencing_number + 1 if former else 1
-    return _lease_state.LeaseRecord(state.holder, number, state.duration_s)
+        renewal = 0
+    return _lease_state.LeaseRecord(state.holder, number, state.duration_s, renewal)
 
 
 def take_read(state, record, version, asked_s, now):
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -281,7 +281,9 @@
             view.versions_confirmed_s,
             now,
         )
-        return self.parts.blocks.plan(self.call.prompt, scope, may_fetch, now)
+        return self.parts.blocks.plan(
+            self.call.prompt, scope, may_fetch, view.versions_confirmed_s, now
+        )
 
     def _make_scope(self, choice):
         """Name the cached parts that this call may share."""
--- a/sycamorespoke/gateway/_blocks.py
+++ b/sycamorespoke/gateway/_blocks.py
@@ -14,6 +14,8 @@
 # shorter than a restart takes, after which a part may be half written.
 BELIEVED_S = 0.9
 RETRY_S = 0.3
+# An answer of the platform is as old as this when it arrives, at most.
+CONFIRM_DELAY_S = 0.3
 FORGET_SAVES_S = 10.0
 # Events kept for hosts that ask; a host that is further behind gets all parts.
 LOG_EVENTS = 2000
@@ -86,6 +88,7 @@
         self._log = collections.deque(maxlen=LOG_EVENTS)
         self._log_start = 0
         self._tokens_by_key = {}
+        self._seen_s_by_key = {}
         self._confirmed_s = float("-inf")
         self._clock_offset_ms = 0.0
         self._lock = threading.Lock()
@@ -166,14 +169,18 @@
     def _restart(self, epoch, number):
         self.epoch = epoch
         self._tokens_by_key = {}
+        self._seen_s_by_key = {}
         self._log.clear()
         self._log_start = number
 
     def _apply(self, scope, part_id, tokens, number):
+        key = (scope, part_id)
         if tokens:
-            self._tokens_by_key[scope, part_id] = tokens
+            self._tokens_by_key[key] = tokens
+            self._seen_s_by_key.setdefault(key, _clock.read_clock())
         else:
-            self._tokens_by_key.pop((scope, part_id), None)
+            self._tokens_by_key.pop(key, None)
+            self._seen_s_by_key.pop(key, None)
         if len(self._log) == LOG_EVENTS:
             self._log_start = self._log[0][0]
         self._log.append((number, (scope, part_id, tokens)))
@@ -194,9 +201,23 @@
         """Return whether its content is known at ``now``."""
         return now - self._confirmed_s <= BELIEVED_S
 
-    def holds(self, scope, part):
-        """Return whether it holds a whole part."""
-        return self._tokens_by_key.get((scope, part.id), -1) == part.tokens
+    def holds(self, scope, part, before_s):
+        """Return whether it holds a whole part that was complete by a time.
+
+        Parameters
+        ----------
+        scope : str
+            Text under which the part is found.
+        part : PromptPart
+            The part.
+        before_s : float
+            Latest time at which this host learned of it, seconds of the boot
+            clock.
+        """
+        key = (scope, part.id)
+        if self._tokens_by_key.get(key, -1) != part.tokens:
+            return False
+        return self._seen_s_by_key.get(key, float("inf")) <= before_s
 
     def read_clock_ms(self, now):
         """Return the clock of the stores at ``now``, Unix milliseconds."""
@@ -311,7 +332,7 @@
                 self._followers_by_address[address] = follower
                 follower.start()
 
-    def plan(self, prompt, scope, is_confirmed, now):
+    def plan(self, prompt, scope, may_fetch, confirmed_s, now):
         """Plan the transfers of a request that is about to be sent.
 
         Parameters
@@ -320,8 +341,12 @@
             Its prompt.
         scope : str
             Text under which its parts are found.
-        is_confirmed : bool
-            The request may fetch, see `decisions.may_fetch`.
+        may_fetch : bool
+            The request may use the stores, see `decisions.may_fetch`.
+        confirmed_s : float
+            When it was last confirmed that these weights are the newest. A part
+            that was complete by then was made by no other weights, although
+            requests go on when an engine changes its weights.
         now : float
             Present time, seconds of the boot clock.
 
@@ -331,7 +356,7 @@
             The plan, and when a fetch is thrown away, on the stores' clock.
         """
         indexes_by_address = dict(self._indexes_by_address)
-        if not is_confirmed or not indexes_by_address:
+        if not may_fetch or not indexes_by_address:
             return decisions.BlockPlan(), 0
         states = [
             decisions.StoreState(
@@ -342,10 +367,13 @@
             )
             for address, index in indexes_by_address.items()
         ]
+        before_s = confirmed_s - CONFIRM_DELAY_S
         plan = decisions.plan_blocks(
             prompt.parts,
             states,
-            lambda address, part: indexes_by_address[address].holds(scope, part),
+            lambda address, part: indexes_by_address[address].holds(
+                scope, part, before_s
+            ),
             lambda part: self._saved_s_by_key.get((scope, part.id), float("-inf")),
             now,
         )
--- a/sycamorespoke/gateway/_chooser.py
+++ b/sycamorespoke/gateway/_chooser.py
@@ -137,7 +137,8 @@
             return world.Refusal(
                 world.ErrorKind.VERSION_LOADING, "upstreams load new weights"
             )
-        upstreams = _keep_sound(upstreams, states_by_boot, now)
+        idle = [each for each in upstreams if not view.is_loading(each, now)]
+        upstreams = _keep_sound(idle or upstreams, states_by_boot, now)
         while upstreams:
             upstream = self._place(upstreams, states_by_boot, call)
             if self._bears(view, upstream, now):
--- a/sycamorespoke/gateway/_gateway.py
+++ b/sycamorespoke/gateway/_gateway.py
@@ -4,7 +4,7 @@
 import loguru
 
 from sycamorespoke import world
-from sycamorespoke.gateway import _attempts, _calls, _events, _model
+from sycamorespoke.gateway import _attempts, _calls, _events, _model, _server
 
 # A refused caller comes back after this share of the time that it has left, so
 # that its second attempt has time to succeed.
@@ -264,11 +264,7 @@
         self._ended = True
         _abandon(self.attempts)
         self.gateway.log_stream_end(self.attempts, self._status, refusal.reason)
-        raise BrokenStreamError(refusal.reason)
-
-
-class BrokenStreamError(Exception):
-    """A stream ends early; the connection is closed so that the caller sees it."""
+        raise _server.BrokenStreamError(refusal.reason)
 
 
 def _abandon(attempts):
--- a/sycamorespoke/gateway/_orders.py
+++ b/sycamorespoke/gateway/_orders.py
@@ -9,6 +9,7 @@
     """What happens to the requests that an engine runs when it gets an order."""
 
     FINISH_FIRST = "finish first"
+    GO_ON = "go on"
     CUT = "cut"
 
 
@@ -37,7 +38,7 @@
         Of the lease under which the order is given.
     after_orders : int
         Orders that the engine has accepted before this one.
-    mode : RolloutMode, default=RolloutMode.FINISH_FIRST
+    mode : RolloutMode, default=RolloutMode.GO_ON
         What happens to running requests.
     """
 
@@ -45,7 +46,7 @@
     version: int
     fencing_number: int
     after_orders: int
-    mode: RolloutMode = RolloutMode.FINISH_FIRST
+    mode: RolloutMode = RolloutMode.GO_ON
 
 
 @attrs.frozen
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -131,6 +131,7 @@
         self.blocks = _blocks.Blocks(deployment.block_stores)
         self.stop_requested = threading.Event()
         self._limits = _model.CallerLimits()
+        self._announced = None
         self._reading = decisions.ReaderPlan(is_reader=True)
         self._files = max(gateway_settings.files - RESERVED_FILES, 64)
         self.gateway = self._make_gateway()
@@ -365,6 +366,12 @@
         for name, actor in duties_by_lease.items():
             if name in items_by_name:
                 actor.tell(items_by_name[name])
+        announced = items_by_name.get(_rollout.LOADING_NAME)
+        if announced is not None and announced != self._announced:
+            self._announced = announced
+            loading = frozenset(announced.value)
+            self.views.set_parts(loading=loading, loading_seen_s=now)
+            loguru.logger.bind(upstreams=sorted(loading)).info("engines load weights")
 
     def _register(self):
         """Join the other hosts; tried again until the store takes it."""
--- a/sycamorespoke/gateway/_rollout.py
+++ b/sycamorespoke/gateway/_rollout.py
@@ -11,6 +11,10 @@
 from sycamorespoke.gateway import _chooser, _clock, _duty, _orders, _source
 
 LEASE_NAME = "weights"
+# Names the engines that load, so that hosts send them nothing new.
+LOADING_NAME = "loading"
+# The announcement reaches the other hosts before the order reaches the engine.
+ANNOUNCE_LEAD_S = 0.02
 # An engine that did not answer is asked again after this time.
 PUT_OFF_S = 0.7
 POLL_S = 0.15
@@ -59,13 +63,16 @@
         self.views = views
         self.table = table
         self.engines = engines
+        self.leases = leases
         self.duty = _duty.Duty(
             LEASE_NAME, host, views, leases, _clock.read_clock, lease_s
         )
         self._executor = concurrent.futures.ThreadPoolExecutor(MOST_LOADS, "load")
         self._loading_by_boot = {}
+        self._announced = frozenset()
         self._put_off_until_s_by_boot = {}
         self._lock = threading.Lock()
+        self._pause = threading.Event()
 
     def on_receive(self, message):
         """Take a `Tick` or a `LeaseSeen`."""
@@ -102,6 +109,7 @@
         ]
         if not behind:
             self.duty.rest()
+            self._announce()
             return
         if not self.duty.hold(str(sorted(wanted_by_model.items())), now):
             return
@@ -136,13 +144,27 @@
             upstream.boot: upstream for upstream in view.upstreams_by_id.values()
         }
         number = self.duty.fencing_number
+        loads_by_boot = {}
         for engine in decisions.select_loads(
             engines, wanted_by_model, loading, put_off
         ):
             load = Load(self, upstreams_by_boot[engine.name], engine.model, number)
             with self._lock:
                 self._loading_by_boot[engine.name] = load
-            self._executor.submit(self._run_load, engine.name, load)
+            loads_by_boot[engine.name] = load
+        self._announce()
+        for boot, load in loads_by_boot.items():
+            self._executor.submit(self._run_load, boot, load)
+
+    def _announce(self):
+        """Tell the other hosts which engines load, if that has changed."""
+        with self._lock:
+            loading = frozenset(self._loading_by_boot)
+        if loading == self._announced or not self.duty.is_held():
+            return
+        self._announced = loading
+        if self.leases.announce(LOADING_NAME, sorted(loading)):
+            self._pause.wait(ANNOUNCE_LEAD_S)
 
     def _run_load(self, boot, load):
         try:
--- a/sycamorespoke/gateway/_server.py
+++ b/sycamorespoke/gateway/_server.py
@@ -21,6 +21,10 @@
 CLEANUP_S = 5
 
 
+class BrokenStreamError(Exception):
+    """A stream ends early; the connection is closed so that the caller sees it."""
+
+
 class _Parser(waitress.parser.HTTPRequestParser):
     """Knows when the request began to arrive."""
 
@@ -32,6 +36,13 @@
 class _Task(waitress.task.WSGITask):
     """Keeps the connection open after an answer in chunks."""
 
+    def service(self):
+        try:
+            super().service()
+        except BrokenStreamError:
+            # Without the end of the body, which tells the caller.
+            self.close_on_finish = True
+
     def get_environment(self):
         environ = super().get_environment()
         environ["gateway.arrived_s"] = self.request.arrived_s
--- a/sycamorespoke/gateway/_views.py
+++ b/sycamorespoke/gateway/_views.py
@@ -7,6 +7,8 @@
 from sycamorespoke.gateway import _model
 
 VERSIONS = "versions"
+# An announcement of loads that nobody takes back counts no longer than this.
+LOADING_BELIEVED_S = 3.0
 
 
 @attrs.frozen
@@ -23,6 +25,10 @@
         Data centres whose upstreams get nothing; ``None`` while not known.
     versions_by_model : dict of str to NamedVersion or None, default=None
         Weights that the operators want; ``None`` while not known.
+    loading : frozenset of str, default=()
+        Starts of engines that load weights and take no request meanwhile.
+    loading_seen_s : float, default=-inf
+        When that was learned, seconds of the boot clock.
     hosts_by_name : dict of str to Host
         Entry hosts that have registered.
     confirmed_s_by_part : dict of str to float
@@ -33,6 +39,8 @@
     upstreams_by_id: dict[str, _model.Upstream] | None = None
     data_centres_out: frozenset[str] | None = None
     versions_by_model: dict[str, _model.NamedVersion] | None = None
+    loading: frozenset[str] = frozenset()
+    loading_seen_s: float = float("-inf")
     hosts_by_name: dict[str, _model.Host] = attrs.field(factory=dict)
     confirmed_s_by_part: dict[str, float] = attrs.field(factory=dict)
 
@@ -77,6 +85,11 @@
             and upstream.data_centre not in (self.data_centres_out or ())
         ]
 
+    def is_loading(self, upstream, now):
+        """Return whether an engine is believed to load weights at ``now``."""
+        is_recent = now - self.loading_seen_s <= LOADING_BELIEVED_S
+        return is_recent and upstream.boot in self.loading
+
     def list_boots(self):
         """Return the starts of all registered upstreams as a set."""
         return {upstream.boot for upstream in (self.upstreams_by_id or {}).values()}
--- a/sycamorespoke/platform/_engines.py
+++ b/sycamorespoke/platform/_engines.py
@@ -9,9 +9,9 @@
 CONNECT_TIMEOUT_S = 0.3
 CALL_TIMEOUT_S = 0.6
 POOLS = 64
-# The engine's name of the mode in which it first finishes what it runs.
 MODE_BY_ROLLOUT_MODE = {
     gateway.RolloutMode.FINISH_FIRST: "queue",
+    gateway.RolloutMode.GO_ON: "in_place",
     gateway.RolloutMode.CUT: "truncate",
 }
 OUTCOME_BY_STATUS = {
--- a/sycamorespoke/platform/_leases.py
+++ b/sycamorespoke/platform/_leases.py
@@ -62,6 +62,19 @@
             return clients.Uncertain(written.reason)
         return clients.Stored(None, written.stored.revision)
 
+    def announce(self, name, value):
+        """Write an object for all hosts to see, whatever it held.
+
+        Returns
+        -------
+        bool
+            Whether it is written.
+        """
+        written = self.store.replace(_names.KIND_LEASES, name, value)
+        if written.outcome is _store.WriteOutcome.NOT_DONE:
+            written = self.store.create(_names.KIND_LEASES, name, value)
+        return written.outcome is _store.WriteOutcome.DONE
+
 
 def read_lease(stored, now):
     """Read a lease object that was received by a watch."""
--- a/sycamorespoke/telemetry/_logs.py
+++ b/sycamorespoke/telemetry/_logs.py
@@ -1,5 +1,6 @@
 """Logs as JSON lines."""
 
+import logging
 import sys
 import time
 
@@ -69,9 +70,19 @@
 
     loguru.logger.remove()
     loguru.logger.add(write, level=level, format="{message}", catch=True)
+    logging.basicConfig(handlers=[_LibraryLogs()], level=logging.WARNING, force=True)
     return sink
 
 
+class _LibraryLogs(logging.Handler):
+    """Passes on what libraries log in the standard way."""
+
+    def emit(self, record):
+        exception = record.exc_info[1] if record.exc_info else None
+        logger = loguru.logger.bind(library=record.name)
+        logger.opt(exception=exception).log(record.levelname, record.getMessage())
+
+
 def format_record(host, record):
     """Format a log record as a JSON line.
 
