--- a/sycamorespoke/gateway/_server.py
+++ b/sycamorespoke/gateway/_server.py
@@ -13,6 +13,7 @@
 
 BUFFER_BYTES = 1073741824
 IDLE_POLL_S = 0.05
+FIRST_THREADS = 4
 LOOP_CALL_S = 1.0
 # Callers reuse connections for less than the configured time; beyond it they
 # are closed late rather than early, since the time of day may jump.
@@ -69,6 +70,23 @@
         return super().build_response_header()
 
 
+class _Dispatcher(waitress.task.ThreadedTaskDispatcher):
+    """Starts a thread when a call would wait for one, up to a limit."""
+
+    def __init__(self, limit):
+        super().__init__()
+        self.limit = limit
+
+    def add_task(self, task):
+        with self.lock:
+            idle = len(self.threads) - self.active_count
+            count = len(self.threads)
+            waiting = len(self.queue) + 1
+        if waiting > idle and count < self.limit:
+            self.set_thread_count(count + 1)
+        super().add_task(task)
+
+
 class _Channel(waitress.channel.HTTPChannel):
     """Tells the request that runs when its caller leaves."""
 
@@ -104,7 +122,7 @@
     app : callable
         The WSGI application.
     threads : int
-        Calls served at once, 1 to 1024.
+        Calls served at once, 1 to 1024; a thread is started when it is needed.
     connection_limit : int
         Connections of callers that are open at once; further ones wait.
     limits : CallerLimits
@@ -112,10 +130,13 @@
     """
 
     def __init__(self, listen, app, threads, connection_limit, limits):
+        dispatcher = _Dispatcher(threads)
+        dispatcher.set_thread_count(min(FIRST_THREADS, threads))
         self._server = waitress.server.create_server(
             app,
+            _dispatcher=dispatcher,
             listen=listen,
-            threads=threads,
+            threads=min(FIRST_THREADS, threads),
             ident=None,
             connection_limit=connection_limit,
             asyncore_use_poll=True,
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -284,3 +284,26 @@
     gateway = world.gateway([world.upstream(path_upstream.answer)])
     gateway.server.close_connections_after_answers()
     assert gateway.call("/safe/x")[1]["Connection"] == "close"
+
+
+def test_threads_are_started_as_calls_need_them(world):
+    released = threading.Event()
+
+    def wait(request):
+        released.wait(5.0)
+        path_upstream.answer(request)
+
+    gateway = world.gateway([world.upstream(wait)], threads=12)
+    before = threading.active_count()
+    connections = [gateway.connect() for _ in range(12)]
+    for connection in connections:
+        path_gateway.send(connection, "/safe/x")
+    deadline_s = time.monotonic() + 5.0
+    while len(gateway.views.get().upstreams_by_id) and time.monotonic() < deadline_s:
+        if gateway.table.dump(0.0)["i-1@1"]["requests"] == 12:
+            break
+        time.sleep(0.01)
+    # Each call has one thread here and one at the upstream.
+    assert threading.active_count() - before >= 12
+    released.set()
+    assert [each.getresponse().status for each in connections] == [200] * 12
