--- a/sycamorespoke/platform/_documents.py
+++ b/sycamorespoke/platform/_documents.py
@@ -30,14 +30,11 @@
         Revision of the store at its last change.
     spec : object
         What its writer put there.
-    born_ms : int
-        Unix milliseconds at which its writer started, for upstreams; else 0.
     """
 
     name: str
     revision: int
     spec: object
-    born_ms: int = 0
 
 
 def read_object(value):
@@ -49,13 +46,10 @@
         If it has no name or revision.
     """
     meta = _table(value, "Metadata")
-    spec = value.get("Spec")
-    born_ms = spec.get("born", value.get("born", 0)) if isinstance(spec, dict) else 0
     return StoredObject(
         name=_field(meta, "Name", str),
         revision=_field(meta, "Revision", int),
-        spec=spec,
-        born_ms=born_ms if type(born_ms) is int else 0,
+        spec=value.get("Spec"),
     )
 
 
@@ -114,7 +108,7 @@
     cold_ms = _number(spec.get("ColdRemainingMs", 0), "ColdRemainingMs")
     return gateway.Upstream(
         id=stored.name,
-        started_ms=stored.born_ms,
+        started_ms=_check(spec.get("born", 0), int, "born"),
         service=_field(spec, "Service", str),
         address=_read_address(_field(spec, "Address", str)),
         data_centre=_field(spec, "Zone", str),
--- /dev/null
+++ b/tests/fakes/object_store.py
@@ -0,0 +1,148 @@
+"""A small stand-in of the platform's object store, over HTTP on a free port."""
+
+import http.server
+import json
+import threading
+import time
+import urllib.parse
+
+PREFIX = "/sycamorespoke/objects/"
+
+
+class ObjectStoreStandIn:
+    """Keeps objects by kind and name; ``outage`` makes each call answer 503."""
+
+    def __init__(self):
+        self.revision = 1
+        self.objects = {}
+        self.events = []
+        self.history_from = 0
+        self.outage = False
+        self.lose_answers = False
+        self.calls = []
+        self.changed = threading.Condition()
+        stand_in = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def _serve(self):
+                length = int(self.headers.get("Content-Length") or 0)
+                body = json.loads(self.rfile.read(length)) if length else None
+                status, page = stand_in.handle(self.command, self.path, body)
+                if stand_in.lose_answers:
+                    self.close_connection = True
+                    return
+                data = json.dumps(page).encode()
+                self.send_response(status)
+                self.send_header("Content-Length", str(len(data)))
+                self.end_headers()
+                self.wfile.write(data)
+
+            def log_message(self, *arguments):
+                pass
+
+        for method in ("GET", "POST", "PUT", "DELETE"):
+            setattr(Handler, f"do_{method}", Handler._serve)
+        server_class = http.server.ThreadingHTTPServer
+        server_class.daemon_threads = True
+        self._server = server_class(("127.0.0.1", 0), Handler)
+        self.address = f"127.0.0.1:{self._server.server_address[1]}"
+        self._thread = threading.Thread(
+            target=self._server.serve_forever, kwargs={"poll_interval": 0.02}
+        )
+        self._thread.start()
+
+    def close(self):
+        self._server.shutdown()
+        self._server.server_close()
+        self._thread.join()
+
+    def put(self, kind, name, spec):
+        """Write an object as another writer."""
+        with self.changed:
+            return self._store(kind, name, spec)
+
+    def delete(self, kind, name):
+        with self.changed:
+            return self._remove(kind, name)
+
+    def forget_history(self):
+        with self.changed:
+            self.history_from = self.revision
+            self.changed.notify_all()
+
+    def handle(self, method, path, body):
+        self.calls.append((method, path))
+        if self.outage:
+            return 503, {}
+        url = urllib.parse.urlsplit(path)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        kind, _, name = url.path.removeprefix(PREFIX).partition("/")
+        with self.changed:
+            if method == "GET" and "Watch" in query:
+                return self._watch(kind, int(query["Watch"]), int(query["WaitMs"]))
+            if method == "GET" and not name:
+                return self._list(kind, query.get("after", ""))
+            if method == "GET":
+                found = self.objects.get((kind, name))
+                return (200, found) if found else (404, {})
+            if method == "DELETE":
+                return self._remove(kind, name)
+            return self._write(method, kind, name, body)
+
+    def _list(self, kind, after):
+        names = sorted(name for each, name in self.objects if each == kind)
+        names = [name for name in names if name > after]
+        page = [self.objects[kind, name] for name in names[:2]]
+        more = len(names) > 2
+        return 200, {"items": page, "HasMore": more, "StoreRevision": self.revision}
+
+    def _watch(self, kind, revision, wait_ms):
+        ends_s = time.monotonic() + wait_ms / 1000
+        while True:
+            if revision < self.history_from or self.outage:
+                return (503, {}) if self.outage else (410, {})
+            found = [e for r, k, e in self.events if r > revision and k == kind]
+            left_s = ends_s - time.monotonic()
+            if found or left_s <= 0:
+                return 200, {"Events": found, "StoreRevision": self.revision}
+            self.changed.wait(left_s)
+
+    def _write(self, method, kind, name, body):
+        name = name or body["Metadata"]["Name"]
+        found = self.objects.get((kind, name))
+        if method == "POST":
+            if found:
+                return 409, found
+            return 200, self._store(kind, name, body["Spec"])
+        if not found:
+            return 404, {}
+        wanted = body["Metadata"].get("Revision")
+        if wanted is not None and wanted != found["Metadata"]["Revision"]:
+            return 409, found
+        if found["Spec"] == body["Spec"]:
+            # A write that changes nothing is no change.
+            return 200, found
+        return 200, self._store(kind, name, body["Spec"])
+
+    def _store(self, kind, name, spec):
+        self.revision += 1
+        meta = {"Name": name, "Revision": self.revision}
+        found = {"Metadata": meta, "Spec": spec, "Status": None}
+        self.objects[kind, name] = found
+        self._tell(kind, found, False)
+        return found
+
+    def _remove(self, kind, name):
+        found = self.objects.pop((kind, name), None)
+        if found is None:
+            return 404, {}
+        self.revision += 1
+        self._tell(kind, found, True)
+        return 200, found
+
+    def _tell(self, kind, found, deleted):
+        event = {"Object": found, "Deleted": deleted}
+        self.events.append((self.revision, kind, event))
+        self.changed.notify_all()
--- /dev/null
+++ b/tests/gateway/test_rollout.py
@@ -0,0 +1,177 @@
+"""New weights brought to engines by one host, against engines that misbehave."""
+
+import time
+
+import attrs
+import pytest
+
+from sycamorespoke import clients
+from sycamorespoke.gateway import (
+    _clock,
+    _model,
+    _orders,
+    _rollout,
+    _source,
+    _table,
+    _views as views_module,
+)
+
+MODEL = "m"
+
+
+@attrs.define
+class FakeLeases:
+    objects: dict = attrs.field(factory=dict)
+    announced: list = attrs.field(factory=list)
+    refuse: bool = False
+
+    def get(self, name):
+        if self.refuse:
+            return clients.Unavailable("away")
+        found = self.objects.get(name)
+        return clients.Stored(*found) if found else clients.Missing()
+
+    def put(self, name, value, version):
+        if self.refuse:
+            return clients.Unavailable("away")
+        current = self.objects.get(name, (None, 0))[1]
+        if version != current:
+            return clients.Conflict()
+        self.objects[name] = (value, current + 1)
+        return clients.Stored(None, current + 1)
+
+    def announce(self, name, value):
+        self.announced.append(value)
+        return True
+
+
+@attrs.define
+class FakeEngine:
+    version: int = 1
+    orders: int = 0
+    lost: int = 0
+    dark: bool = False
+    fenced: bool = False
+    taken: list = attrs.field(factory=list)
+
+
+class FakeEngines:
+    def __init__(self, **by_id):
+        self.by_id = by_id
+
+    def read_report(self, upstream):
+        engine = self.by_id[upstream.id]
+        if engine.dark:
+            return _source.Unavailable("dark")
+        return _orders.EngineReport(engine.orders, False, {MODEL: engine.version})
+
+    def order_version(self, upstream, order):
+        engine = self.by_id[upstream.id]
+        engine.taken.append(order)
+        if engine.fenced:
+            return _orders.OrderOutcome.FENCED
+        if engine.lost:
+            engine.lost -= 1
+            return _orders.OrderOutcome.UNKNOWN
+        if order.after_orders != engine.orders:
+            return _orders.OrderOutcome.BUSY
+        engine.orders += 1
+        engine.version = order.version
+        return _orders.OrderOutcome.ACCEPTED
+
+
+@pytest.fixture
+def start():
+    actors = []
+
+    def make(engines, leases, host="h1", wanted=2):
+        views = views_module.Views()
+        upstreams = {
+            name: _model.Upstream(
+                name, 1, "s", "1.1.1.1:1", "z", versions_by_model={MODEL: 1}
+            )
+            for name in engines.by_id
+        }
+        now = _clock.read_clock()
+        views.set_parts(
+            upstreams_by_id=upstreams,
+            versions_by_model={MODEL: _model.NamedVersion(MODEL, wanted, now)},
+        )
+        table = _table.UpstreamTable()
+        actor = _rollout.Rollout.start(host, views, table, leases, engines, 3.0)
+        actors.append(actor)
+        return actor
+
+    yield make
+    for actor in actors:
+        actor.stop()
+
+
+def run_until(actor, is_done, timeout_s=8.0):
+    ends_s = time.monotonic() + timeout_s
+    while not is_done() and time.monotonic() < ends_s:
+        actor.tell(_rollout.Tick(_clock.read_clock()))
+        time.sleep(0.05)
+    return is_done()
+
+
+def test_every_engine_gets_the_version_and_is_announced_before(start):
+    engines = FakeEngines(**{f"i{n}": FakeEngine() for n in range(5)})
+    leases = FakeLeases()
+    actor = start(engines, leases)
+    behind = engines.by_id.values()
+    assert run_until(actor, lambda: all(each.version == 2 for each in behind))
+    assert {order.fencing_number for each in behind for order in each.taken} == {1}
+    assert max(len(loading) for loading in leases.announced) == 2
+    assert {boot for loading in leases.announced for boot in loading} == {
+        f"i{n}@1" for n in range(5)
+    }
+
+
+def test_an_order_without_an_answer_is_given_again_under_the_same_condition(start):
+    engines = FakeEngines(i0=FakeEngine(lost=2))
+    actor = start(engines, FakeLeases())
+    assert run_until(actor, lambda: engines.by_id["i0"].version == 2)
+    taken = engines.by_id["i0"].taken
+    assert len(taken) == 3
+    assert {order.after_orders for order in taken} == {0}
+
+
+def test_an_engine_that_does_not_answer_keeps_the_others_from_nothing(start):
+    engines = FakeEngines(i0=FakeEngine(dark=True), i1=FakeEngine(), i2=FakeEngine())
+    actor = start(engines, FakeLeases())
+    sound = [engines.by_id["i1"], engines.by_id["i2"]]
+    assert run_until(actor, lambda: all(each.version == 2 for each in sound))
+
+
+def test_without_the_lease_no_order_is_given(start):
+    engines = FakeEngines(i0=FakeEngine())
+    leases = FakeLeases(refuse=True)
+    actor = start(engines, leases)
+    assert not run_until(actor, lambda: engines.by_id["i0"].taken, timeout_s=1.0)
+
+
+def test_while_another_host_holds_the_lease_no_order_is_given(start):
+    engines = FakeEngines(i0=FakeEngine())
+    record = {"holder": "h2", "fencing_number": 4, "duration_s": 3.0, "renewal": 0}
+    leases = FakeLeases({"leases/weights": (record, 1)})
+    actor = start(engines, leases)
+    assert not run_until(actor, lambda: engines.by_id["i0"].taken, timeout_s=1.5)
+
+
+def test_a_host_that_is_refused_for_a_higher_number_gives_the_lease_up(start):
+    engines = FakeEngines(i0=FakeEngine(fenced=True))
+    leases = FakeLeases()
+    actor = start(engines, leases)
+    assert run_until(actor, lambda: engines.by_id["i0"].taken)
+    first = engines.by_id["i0"].taken[0].fencing_number
+    time.sleep(1.0)
+    later = engines.by_id["i0"].taken[1:]
+    assert all(order.fencing_number != first for order in later)
+
+
+def test_where_every_engine_has_the_version_nothing_is_written(start):
+    engines = FakeEngines(i0=FakeEngine())
+    leases = FakeLeases()
+    actor = start(engines, leases, wanted=1)
+    assert not run_until(actor, lambda: leases.objects, timeout_s=0.5)
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,150 @@
+"""Objects of the store as the gateway's types."""
+
+import pytest
+
+from sycamorespoke import gateway
+from sycamorespoke.platform import _documents
+
+ROUTE = {
+    "Name": "r-1",
+    "Host": "a.example",
+    "PathPrefix": "/x/",
+    "Kind": "streaming",
+    "TimeoutMs": 2500,
+    "TargetLatencyMs": 600,
+    "Priority": 0,
+    "Service": "s",
+    "MaxAttempts": 2,
+    "Anonymous": False,
+    "Sticky": True,
+    "Resumable": True,
+    "GapAimMs": 300,
+}
+ENGINE = {
+    "Name": "s",
+    "MaxConns": 370,
+    "ColdStartS": 3.0,
+    "ColdPerS": 20.0,
+    "Engine": {"Slots": 64, "KvCapacityTokens": 104140, "KvTokenBytes": 327680},
+}
+STORE = {
+    "Name": "k",
+    "KvStoreAddr": "10.0.0.1:80",
+    "Zone": "z",
+    "KvCapacityTokens": 1000,
+    "LinkMbps": 2600000.0,
+    "first_ms": 0.5,
+    "Managed": True,
+    "MaxInflight": 12,
+}
+SERVER = {
+    "Service": "s",
+    "Address": "10.0.0.2:8080",
+    "Zone": "z",
+    "Slots": 64,
+    "State": "ready",
+    "ColdRemainingMs": 1500,
+    "Models": [{"Name": "m", "Version": 3, "Adapters": []}],
+    "Seq": 4,
+    "born": 1700000000000,
+}
+
+
+def stored(spec, name="x"):
+    value = {"Metadata": {"Name": name, "Revision": 7}, "Spec": spec}
+    return _documents.read_object(value)
+
+
+def test_a_configuration_is_decoded_whole():
+    spec = {
+        "Version": 4,
+        "Routes": [ROUTE],
+        "Services": [ENGINE, STORE],
+        "Tenants": [
+            {"Name": "t", "ApiKeys": ["k1", "k2"], "Priority": 3, "Isolated": True}
+        ],
+        "Limits": {"MaxHeaderBytes": 999, "MaxBodyBytes": 9999, "IdleTimeoutMs": 5000},
+        "SomethingNew": 1,
+    }
+    configuration = _documents.read_configuration(stored(spec), 0.0)
+    route = configuration.routes[0]
+    assert (route.timeout_s, route.target_latency_s, route.event_gap_s) == (
+        2.5,
+        0.6,
+        0.3,
+    )
+    assert route.kind is gateway.RouteKind.STREAM
+    assert route.may_repeat
+    assert route.weights_by_service == {"s": 1.0}
+    account = gateway.Account("t", 3, is_isolated=True)
+    assert configuration.accounts_by_key == {"k1": account, "k2": account}
+    assert configuration.limits == gateway.CallerLimits(999, 9999, 5.0)
+    services = configuration.services_by_name
+    assert services["s"].engine == gateway.EngineFacts(64, 104140, 327680)
+    assert services["k"].store.address == "10.0.0.1:80"
+    assert services["k"].store.first_byte_s == 0.0005
+
+
+def test_a_split_route_has_the_weights_of_its_services():
+    route = {**ROUTE, "Split": [{"Service": "a", "Weight": 90}]}
+    del route["Service"]
+    spec = {"Version": 1, "Routes": [route], "Services": []}
+    configuration = _documents.read_configuration(stored(spec), 0.0)
+    assert configuration.routes[0].weights_by_service == {"a": 90}
+    assert not configuration.needs_key
+
+
+def test_an_upstream_is_decoded_whole():
+    upstream = _documents.read_upstream(stored(SERVER, "i-1"), 50.0)
+    assert upstream.boot == "i-1@1700000000000"
+    assert upstream.versions_by_model == {"m": 3}
+    assert not upstream.is_draining
+    assert upstream.is_cold(51.4)
+    assert not upstream.is_cold(51.6)
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        ("State", "asleep"),
+        ("State", None),
+        ("Service", 4),
+        ("Address", "nowhere"),
+        ("Address", "10.0.0.2:http"),
+        ("Zone", None),
+        ("Slots", "64"),
+        ("ColdRemainingMs", "soon"),
+        ("Models", {"m": 1}),
+        ("Models", [{"Name": "m"}]),
+        ("Models", ["m"]),
+        ("born", "yesterday"),
+        ("born", 1.5),
+    ],
+)
+def test_an_entry_of_another_form_names_no_upstream(key, value):
+    with pytest.raises(_documents.MalformedObjectError):
+        _documents.read_upstream(stored({**SERVER, key: value}), 0.0)
+
+
+@pytest.mark.parametrize("spec", [None, [], "bytes", 7])
+def test_a_document_that_is_no_table_is_malformed(spec):
+    for read in (
+        _documents.read_configuration,
+        _documents.read_upstream,
+        _documents.read_named_version,
+        _documents.read_host,
+    ):
+        with pytest.raises(_documents.MalformedObjectError):
+            read(stored(spec), 0.0)
+
+
+@pytest.mark.parametrize("value", [None, {}, {"Metadata": {"Name": "x"}}, []])
+def test_a_value_without_name_and_revision_is_malformed(value):
+    with pytest.raises(_documents.MalformedObjectError):
+        _documents.read_object(value)
+
+
+def test_a_host_is_read_as_it_was_written():
+    host = gateway.Host("h", "z", "10.0.0.1:7580")
+    spec = _documents.write_host(host)
+    assert _documents.read_host(stored(spec, "h"), 0.0) == host
--- /dev/null
+++ b/tests/platform/test_protocol.py
@@ -0,0 +1,119 @@
+"""Requests and answers as they cross the network."""
+
+import io
+
+import pytest
+import urllib3
+
+from sycamorespoke import decisions, gateway, world
+from sycamorespoke.platform import _protocol
+
+
+def environ(**headers):
+    made = {
+        "REQUEST_METHOD": "POST",
+        "REQUEST_URI": "/x/y?z=%20",
+        "CONTENT_LENGTH": "3",
+        "wsgi.input": io.BytesIO(b"ask"),
+        "HTTP_HOST": "a.example",
+    }
+    made.update({f"HTTP_{name}": text for name, text in headers.items()})
+    return made
+
+
+def test_a_call_with_a_prompt_is_read_whole():
+    call = _protocol.read_call(
+        environ(
+            X_SYCAMORESPOKE_REQUEST_ID="c-1",
+            X_SYCAMORESPOKE_DEADLINE_MS="1500",
+            X_SYCAMORESPOKE_MODEL="m",
+            X_SYCAMORESPOKE_TOKEN_COUNT="1460,80",
+            X_SYCAMORESPOKE_PROMPT_PREFIX="5c:800,91:410,e4:250",
+            AUTHORIZATION="Bearer key",
+            LAST_EVENT_ID="12",
+        ),
+        100.0,
+    )
+    assert (call.id, call.api_key, call.deadline_s) == ("c-1", "key", 101.5)
+    assert (call.path, call.target, call.body) == ("/x/y", "/x/y?z=%20", b"ask")
+    assert call.last_event_id == 12
+    parts = tuple(
+        gateway.PromptPart(*part) for part in [("5c", 800), ("91", 410), ("e4", 250)]
+    )
+    assert call.prompt == gateway.Prompt("m", parts, 1460, 80)
+    passed = dict(call.headers)
+    assert passed["x-sycamorespoke-prompt-prefix"] == "5c:800,91:410,e4:250"
+    assert "authorization" not in passed
+    assert "x-sycamorespoke-deadline-ms" not in passed
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        {"X_SYCAMORESPOKE_DEADLINE_MS": "soon"},
+        {"X_SYCAMORESPOKE_DEADLINE_MS": "-5"},
+        {"X_SYCAMORESPOKE_PROMPT_PREFIX": "5c"},
+        {"X_SYCAMORESPOKE_PROMPT_PREFIX": "5c:many"},
+    ],
+)
+def test_a_malformed_header_is_refused_with_its_name(headers):
+    refusal = _protocol.read_call(environ(**headers), 0.0)
+    assert refusal.kind is world.ErrorKind.BAD_REQUEST
+    name = next(iter(headers)).replace("_", "-").lower()
+    assert name in refusal.reason.lower()
+
+
+def test_what_goes_to_an_upstream_names_it_and_what_it_may_use():
+    call = _protocol.read_call(environ(X_SYCAMORESPOKE_REQUEST_ID="c-1"), 0.0)
+    upstream = gateway.Upstream("i-1", 1, "s", "10.0.0.2:80", "z")
+    plan = decisions.BlockPlan(("1.1.1.1:1", None, None), (None, "2.2.2.2:2", None))
+    dispatch = gateway.Dispatch(
+        upstream,
+        gateway.Account("t"),
+        1.0,
+        priority=6,
+        weight_version=3,
+        cache_scope="v3 m",
+        last_event_id=7,
+        blocks=plan,
+        fetch_until_ms=99,
+    )
+    headers = _protocol.write_headers(call, dispatch, 0.75)
+    assert headers["X-Sycamorespoke-Deadline-Ms"] == "750"
+    assert headers["X-Sycamorespoke-Expect-Instance"] == "i-1"
+    assert headers["X-Sycamorespoke-Expect-Version"] == "3"
+    assert headers["X-Sycamorespoke-Tenant-Id"] == "t"
+    assert headers["X-Sycamorespoke-Request-Priority"] == "6"
+    assert headers["X-Sycamorespoke-Cache-Salt"] == "v3 m"
+    assert headers["X-Sycamorespoke-Kv-Fetch"] == "1.1.1.1:1,-,-"
+    assert headers["X-Sycamorespoke-Kv-Until"] == "99"
+    assert headers["X-Sycamorespoke-Kv-Save"] == "-,2.2.2.2:2,-"
+    assert headers["Last-Event-Id"] == "7"
+
+
+def test_the_head_of_an_answer_is_read_and_passed_on_without_its_connection():
+    response = urllib3.HTTPResponse(
+        status=503,
+        headers={
+            "X-Sycamorespoke-Request-Id": "c-1",
+            "X-Sycamorespoke-Not-Run": "1",
+            "Retry-After": "0.25",
+            "Keep-Alive": "timeout=5, max=9",
+            "Connection": "close, X-Private",
+            "X-Private": "1",
+            "X-Kept": "2",
+        },
+    )
+    head = _protocol.read_head(response)
+    assert (head.call_id, head.is_not_run, head.closes) == ("c-1", True, True)
+    assert (head.retry_after_s, head.keep_alive_s) == (0.25, 5.0)
+    names = {name for name, _ in head.headers}
+    assert "X-Kept" in names
+    assert not names & {"X-Private", "Connection", "Keep-Alive"}
+
+
+def test_a_refusal_says_when_to_come_back():
+    refusal = world.Refusal(world.ErrorKind.OVERLOADED, "full", retry_after_s=0.2)
+    assert ("Retry-After", "0.2") in _protocol.write_refusal(refusal, "c-1")
+    lost = world.Refusal(world.ErrorKind.UPSTREAM_LOST, "broke")
+    assert dict(_protocol.write_refusal(lost, "")) == {}
