--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	touch $@
 
 test: setup
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest $(PYTEST_OPTIONS)
 
 lint: setup
 	$(BIN)/ruff format --check .
--- a/sycamorespoke/commands/_application.py
+++ b/sycamorespoke/commands/_application.py
@@ -6,7 +6,14 @@
 from cleo import application, exceptions, helpers
 from cleo.io.inputs import definition
 
-from sycamorespoke.commands import _context, _exit_codes, _rules, _service, _status
+from sycamorespoke.commands import (
+    _context,
+    _exit_codes,
+    _rules,
+    _service,
+    _status,
+    _story,
+)
 
 ExitCode = _exit_codes.ExitCode
 COMMANDS = (
@@ -23,6 +30,7 @@
     _service.UpstreamList,
     _status.Status,
     _status.Dump,
+    _story.Story,
 )
 OPTIONS = (
     helpers.option(
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -220,11 +220,24 @@
         self.exchange = exchange
         if self.left:
             exchange.cancel()
+        self._log_sent(dispatch)
         self.parts.table.begin(upstream, self._work)
         self._counted = upstream
         fresh = self.route.kind is _model.RouteKind.UNSAFE
         return exchange.open(choice.connections, fresh)
 
+    def _log_sent(self, dispatch):
+        self._log(
+            "call sent",
+            dispatch.upstream,
+            level="DEBUG",
+            urgency=dispatch.priority,
+            weight_version=dispatch.weight_version,
+            fetched=sum(address is not None for address in dispatch.blocks.fetch_from),
+            saved=sum(address is not None for address in dispatch.blocks.save_to),
+            resumed_after=dispatch.last_event_id,
+        )
+
     def _make_dispatch(self, choice, last_event_id):
         prompt = self.call.prompt
         priority = self.route.priority
@@ -371,15 +384,25 @@
     def _is_server_error(self, head):
         return head.status >= SERVER_ERROR_STATUS
 
-    def _log(self, event, upstream, **fields):
+    def _log(self, event, upstream, level="INFO", **fields):
+        now = self.parts.read_clock()
+        view = self.parts.views.get()
         loguru.logger.bind(
             request_id=self.call.id,
             route=self.route.name,
             upstream=upstream.id,
             reached=len(self._reached),
-            left_ms=int((self.ends_s - self.parts.read_clock()) * 1000),
+            left_ms=int((self.ends_s - now) * 1000),
+            urgent=self._is_urgent,
+            configuration=view.configuration.version,
+            upstreams_age_ms=_age_ms(view, "upstreams", now),
             **fields,
-        ).info(event)
+        ).log(level, event)
+
+
+def _age_ms(view, part, now):
+    confirmed_s = view.confirmed_s_by_part.get(part)
+    return None if confirmed_s is None else int((now - confirmed_s) * 1000)
 
 
 def _estimate_read_s(prompt, blocks):
--- a/sycamorespoke/gateway/_gateway.py
+++ b/sycamorespoke/gateway/_gateway.py
@@ -4,7 +4,7 @@
 import loguru
 
 from sycamorespoke import world
-from sycamorespoke.gateway import _attempts, _calls, _events, _model, _server
+from sycamorespoke.gateway import _attempts, _calls, _events, _model, _server, _views
 
 # A refused caller comes back after this share of the time that it has left, so
 # that its second attempt has time to succeed.
@@ -139,6 +139,7 @@
             status=refusal.answer().status,
             retry_after_s=refusal.answer().retry_after_s,
             configuration=view.configuration.version if view.configuration else None,
+            configuration_age_s=_age_s(view, now),
             duration_ms=round((now - call.arrived_s) * 1000, 1) if call else None,
         ).info("call refused")
         headers = self.protocol.write_refusal(refusal, call.id if call else "")
@@ -284,6 +285,11 @@
     return body
 
 
+def _age_s(view, now):
+    confirmed_s = view.confirmed_s_by_part.get(_views.CONFIGURATION)
+    return None if confirmed_s is None else round(now - confirmed_s, 3)
+
+
 def _set_return_time(refusal, call, now):
     if not refusal.answer().retry_after_s or call is None or call.deadline_s is None:
         return refusal
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -296,7 +296,7 @@
 
     def _make_followers(self):
         readers = [
-            self._make_reader("configuration", self._take_configuration),
+            self._make_reader(_views.CONFIGURATION, self._take_configuration),
             self._make_reader("upstreams", self._take_upstreams, _is_kept),
             self._make_reader("data_centres_out", self._take_data_centres_out),
             self._make_reader(_views.VERSIONS, self._take_versions),
--- a/sycamorespoke/gateway/_views.py
+++ b/sycamorespoke/gateway/_views.py
@@ -6,6 +6,7 @@
 
 from sycamorespoke.gateway import _model
 
+CONFIGURATION = "configuration"
 VERSIONS = "versions"
 # An announcement of loads that nobody takes back counts no longer than this.
 LOADING_BELIEVED_S = 3.0
