Test of threads: waits for the calls at the upstream

It failed once beside load: it looked an upstream up in the table before the first call had reached it (KeyError in the test). It now counts what the upstream received.

--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -293,16 +293,16 @@
         released.wait(5.0)
         path_upstream.answer(request)
 
-    gateway = world.gateway([world.upstream(wait)], threads=12)
+    stub = world.upstream(wait)
+    gateway = world.gateway([stub], threads=12)
     before = threading.active_count()
     connections = [gateway.connect() for _ in range(12)]
     for connection in connections:
         path_gateway.send(connection, "/safe/x")
     deadline_s = time.monotonic() + 5.0
-    while len(gateway.views.get().upstreams_by_id) and time.monotonic() < deadline_s:
-        if gateway.table.dump(0.0)["i-1@1"]["requests"] == 12:
-            break
+    while len(stub.requests) < 12 and time.monotonic() < deadline_s:
         time.sleep(0.01)
+    assert len(stub.requests) == 12
     # Each call has one thread here and one at the upstream.
     assert threading.active_count() - before >= 12
     released.set()
