--- a/tests/fakes/object_store.py
+++ b/tests/fakes/object_store.py
@@ -44,9 +44,15 @@
 
         for method in ("GET", "POST", "PUT", "DELETE"):
             setattr(Handler, f"do_{method}", Handler._serve)
-        server_class = http.server.ThreadingHTTPServer
-        server_class.daemon_threads = True
-        self._server = server_class(("127.0.0.1", 0), Handler)
+
+        class Server(http.server.ThreadingHTTPServer):
+            daemon_threads = True
+
+            def handle_error(self, request, client_address):
+                # A process that was stopped leaves its watches.
+                pass
+
+        self._server = Server(("127.0.0.1", 0), Handler)
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
         self._thread = threading.Thread(
             target=self._server.serve_forever, kwargs={"poll_interval": 0.02}
--- /dev/null
+++ b/tests/gateway/test_chooser.py
@@ -0,0 +1,157 @@
+"""Which upstreams an attempt may go to."""
+
+import random
+
+import attrs
+import pytest
+
+from sycamorespoke import world
+from sycamorespoke.gateway import _calls, _chooser, _model, _table, _views
+from tests.fakes import path_gateway
+
+NOW = 100.0
+LIMITS = _chooser.UpstreamLimits(cold_tolerated=1.5, cold_slack=5.0, version_s=6.0)
+ROUTE = path_gateway.make_route("stream", _model.RouteKind.STREAM)
+PROMPT = _calls.Prompt(
+    "m", (_calls.PromptPart("shared", 900), _calls.PromptPart("own", 100)), 1000, 10
+)
+SERVICE = _model.Service(
+    "s", connection_limit=90, cold_start_s=3.0, cold_requests_per_s=20.0
+)
+
+
+def make_upstream(name, **changes):
+    fields = {"versions_by_model": {"m": 1}, "seen_s": NOW, "slots": 4}
+    return _model.Upstream(name, 1, "s", "10.0.0.1:80", "dc-1", **{**fields, **changes})
+
+
+def make_view(*upstreams, **changes):
+    view = _views.View(
+        configuration=_model.Configuration(1, (ROUTE,), {"s": SERVICE}),
+        upstreams_by_id={each.id: each for each in upstreams},
+        data_centres_out=frozenset(),
+        versions_by_model={},
+    )
+    return attrs.evolve(view, **changes)
+
+
+def make_call(prompt=PROMPT, call_id="c-1"):
+    return _calls.Call(call_id, "a", "POST", "/stream/x", (), b"", NOW, prompt=prompt)
+
+
+class Choosing:
+    def __init__(self):
+        self.table = _table.UpstreamTable()
+        self.chooser = _chooser.Chooser(
+            "h1", "dc-1", self.table, LIMITS, random.Random(1)
+        )
+
+    def choose(self, view, prompt=PROMPT, excluded=(), now=NOW, route=ROUTE):
+        call = make_call(prompt)
+        return self.chooser.choose(view, route, call, set(excluded), now)
+
+    def names(self, view, count=40, **options):
+        made = [self.choose(view, prompt=None, **options) for _ in range(count)]
+        return {each.upstream.id for each in made}
+
+
+def test_only_upstreams_that_may_get_new_work_are_chosen():
+    view = make_view(
+        make_upstream("ok"),
+        make_upstream("leaving", is_draining=True),
+        attrs.evolve(make_upstream("other"), service="t"),
+        attrs.evolve(make_upstream("out"), data_centre="dc-2"),
+        data_centres_out=frozenset({"dc-2"}),
+    )
+    assert Choosing().names(view) == {"ok"}
+
+
+def test_with_no_upstream_left_the_refusal_says_so():
+    view = make_view(make_upstream("a"))
+    refusal = Choosing().choose(view, excluded=["a@1"])
+    assert refusal.kind is world.ErrorKind.NO_UPSTREAM
+
+
+def test_an_upstream_that_fails_is_left_out_for_a_while():
+    choosing = Choosing()
+    upstreams = [make_upstream(name) for name in "abc"]
+    for _ in range(3):
+        choosing.table.note_failure(upstreams[0], 1.0, NOW)
+    view = make_view(*upstreams)
+    assert choosing.names(view) == {"b", "c"}
+    assert "a" in choosing.names(view, now=NOW + 10.0)
+
+
+def test_an_engine_that_loads_weights_gets_nothing_if_another_can():
+    view = make_view(
+        make_upstream("a"),
+        make_upstream("b"),
+        loading=frozenset({"a@1"}),
+        loading_seen_s=NOW,
+    )
+    assert Choosing().names(view) == {"b"}
+    later = NOW + _views.LOADING_BELIEVED_S + 0.1
+    assert Choosing().names(view, now=later) == {"a", "b"}
+
+
+@pytest.mark.parametrize(("age_s", "expected"), [(1.0, {1, 2}), (4.5, {2})])
+def test_older_weights_are_not_used_once_the_newer_are_due(age_s, expected):
+    named = _model.NamedVersion("m", 2, NOW - age_s)
+    view = make_view(
+        make_upstream("old"),
+        make_upstream("new", versions_by_model={"m": 2}),
+        versions_by_model={"m": named},
+    )
+    choosing = Choosing()
+    versions = set()
+    for number in range(60):
+        parts = (_calls.PromptPart(f"shared-{number}", 900), PROMPT.parts[1])
+        prompt = attrs.evolve(PROMPT, parts=parts)
+        versions.add(choosing.choose(view, prompt=prompt).weight_version)
+    assert versions == expected
+
+
+def test_if_all_engines_have_old_weights_the_refusal_says_that_they_load():
+    named = _model.NamedVersion("m", 2, NOW - 5.0)
+    view = make_view(make_upstream("old"), versions_by_model={"m": named})
+    assert Choosing().choose(view).kind is world.ErrorKind.VERSION_LOADING
+
+
+def test_weights_that_an_answer_showed_count_before_the_entry_says_so():
+    choosing = Choosing()
+    upstream = make_upstream("a")
+    choosing.table.note_version(upstream, "m", 2)
+    assert choosing.choose(make_view(upstream)).weight_version == 2
+
+
+def test_a_cold_upstream_gets_this_hosts_share_of_its_rate():
+    view = make_view(make_upstream("a", cold_s=5.0))
+    choosing = Choosing()
+    sent = 0
+    for number in range(300):
+        choice = choosing.choose(view, now=NOW + number / 100)
+        sent += isinstance(choice, _chooser.Choice)
+    # Three seconds at nine tenths of the rate, and a burst of one.
+    assert 50 <= sent <= 0.9 * 20 * 3 + 2
+
+
+def test_connections_are_shared_among_the_hosts():
+    hosts = {f"h{n}": _model.Host(f"h{n}", "dc-1", "1.1.1.1:1") for n in range(9)}
+    view = make_view(make_upstream("a"), hosts_by_name=hosts)
+    choice = Choosing().choose(view)
+    assert choice.connections * len(hosts) <= SERVICE.connection_limit
+
+
+def test_a_split_route_uses_its_services_by_weight():
+    route = attrs.evolve(ROUTE, weights_by_service={"s": 3.0, "t": 1.0})
+    other = attrs.evolve(make_upstream("b"), service="t")
+    view = make_view(make_upstream("a"), other)
+    choosing = Choosing()
+    chosen = [
+        choosing.chooser.choose(view, route, make_call(None, f"c{n}"), set(), NOW)
+        for n in range(400)
+    ]
+    share = sum(each.upstream.id == "a" for each in chosen) / len(chosen)
+    assert 0.65 < share < 0.85
+    refusing = choosing.choose(view, prompt=None, excluded=["a@1"], route=route)
+    assert refusing.upstream.id == "b"
