--- a/sycamorespoke/gateway/_retirement.py
+++ b/sycamorespoke/gateway/_retirement.py
@@ -11,6 +11,9 @@
 # A call that arrives later than this is refused by the store.
 CALL_S = 1.0
 STEP_S = 0.5
+# So long after it could be freed, a part is taken as freed: the event that it
+# has left may be lost.
+TAKEN_AS_FREED_S = 10.0
 
 
 class Retirement(pykka.ThreadingActor):
@@ -61,6 +64,8 @@
         newest = {model: (each.version, each.seen_s) for model, each in named.items()}
         retired_by_index = {}
         for index in self.blocks.list_indexes():
+            parts = index.list_parts()
+            index.drop(decisions.select_retired(parts, newest, now - TAKEN_AS_FREED_S))
             retired = decisions.select_retired(index.list_parts(), newest, now)
             if retired and index.is_known(now):
                 retired_by_index[index] = retired
--- a/sycamorespoke/gateway/_server.py
+++ b/sycamorespoke/gateway/_server.py
@@ -1,6 +1,7 @@
 """The HTTP server for callers: notices those who leave, closes none midway."""
 
 import contextlib
+import logging
 import threading
 import time
 
@@ -70,6 +71,10 @@
         return super().build_response_header()
 
 
+# A call that waits for its thread to start is no cause for a line.
+logging.getLogger("waitress.queue").setLevel(logging.ERROR)
+
+
 class _Dispatcher(waitress.task.ThreadedTaskDispatcher):
     """Starts a thread when a call would wait for one, up to a limit."""
 
--- /dev/null
+++ b/tests/gateway/test_retirement.py
@@ -0,0 +1,120 @@
+"""Parts of older weights are freed once, by the host that holds the lease."""
+
+import pytest
+
+from sycamorespoke import clients
+from sycamorespoke.gateway import (
+    _blocks,
+    _clock,
+    _model,
+    _retirement,
+    _rollout,
+    _views as views_module,
+)
+
+STORE = _model.BlockStore("10.0.0.1:80", "z", 100_000, 1e9, 0.0, is_managed=True)
+
+
+class Leases:
+    def __init__(self):
+        self.objects = {}
+
+    def get(self, name):
+        found = self.objects.get(name)
+        return clients.Stored(*found) if found else clients.Missing()
+
+    def put(self, name, value, version):
+        if version != self.objects.get(name, (None, 0))[1]:
+            return clients.Conflict()
+        self.objects[name] = (value, version + 1)
+        return clients.Stored(None, version + 1)
+
+
+class StoreClient:
+    def __init__(self, works=True):
+        self.works = works
+        self.freed = []
+
+    def free(self, address, keys, epoch, until_ms):
+        if self.works:
+            self.freed.append((address, list(keys), epoch))
+        return self.works
+
+
+def make_index(*keys):
+    index = _blocks.StoreIndex(STORE)
+    events = tuple(_blocks.StoreEvent(scope, part, 100, True) for scope, part in keys)
+    page = _blocks.StoreEvents(7, len(keys), False, events, clock_ms=5000.0)
+    # Known throughout a test, which looks ahead of the clock.
+    index.take(page, _clock.read_clock() + 3.0)
+    return index
+
+
+@pytest.fixture
+def start():
+    actors = []
+
+    def make(index, client, host="h1", leases=None, named_age_s=7.0):
+        views = views_module.Views()
+        seen_s = _clock.read_clock() - named_age_s
+        views.set_parts(versions_by_model={"m": _model.NamedVersion("m", 2, seen_s)})
+        blocks = _blocks.Blocks(client=None)
+        blocks._indexes_by_address[STORE.address] = index
+        actor = _retirement.Retirement.start(
+            host, views, blocks, client, leases or Leases(), 3.0
+        )
+        actors.append(actor)
+        return actor
+
+    yield make
+    for actor in actors:
+        actor.stop()
+
+
+def step(actor, count=4):
+    """Let the actor look several times, half a second apart on its own clock."""
+    begun_s = _clock.read_clock()
+    for number in range(count):
+        now = begun_s + number * _retirement.STEP_S
+        actor.proxy().step(now).get(timeout=5.0)
+
+
+def test_only_parts_of_older_weights_are_freed(start):
+    index = make_index(("v1 m", "old"), ("v2 m", "new"), ("v1 other", "p"))
+    client = StoreClient()
+    step(start(index, client))
+    assert client.freed == [(STORE.address, [("v1 m", "old")], 7)]
+    assert set(index.list_parts()) == {("v2 m", "new"), ("v1 other", "p")}
+
+
+def test_nothing_is_freed_while_a_host_may_still_be_fetching(start):
+    index = make_index(("v1 m", "old"))
+    client = StoreClient()
+    step(start(index, client, named_age_s=2.0))
+    assert client.freed == []
+
+
+def test_a_second_host_frees_nothing_while_the_first_holds_the_lease(start):
+    leases = Leases()
+    first, second = StoreClient(works=False), StoreClient()
+    step(start(make_index(("v1 m", "old")), first, "h1", leases))
+    step(start(make_index(("v1 m", "old")), second, "h2", leases))
+    assert second.freed == []
+
+
+def test_a_part_whose_event_was_lost_is_taken_as_freed_in_the_end(start):
+    index = make_index(("v1 m", "old"))
+    client = StoreClient(works=False)
+    step(start(index, client, named_age_s=20.0))
+    assert index.list_parts() == {}
+
+
+def test_a_tick_makes_it_look(start):
+    index = make_index(("v1 m", "old"))
+    client = StoreClient()
+    actor = start(index, client)
+    begun_s = _clock.read_clock()
+    for number in range(4):
+        actor.tell(_rollout.Tick(begun_s + number))
+    actor.proxy().duty.get(timeout=5.0)
+    assert len(client.freed) == 1
