One server for callers; long modules of the gateway split

The entry daemon and the gateway had each a waitress server that can stop without a cut; both now use sycamorespoke.serving. Moved without change: retry budgets, the index and the follower of a store, the deployment's interfaces.

--- a/sycamorespoke/entry/_program.py
+++ b/sycamorespoke/entry/_program.py
@@ -17,6 +17,7 @@
     membership,
     messages,
     relay,
+    serving,
     settings,
     telemetry,
     transfers,
@@ -30,13 +31,13 @@
     _front,
     _monitor,
     _permits,
-    _server,
     _services,
     _upstreams,
 )
 
 BALANCER_NOTICE_S = 1.0
 UPDATE_INTERVAL_S = 0.2
+CALLER_CONNECTIONS = 2000
 EXIT_NOT_DRAINED = 3
 
 
@@ -89,8 +90,12 @@
             self.permits,
             random.Random(),
         )
-        self.server = _server.CallerServer(
-            entry_settings.listen, self._make_front(), entry_settings.threads
+        self.server = serving.CallerServer(
+            entry_settings.listen,
+            self._make_front(),
+            entry_settings.threads,
+            CALLER_CONNECTIONS,
+            serving.CallerLimits(),
         )
 
     def start(self):
@@ -166,7 +171,7 @@
         time.sleep(BALANCER_NOTICE_S)
         self.server.close_listener()
         idle = self._wait_idle(ends_s)
-        self.server.close_idle_connections(max(0.0, ends_s - time.monotonic()))
+        self.server.wait_closed(max(0.0, ends_s - time.monotonic()))
         unrecorded = self.claims.flush(ends_s)
         self.claims.stop()
         self.pump.stop()
--- a/sycamorespoke/gateway/__init__.py
+++ b/sycamorespoke/gateway/__init__.py
@@ -1,6 +1,5 @@
 """Serves callers by routes of host name and path, for upstreams that register."""
 
-from sycamorespoke.gateway._blocks import StoreEvent, StoreEvents
 from sycamorespoke.gateway._calls import (
     Answer,
     AnswerHead,
@@ -11,10 +10,10 @@
     PromptPart,
 )
 from sycamorespoke.gateway._connections import SOCKET_OPTIONS
+from sycamorespoke.gateway._deployment import Deployment, Kind, Kinds
 from sycamorespoke.gateway._model import (
     Account,
     BlockStore,
-    CallerLimits,
     Configuration,
     EngineFacts,
     Host,
@@ -31,12 +30,7 @@
     RolloutMode,
     VersionOrder,
 )
-from sycamorespoke.gateway._program import (
-    Deployment,
-    GatewayProgram,
-    Kind,
-    Kinds,
-)
+from sycamorespoke.gateway._program import GatewayProgram
 from sycamorespoke.gateway._source import (
     Change,
     Changes,
@@ -44,6 +38,7 @@
     Listing,
     Unavailable,
 )
+from sycamorespoke.gateway._store_index import StoreEvent, StoreEvents
 
 __all__ = [
     "SOCKET_OPTIONS",
@@ -52,7 +47,6 @@
     "AnswerHead",
     "BlockStore",
     "Call",
-    "CallerLimits",
     "Change",
     "Changes",
     "Configuration",
--- a/sycamorespoke/gateway/_blocks.py
+++ b/sycamorespoke/gateway/_blocks.py
@@ -1,289 +1,18 @@
-"""What the stores of cached prompt parts hold, and what requests do with it."""
+"""What requests fetch from the stores of cached prompt parts and save there."""
 
-import collections
 import threading
 
-import attrs
-import loguru
+from sycamorespoke import decisions
+from sycamorespoke.gateway import _store_follower, _store_index
 
-from sycamorespoke import decisions, messages
-from sycamorespoke.gateway import _clock, _source
-
-POLL_S = 0.25
-# What a store holds is believed for this long after its last answer. It is
-# shorter than a restart takes, after which a part may be half written.
-BELIEVED_S = 0.9
-RETRY_S = 0.3
 # An answer of the platform is as old as this when it arrives, at most.
 CONFIRM_DELAY_S = 0.3
 FORGET_SAVES_S = 10.0
-# Events kept for hosts that ask; a host that is further behind gets all parts.
-LOG_EVENTS = 2000
 # Readers that a store serves, if it does not say; some are left for operators.
 DEFAULT_READERS = 10
 SPARE_READERS = 2
 
 
-@attrs.frozen
-class StoreEvent:
-    """A part was completed in a store, or has left it.
-
-    Parameters
-    ----------
-    scope : str
-        Text under which it is found.
-    part_id : str
-        The part.
-    tokens : int
-        Tokens stored now.
-    is_added : bool
-        It is complete; else it has left.
-    """
-
-    scope: str
-    part_id: str
-    tokens: int
-    is_added: bool
-
-
-@attrs.frozen
-class StoreEvents:
-    """Events of a store since a number.
-
-    Parameters
-    ----------
-    epoch : int
-        Changes with each start of the store.
-    next_number : int
-        To ask from next.
-    is_gap : bool
-        Events before these are not kept any more.
-    events : tuple of StoreEvent
-        In order.
-    clock_ms : float
-        The clock of the stores and engines, Unix milliseconds.
-    """
-
-    epoch: int
-    next_number: int
-    is_gap: bool
-    events: tuple[StoreEvent, ...]
-    clock_ms: float
-
-
-class StoreIndex:
-    """What one store holds, from its events; safe to share among threads.
-
-    Parameters
-    ----------
-    store : BlockStore
-        The store.
-    """
-
-    def __init__(self, store):
-        self.store = store
-        self.epoch = None
-        self.number = 0
-        self.used_tokens = 0
-        self._log = collections.deque(maxlen=LOG_EVENTS)
-        self._log_start = 0
-        self._tokens_by_key = {}
-        self._seen_s_by_key = {}
-        self._confirmed_s = float("-inf")
-        self._clock_offset_ms = 0.0
-        self._lock = threading.Lock()
-
-    def take(self, page, now):
-        """Take events that were received at ``now``, seconds of the boot clock.
-
-        Returns
-        -------
-        bool
-            Whether the store has started anew.
-        """
-        with self._lock:
-            is_new = page.epoch != self.epoch
-            if is_new:
-                self._restart(page.epoch, page.next_number)
-            for event in page.events:
-                tokens = event.tokens if event.is_added else 0
-                self._apply(event.scope, event.part_id, tokens, page.next_number)
-            self._confirm(page.next_number, now, page.clock_ms)
-            return is_new
-
-    def make_page(self, epoch, number, now):
-        """Make the page for a host that knows events up to a number.
-
-        Parameters
-        ----------
-        epoch, number : int
-            How far the other host has come.
-        now : float
-            Present time, seconds of the boot clock.
-
-        Returns
-        -------
-        messages.StorePage
-            All that the store holds, if the events since are not kept.
-        """
-        with self._lock:
-            is_whole = epoch != self.epoch or number < self._log_start
-            if is_whole:
-                events = [(*key, each) for key, each in self._tokens_by_key.items()]
-            else:
-                events = [each for last, each in self._log if last > number]
-            age_s = now - self._confirmed_s
-            clock_ms = self.read_clock_ms(now)
-            return messages.StorePage(
-                self.epoch, self.number, is_whole, events, age_s, clock_ms
-            )
-
-    def take_page(self, page, asked_s):
-        """Take what another host told.
-
-        Parameters
-        ----------
-        page : messages.StorePage
-            Its answer.
-        asked_s : float
-            When it was asked, seconds of the boot clock.
-        """
-        with self._lock:
-            if page.is_whole:
-                self._restart(page.epoch, page.number)
-            elif page.epoch != self.epoch:
-                return
-            for scope, part_id, tokens in page.events:
-                self._apply(scope, part_id, tokens, page.number)
-            self._confirm(page.number, asked_s - page.age_s, None)
-            # The clock that was sent is older by now; a fetch ends rather early.
-            self._clock_offset_ms = page.clock_ms - _clock.read_clock() * 1000
-
-    def drop(self, keys):
-        """Forget parts that were freed; the event of that may be lost."""
-        with self._lock:
-            for scope, part_id in keys:
-                self._apply(scope, part_id, 0, self.number)
-            self.used_tokens = sum(self._tokens_by_key.values())
-
-    def _restart(self, epoch, number):
-        self.epoch = epoch
-        self._tokens_by_key = {}
-        self._seen_s_by_key = {}
-        self._log.clear()
-        self._log_start = number
-
-    def _apply(self, scope, part_id, tokens, number):
-        key = (scope, part_id)
-        if tokens:
-            self._tokens_by_key[key] = tokens
-            self._seen_s_by_key.setdefault(key, _clock.read_clock())
-        else:
-            self._tokens_by_key.pop(key, None)
-            self._seen_s_by_key.pop(key, None)
-        if len(self._log) == LOG_EVENTS:
-            self._log_start = self._log[0][0]
-        self._log.append((number, (scope, part_id, tokens)))
-
-    def _confirm(self, number, confirmed_s, clock_ms):
-        self.number = number
-        self.used_tokens = sum(self._tokens_by_key.values())
-        self._confirmed_s = confirmed_s
-        if clock_ms is not None:
-            self._clock_offset_ms = clock_ms - confirmed_s * 1000
-
-    def forget(self):
-        """Believe nothing of it until it answers again."""
-        with self._lock:
-            self._confirmed_s = float("-inf")
-
-    def is_known(self, now):
-        """Return whether its content is known at ``now``."""
-        return now - self._confirmed_s <= BELIEVED_S
-
-    def holds(self, scope, part, before_s):
-        """Return whether it holds a whole part that was complete by a time.
-
-        Parameters
-        ----------
-        scope : str
-            Text under which the part is found.
-        part : PromptPart
-            The part.
-        before_s : float
-            Latest time at which this host learned of it, seconds of the boot
-            clock.
-        """
-        key = (scope, part.id)
-        if self._tokens_by_key.get(key, -1) != part.tokens:
-            return False
-        return self._seen_s_by_key.get(key, float("inf")) <= before_s
-
-    def read_clock_ms(self, now):
-        """Return the clock of the stores at ``now``, Unix milliseconds."""
-        return now * 1000 + self._clock_offset_ms
-
-    def list_parts(self):
-        """Return the complete parts as (scope, id) with their tokens."""
-        with self._lock:
-            return dict(self._tokens_by_key)
-
-
-class StoreFollower:
-    """Keeps a `StoreIndex` up to date in a thread of its own.
-
-    Parameters
-    ----------
-    client : object
-        Has ``read_events(address, since, wait_s)``.
-    index : StoreIndex
-        What it keeps.
-    """
-
-    def __init__(self, client, index):
-        self.client = client
-        self.index = index
-        self._stopped = threading.Event()
-        self._was_away = False
-
-    def start(self):
-        """Follow until `stop`."""
-        threading.Thread(target=self._run, name="store", daemon=True).start()
-
-    def stop(self):
-        """Stop following."""
-        self._stopped.set()
-
-    def step(self):
-        """Ask once; return the seconds to wait before the next step."""
-        address = self.index.store.address
-        page = self.client.read_events(address, self.index.number, POLL_S)
-        if isinstance(page, _source.Unavailable):
-            self.index.forget()
-            if not self._was_away:
-                self._was_away = True
-                self._log("store of parts lost", reason=page.reason)
-            return RETRY_S
-        is_new = self.index.take(page, _clock.read_clock())
-        if is_new or self._was_away or page.is_gap:
-            self._was_away = False
-            self._log("store of parts known", epoch=page.epoch, gap=page.is_gap)
-        return 0.0
-
-    def _run(self):
-        while not self._stopped.is_set():
-            try:
-                wait_s = self.step()
-            except Exception:
-                loguru.logger.exception("following a store failed")
-                wait_s = RETRY_S
-            if wait_s:
-                self._stopped.wait(wait_s)
-
-    def _log(self, event, **fields):
-        loguru.logger.bind(store=self.index.store.address, **fields).info(event)
-
-
 class Blocks:
     """Plans what requests fetch and save.
 
@@ -319,7 +48,7 @@
             self._indexes_by_address.pop(address)
         for address, store in stores_by_address.items():
             if address not in self._indexes_by_address:
-                self._indexes_by_address[address] = StoreIndex(store)
+                self._indexes_by_address[address] = _store_index.StoreIndex(store)
         self._follow(stores_by_address if is_reader else {})
 
     def _follow(self, addresses):
@@ -328,7 +57,7 @@
         for address in addresses:
             if address not in self._followers_by_address:
                 index = self._indexes_by_address[address]
-                follower = StoreFollower(self.client, index)
+                follower = _store_follower.StoreFollower(self.client, index)
                 self._followers_by_address[address] = follower
                 follower.start()
 
--- a/sycamorespoke/gateway/_gateway.py
+++ b/sycamorespoke/gateway/_gateway.py
@@ -3,8 +3,8 @@
 import attrs
 import loguru
 
-from sycamorespoke import world
-from sycamorespoke.gateway import _attempts, _calls, _events, _model, _server, _views
+from sycamorespoke import serving, world
+from sycamorespoke.gateway import _attempts, _calls, _events, _model, _views
 
 # A refused caller comes back after this share of the time that it has left, so
 # that its second attempt has time to succeed.
@@ -52,7 +52,7 @@
 
     def __call__(self, environ, start_response):
         """Serve one call as WSGI asks."""
-        now = environ.get("gateway.arrived_s") or self.read_clock()
+        now = environ.get("caller.arrived_s") or self.read_clock()
         call = self.protocol.read_call(environ, now)
         if isinstance(call, world.Refusal):
             return self._refuse(start_response, None, None, call)
@@ -70,7 +70,7 @@
         if call.deadline_s is not None:
             ends_s = min(ends_s, call.deadline_s)
         attempts = _attempts.Attempts(self, call, route, account, ends_s)
-        on_leave = environ.get("gateway.on_leave")
+        on_leave = environ.get("caller.on_leave")
         if on_leave is not None:
             on_leave(attempts.leave)
         try:
@@ -265,7 +265,7 @@
         self._ended = True
         _abandon(self.attempts)
         self.gateway.log_stream_end(self.attempts, self._status, refusal.reason)
-        raise _server.BrokenStreamError(refusal.reason)
+        raise serving.BrokenStreamError(refusal.reason)
 
 
 def _abandon(attempts):
--- a/sycamorespoke/gateway/_model.py
+++ b/sycamorespoke/gateway/_model.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from sycamorespoke import serving
+
 
 class RouteKind(enum.Enum):
     """What may be repeated of a request on a route."""
@@ -167,25 +169,6 @@
     is_isolated: bool = False
 
 
-@attrs.frozen
-class CallerLimits:
-    """Bounds on what a caller may send.
-
-    Parameters
-    ----------
-    header_bytes : int
-        Most bytes of the request line and headers.
-    body_bytes : int
-        Most bytes of a body.
-    idle_s : float
-        Time for which an idle connection is kept open at least, seconds.
-    """
-
-    header_bytes: int = 65536
-    body_bytes: int = 67108864
-    idle_s: float = 60.0
-
-
 @attrs.frozen
 class Configuration:
     """One version of what the operators want.
@@ -211,7 +194,7 @@
     services_by_name: dict[str, Service]
     accounts_by_key: dict[str, Account] = attrs.field(repr=False, factory=dict)
     needs_key: bool = False
-    limits: CallerLimits = CallerLimits()
+    limits: serving.CallerLimits = attrs.field(factory=serving.CallerLimits)
     _routes_by_host: dict = attrs.field(init=False, repr=False, eq=False)
 
     def __attrs_post_init__(self):
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -3,23 +3,20 @@
 import secrets
 import threading
 
-import attrs
 import loguru
 
-from sycamorespoke import decisions, messages, telemetry
+from sycamorespoke import decisions, messages, serving, telemetry
 from sycamorespoke.gateway import (
-    _attempts,
     _blocks,
     _chooser,
-    _clock,
     _connections,
     _follower,
     _gateway,
     _model,
     _readiness,
     _retirement,
+    _retry_budgets,
     _rollout,
-    _server,
     _store_relay,
     _table,
     _views,
@@ -42,74 +39,6 @@
 EXIT_NOT_DRAINED = 3
 
 
-@attrs.frozen
-class Deployment:
-    """What the gateway needs of the platform that it runs on.
-
-    Parameters
-    ----------
-    protocol : object
-        Reads and writes requests and answers, see `Gateway`.
-    source : object
-        Source of shared objects, see `Follower`.
-    kinds : Kinds
-        Names and readers of the kinds of shared objects.
-    registry : object
-        Has ``register(host)``, ``unregister(name)`` and ``agree_key(proposed)``.
-    leases : object
-        Lease objects, see `Rollout`.
-    engines : object
-        Reports of engines and orders to them, see `Rollout`.
-    block_stores : object
-        Stores of cached prompt parts, see `Blocks`.
-    ready_path : str
-        Path on which the balancer asks.
-    """
-
-    protocol: object
-    source: object
-    kinds: object
-    registry: object
-    leases: object
-    engines: object
-    block_stores: object
-    ready_path: str
-
-
-@attrs.frozen
-class Kind:
-    """One kind of shared objects.
-
-    Parameters
-    ----------
-    name : str
-        Its name at the source.
-    read : callable
-        Makes an item of a JSON value and the time, see `Reader`.
-    """
-
-    name: str
-    read: object
-
-
-@attrs.frozen
-class Kinds:
-    """The kinds of shared objects that a gateway follows.
-
-    Parameters
-    ----------
-    configuration, upstreams, data_centres_out, versions, hosts, leases : Kind
-        One for each part of the view, and the leases.
-    """
-
-    configuration: Kind
-    upstreams: Kind
-    data_centres_out: Kind
-    versions: Kind
-    hosts: Kind
-    leases: Kind
-
-
 class GatewayProgram:
     """Everything that runs on one gateway host.
 
@@ -130,12 +59,12 @@
         self.pool = _connections.ConnectionPool()
         self.blocks = _blocks.Blocks(deployment.block_stores)
         self.stop_requested = threading.Event()
-        self._limits = _model.CallerLimits()
+        self._limits = serving.CallerLimits()
         self._announced = None
         self._reading = decisions.ReaderPlan(is_reader=True)
         self._files = max(gateway_settings.files - RESERVED_FILES, 64)
         self.gateway = self._make_gateway()
-        self.server = _server.GatewayServer(
+        self.server = serving.CallerServer(
             gateway_settings.listen,
             self.gateway,
             THREADS,
@@ -195,7 +124,7 @@
     def step(self):
         """Update once; a fault is logged and ends nothing."""
         try:
-            self.update(_clock.read_clock())
+            self.update(serving.read_clock())
         except Exception:
             loguru.logger.exception("an update failed")
 
@@ -224,7 +153,7 @@
         int
             0 when every call has ended within the time of the settings.
         """
-        begun_s = _clock.read_clock()
+        begun_s = serving.read_clock()
         ends_s = begun_s + self.settings.grace_s - EXIT_MARGIN_S
         loguru.logger.info("shutdown started")
         self.server.close_connections_after_answers()
@@ -233,8 +162,8 @@
         self._unregister()
         self._wait_until(begun_s + BALANCER_NOTICE_S)
         self.server.close_listener()
-        drained = self.server.wait_closed(max(ends_s - _clock.read_clock(), 0.0))
-        duration_s = round(_clock.read_clock() - begun_s, 3)
+        drained = self.server.wait_closed(max(ends_s - serving.read_clock(), 0.0))
+        duration_s = round(serving.read_clock() - begun_s, 3)
         loguru.logger.bind(drained=drained, duration_s=duration_s).info(
             "shutdown ended"
         )
@@ -242,7 +171,7 @@
 
     def dump(self):
         """Return the state of the process as JSON values; no keys."""
-        now = _clock.read_clock()
+        now = serving.read_clock()
         view = self.views.get()
         return {
             "in_force": self._in_force(),
@@ -269,7 +198,7 @@
 
     def _wait_until(self, moment_s):
         event = threading.Event()
-        event.wait(max(moment_s - _clock.read_clock(), 0.0))
+        event.wait(max(moment_s - serving.read_clock(), 0.0))
 
     def _make_gateway(self):
         settings = self.settings
@@ -282,9 +211,11 @@
             table=self.table,
             pool=self.pool,
             blocks=self.blocks,
-            budgets=_attempts.RetryBudgets(settings.retry_ratio, settings.retry_slack),
+            budgets=_retry_budgets.RetryBudgets(
+                settings.retry_ratio, settings.retry_slack
+            ),
             metrics=self.metrics,
-            read_clock=_clock.read_clock,
+            read_clock=serving.read_clock,
         )
 
     def _make_limits(self):
@@ -305,7 +236,7 @@
         ]
         return [
             _follower.Follower(
-                self.deployment.source, reader, _clock.read_clock, self.views.confirm
+                self.deployment.source, reader, serving.read_clock, self.views.confirm
             )
             for reader in readers
         ]
@@ -403,7 +334,7 @@
 
     def _answer_peer(self, message):
         if isinstance(message, messages.StoreEventsRequest):
-            now = _clock.read_clock()
+            now = serving.read_clock()
             return _store_relay.make_reply(self.blocks.list_indexes(), message, now)
         return None
 
--- a/sycamorespoke/gateway/_retirement.py
+++ b/sycamorespoke/gateway/_retirement.py
@@ -3,8 +3,8 @@
 import loguru
 import pykka
 
-from sycamorespoke import decisions
-from sycamorespoke.gateway import _clock, _duty, _orders, _rollout
+from sycamorespoke import decisions, serving
+from sycamorespoke.gateway import _duty, _orders, _rollout
 
 LEASE_NAME = "stores"
 PARTS_A_CALL = 200
@@ -43,7 +43,7 @@
         self.blocks = blocks
         self.client = client
         self.duty = _duty.Duty(
-            LEASE_NAME, host, views, leases, _clock.read_clock, lease_s
+            LEASE_NAME, host, views, leases, serving.read_clock, lease_s
         )
         self._next_s = 0.0
 
@@ -79,7 +79,7 @@
 
     def _free(self, index, retired):
         for start in range(0, len(retired), PARTS_A_CALL):
-            now = _clock.read_clock()
+            now = serving.read_clock()
             if not self.duty.is_held():
                 return
             keys = retired[start : start + PARTS_A_CALL]
--- a/sycamorespoke/gateway/_rollout.py
+++ b/sycamorespoke/gateway/_rollout.py
@@ -7,8 +7,8 @@
 import loguru
 import pykka
 
-from sycamorespoke import decisions
-from sycamorespoke.gateway import _chooser, _clock, _duty, _orders, _source
+from sycamorespoke import decisions, serving
+from sycamorespoke.gateway import _chooser, _duty, _orders, _source
 
 LEASE_NAME = "weights"
 # Names the engines that load, so that hosts send them nothing new.
@@ -65,7 +65,7 @@
         self.engines = engines
         self.leases = leases
         self.duty = _duty.Duty(
-            LEASE_NAME, host, views, leases, _clock.read_clock, lease_s
+            LEASE_NAME, host, views, leases, serving.read_clock, lease_s
         )
         self._executor = concurrent.futures.ThreadPoolExecutor(MOST_LOADS, "load")
         self._loading_by_boot = {}
@@ -175,10 +175,10 @@
         with self._lock:
             self._loading_by_boot.pop(boot, None)
             if not is_done:
-                until_s = _clock.read_clock() + PUT_OFF_S
+                until_s = serving.read_clock() + PUT_OFF_S
                 self._put_off_until_s_by_boot[boot] = until_s
         # The next engine need not wait for the next tick.
-        self.actor_ref.tell(Tick(_clock.read_clock()))
+        self.actor_ref.tell(Tick(serving.read_clock()))
 
 
 class Load:
@@ -212,8 +212,8 @@
         bool
             Whether it has; else it is tried again later.
         """
-        ends_s = _clock.read_clock() + LONGEST_LOAD_S
-        while _clock.read_clock() < ends_s:
+        ends_s = serving.read_clock() + LONGEST_LOAD_S
+        while serving.read_clock() < ends_s:
             report = self.rollout.engines.read_report(self.upstream)
             if isinstance(report, _source.Unavailable):
                 self._log("engine does not report", reason=report.reason)
@@ -237,13 +237,13 @@
     def _may_order(self, report):
         if report.is_loading:
             return False
-        now = _clock.read_clock()
+        now = serving.read_clock()
         return self._ordered_s is None or now - self._ordered_s >= REPORT_LAG_S
 
     def _order(self, report, version):
         """Give the order; return whether to go on."""
         # The lease is looked at last, since the host may have been suspended.
-        now = _clock.read_clock()
+        now = serving.read_clock()
         if not self.rollout.duty.is_held():
             return False
         order = _orders.VersionOrder(
--- a/sycamorespoke/gateway/_store_relay.py
+++ b/sycamorespoke/gateway/_store_relay.py
@@ -4,8 +4,7 @@
 
 import loguru
 
-from sycamorespoke import messages
-from sycamorespoke.gateway import _clock
+from sycamorespoke import messages, serving
 
 ASK_S = 0.25
 ANSWER_TIMEOUT_S = 0.4
@@ -96,7 +95,7 @@
     def _run(self):
         while not self._stopped.wait(ASK_S):
             try:
-                self.step(_clock.read_clock())
+                self.step(serving.read_clock())
             except Exception:
                 loguru.logger.exception("asking what the stores hold failed")
 
--- a/sycamorespoke/platform/_documents.py
+++ b/sycamorespoke/platform/_documents.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from sycamorespoke import gateway
+from sycamorespoke import gateway, serving
 
 MS_PER_S = 1000.0
 BITS_PER_MBIT = 1_000_000.0
@@ -242,11 +242,11 @@
 
 
 def _read_limits(value):
-    defaults = gateway.CallerLimits()
+    defaults = serving.CallerLimits()
     header_bytes = int(_number(value.get("MaxHeaderBytes", 0), "MaxHeaderBytes"))
     body_bytes = int(_number(value.get("MaxBodyBytes", 0), "MaxBodyBytes"))
     idle_ms = _number(value.get("IdleTimeoutMs", 0), "IdleTimeoutMs")
-    return gateway.CallerLimits(
+    return serving.CallerLimits(
         header_bytes=header_bytes or defaults.header_bytes,
         body_bytes=body_bytes or defaults.body_bytes,
         idle_s=idle_ms / MS_PER_S or defaults.idle_s,
--- /dev/null
+++ b/sycamorespoke/serving/__init__.py
@@ -0,0 +1,10 @@
+"""The HTTP server for callers, and the clock by which their calls are judged."""
+
+from sycamorespoke.serving._clock import read_clock
+from sycamorespoke.serving._server import (
+    BrokenStreamError,
+    CallerLimits,
+    CallerServer,
+)
+
+__all__ = ["BrokenStreamError", "CallerLimits", "CallerServer", "read_clock"]
--- a/sycamorespoke/gateway/_clock.py
+++ b/sycamorespoke/serving/_clock.py
@@ -1,4 +1,4 @@
-"""The clock of the gateway."""
+"""The clock by which calls are judged."""
 
 import time
 
--- a/sycamorespoke/gateway/_server.py
+++ b/sycamorespoke/serving/_server.py
@@ -5,12 +5,13 @@
 import threading
 import time
 
+import attrs
 import waitress.channel
 import waitress.parser
 import waitress.server
 import waitress.task
 
-from sycamorespoke.gateway import _clock
+from sycamorespoke.serving import _clock
 
 BUFFER_BYTES = 1073741824
 IDLE_POLL_S = 0.05
@@ -23,6 +24,25 @@
 CLEANUP_S = 5
 
 
+@attrs.frozen
+class CallerLimits:
+    """Bounds on what a caller may send.
+
+    Parameters
+    ----------
+    header_bytes : int
+        Most bytes of the request line and headers.
+    body_bytes : int
+        Most bytes of a body.
+    idle_s : float
+        Time for which an idle connection is kept open at least, seconds.
+    """
+
+    header_bytes: int = 65536
+    body_bytes: int = 67108864
+    idle_s: float = 60.0
+
+
 class BrokenStreamError(Exception):
     """A stream ends early; the connection is closed so that the caller sees it."""
 
@@ -47,8 +67,8 @@
 
     def get_environment(self):
         environ = super().get_environment()
-        environ["gateway.arrived_s"] = self.request.arrived_s
-        environ["gateway.on_leave"] = self.channel.set_on_leave
+        environ["caller.arrived_s"] = self.request.arrived_s
+        environ["caller.on_leave"] = self.channel.set_on_leave
         return environ
 
     def set_close_on_finish(self):
@@ -117,7 +137,7 @@
             self._on_leave()
 
 
-class GatewayServer:
+class CallerServer:
     """Waitress server in a thread of its own.
 
     Parameters
@@ -132,6 +152,16 @@
         Connections of callers that are open at once; further ones wait.
     limits : CallerLimits
         Bounds on what callers send.
+
+    Notes
+    -----
+    Closing a waitress server takes away the trigger through which running
+    calls wake its loop. A shutdown therefore closes only the listening socket,
+    and the connections once they are idle.
+
+    A call finds the time of its arrival in ``caller.arrived_s``, seconds of the
+    boot clock, and may pass a function to ``caller.on_leave`` that is called
+    when its caller leaves.
     """
 
     def __init__(self, listen, app, threads, connection_limit, limits):
--- a/tests/fakes/path_gateway.py
+++ b/tests/fakes/path_gateway.py
@@ -2,16 +2,14 @@
 
 import http.client
 
-from sycamorespoke import telemetry
+from sycamorespoke import serving, telemetry
 from sycamorespoke.gateway import (
-    _attempts,
     _blocks,
     _chooser,
-    _clock,
     _connections,
     _gateway,
     _model,
-    _server,
+    _retry_budgets,
     _table,
     _views,
 )
@@ -60,12 +58,12 @@
             table=self.table,
             pool=self.pool,
             blocks=_blocks.Blocks(None),
-            budgets=_attempts.RetryBudgets(0.2, 100.0),
+            budgets=_retry_budgets.RetryBudgets(0.2, 100.0),
             metrics=self.metrics,
-            read_clock=_clock.read_clock,
+            read_clock=serving.read_clock,
         )
-        self.server = _server.GatewayServer(
-            "127.0.0.1:0", self.gateway, threads, 100, _model.CallerLimits()
+        self.server = serving.CallerServer(
+            "127.0.0.1:0", self.gateway, threads, 100, serving.CallerLimits()
         )
         self.configure(routes)
         self.register(upstreams)
--- a/tests/gateway/test_blocks.py
+++ b/tests/gateway/test_blocks.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from sycamorespoke import decisions, messages
-from sycamorespoke.gateway import _blocks, _calls, _clock, _model, _store_relay
+from sycamorespoke import decisions, messages, serving
+from sycamorespoke.gateway import _blocks, _calls, _model, _store_index, _store_relay
 
 STORE = _model.BlockStore("10.0.0.1:80", "z", 100_000, 1e9, 0.0, is_managed=True)
 SCOPE = "v1 m"
@@ -12,44 +12,44 @@
 
 
 def page(next_number, *events, epoch=1, gap=False):
-    made = tuple(_blocks.StoreEvent(SCOPE, *event) for event in events)
-    return _blocks.StoreEvents(epoch, next_number, gap, made, clock_ms=5000.0)
+    made = tuple(_store_index.StoreEvent(SCOPE, *event) for event in events)
+    return _store_index.StoreEvents(epoch, next_number, gap, made, clock_ms=5000.0)
 
 
 def make_index(*pages):
-    index = _blocks.StoreIndex(STORE)
+    index = _store_index.StoreIndex(STORE)
     for each in pages:
-        index.take(each, _clock.read_clock())
+        index.take(each, serving.read_clock())
     return index
 
 
 def test_only_whole_parts_are_offered():
     index = make_index(page(2, ("p", 400, True)))
     assert not index.holds(SCOPE, PART, LATER)
-    index.take(page(3, ("p", 500, True)), _clock.read_clock())
+    index.take(page(3, ("p", 500, True)), serving.read_clock())
     assert index.holds(SCOPE, PART, LATER)
     assert not index.holds("v2 m", PART, LATER)
 
 
 def test_a_store_that_started_anew_holds_nothing_of_before():
     index = make_index(page(2, ("p", 500, True)))
-    assert index.take(page(1, epoch=2), _clock.read_clock())
+    assert index.take(page(1, epoch=2), serving.read_clock())
     assert not index.holds(SCOPE, PART, LATER)
     assert index.used_tokens == 0
 
 
 def test_what_a_silent_store_holds_is_not_believed_for_long():
     index = make_index(page(2, ("p", 500, True)))
-    now = _clock.read_clock()
+    now = serving.read_clock()
     assert index.is_known(now)
-    assert not index.is_known(now + _blocks.BELIEVED_S + 0.1)
+    assert not index.is_known(now + _store_index.BELIEVED_S + 0.1)
     index.forget()
     assert not index.is_known(now)
 
 
 def test_a_part_counts_only_if_it_was_complete_when_the_weights_were_confirmed():
     """A run that goes on under new weights may save a part under the old scope."""
-    before_s = _clock.read_clock()
+    before_s = serving.read_clock()
     index = make_index(page(2, ("p", 500, True)))
     assert not index.holds(SCOPE, PART, before_s - 1.0)
     assert index.holds(SCOPE, PART, before_s + 60.0)
@@ -59,7 +59,7 @@
     request = messages.StoreEventsRequest(
         {asker.store.address: (asker.epoch or 0, asker.number)}
     )
-    now = _clock.read_clock()
+    now = serving.read_clock()
     reply = _store_relay.make_reply([teller], request, now)
     for told in reply.pages_by_store.values():
         asker.take_page(told, now)
@@ -68,10 +68,10 @@
 
 def test_a_host_that_is_told_knows_the_same():
     teller = make_index(page(2, ("p", 500, True), ("q", 10, True)))
-    asker = _blocks.StoreIndex(STORE)
+    asker = _store_index.StoreIndex(STORE)
     assert ask(teller, asker).pages_by_store[STORE.address].is_whole
     assert asker.list_parts() == teller.list_parts()
-    teller.take(page(4, ("q", 10, False), ("r", 7, True)), _clock.read_clock())
+    teller.take(page(4, ("q", 10, False), ("r", 7, True)), serving.read_clock())
     told = ask(teller, asker).pages_by_store[STORE.address]
     assert not told.is_whole
     assert len(told.events) == 2
@@ -81,9 +81,9 @@
 
 def test_a_host_that_is_told_of_a_new_start_forgets_what_was_before():
     teller = make_index(page(2, ("p", 500, True)))
-    asker = _blocks.StoreIndex(STORE)
+    asker = _store_index.StoreIndex(STORE)
     ask(teller, asker)
-    teller.take(page(1, epoch=2), _clock.read_clock())
+    teller.take(page(1, epoch=2), serving.read_clock())
     ask(teller, asker)
     assert asker.list_parts() == {}
 
@@ -91,15 +91,15 @@
 def test_a_store_that_is_not_known_is_not_told_of():
     teller = make_index(page(2, ("p", 500, True)))
     teller.forget()
-    assert ask(teller, _blocks.StoreIndex(STORE)).pages_by_store == {}
+    assert ask(teller, _store_index.StoreIndex(STORE)).pages_by_store == {}
 
 
 def test_a_host_far_behind_gets_all_that_the_store_holds():
     teller = make_index(page(2, ("p", 500, True)))
-    asker = _blocks.StoreIndex(STORE)
+    asker = _store_index.StoreIndex(STORE)
     ask(teller, asker)
-    for number in range(3, 3 + _blocks.LOG_EVENTS + 10):
-        teller.take(page(number, (f"x{number}", 1, True)), _clock.read_clock())
+    for number in range(3, 3 + _store_index.LOG_EVENTS + 10):
+        teller.take(page(number, (f"x{number}", 1, True)), serving.read_clock())
     assert ask(teller, asker).pages_by_store[STORE.address].is_whole
     assert asker.list_parts() == teller.list_parts()
 
@@ -109,7 +109,7 @@
     index = make_index(page(2, ("p", 500, True)))
     blocks._indexes_by_address[STORE.address] = index
     prompt = _calls.Prompt("m", (PART, _calls.PromptPart("own", 9)), 509, 10)
-    now = _clock.read_clock()
+    now = serving.read_clock()
     plan, until_ms = blocks.plan(prompt, SCOPE, True, now + 60.0, now)
     assert plan.fetch_from == (STORE.address, None)
     assert abs(until_ms - (5000 + decisions.FETCH_S * 1000)) < 1000
--- a/tests/gateway/test_retirement.py
+++ b/tests/gateway/test_retirement.py
@@ -2,13 +2,13 @@
 
 import pytest
 
-from sycamorespoke import clients
+from sycamorespoke import clients, serving
 from sycamorespoke.gateway import (
     _blocks,
-    _clock,
     _model,
     _retirement,
     _rollout,
+    _store_index,
     _views as views_module,
 )
 
@@ -42,11 +42,13 @@
 
 
 def make_index(*keys):
-    index = _blocks.StoreIndex(STORE)
-    events = tuple(_blocks.StoreEvent(scope, part, 100, True) for scope, part in keys)
-    page = _blocks.StoreEvents(7, len(keys), False, events, clock_ms=5000.0)
+    index = _store_index.StoreIndex(STORE)
+    events = tuple(
+        _store_index.StoreEvent(scope, part, 100, True) for scope, part in keys
+    )
+    page = _store_index.StoreEvents(7, len(keys), False, events, clock_ms=5000.0)
     # Known throughout a test, which looks ahead of the clock.
-    index.take(page, _clock.read_clock() + 3.0)
+    index.take(page, serving.read_clock() + 3.0)
     return index
 
 
@@ -56,7 +58,7 @@
 
     def make(index, client, host="h1", leases=None, named_age_s=7.0):
         views = views_module.Views()
-        seen_s = _clock.read_clock() - named_age_s
+        seen_s = serving.read_clock() - named_age_s
         views.set_parts(versions_by_model={"m": _model.NamedVersion("m", 2, seen_s)})
         blocks = _blocks.Blocks(client=None)
         blocks._indexes_by_address[STORE.address] = index
@@ -73,7 +75,7 @@
 
 def step(actor, count=4):
     """Let the actor look several times, half a second apart on its own clock."""
-    begun_s = _clock.read_clock()
+    begun_s = serving.read_clock()
     for number in range(count):
         now = begun_s + number * _retirement.STEP_S
         actor.proxy().step(now).get(timeout=5.0)
@@ -113,7 +115,7 @@
     index = make_index(("v1 m", "old"))
     client = StoreClient()
     actor = start(index, client)
-    begun_s = _clock.read_clock()
+    begun_s = serving.read_clock()
     for number in range(4):
         actor.tell(_rollout.Tick(begun_s + number))
     actor.proxy().duty.get(timeout=5.0)
--- a/tests/gateway/test_rollout.py
+++ b/tests/gateway/test_rollout.py
@@ -5,9 +5,8 @@
 import attrs
 import pytest
 
-from sycamorespoke import clients
+from sycamorespoke import clients, serving
 from sycamorespoke.gateway import (
-    _clock,
     _model,
     _orders,
     _rollout,
@@ -92,7 +91,7 @@
             )
             for name in engines.by_id
         }
-        now = _clock.read_clock()
+        now = serving.read_clock()
         views.set_parts(
             upstreams_by_id=upstreams,
             versions_by_model={MODEL: _model.NamedVersion(MODEL, wanted, now)},
@@ -110,7 +109,7 @@
 def run_until(actor, is_done, timeout_s=8.0):
     ends_s = time.monotonic() + timeout_s
     while not is_done() and time.monotonic() < ends_s:
-        actor.tell(_rollout.Tick(_clock.read_clock()))
+        actor.tell(_rollout.Tick(serving.read_clock()))
         time.sleep(0.05)
     return is_done()
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sycamorespoke import gateway
+from sycamorespoke import gateway, serving
 from sycamorespoke.platform import _documents
 
 ROUTE = {
@@ -78,7 +78,7 @@
     assert route.weights_by_service == {"s": 1.0}
     account = gateway.Account("t", 3, is_isolated=True)
     assert configuration.accounts_by_key == {"k1": account, "k2": account}
-    assert configuration.limits == gateway.CallerLimits(999, 9999, 5.0)
+    assert configuration.limits == serving.CallerLimits(999, 9999, 5.0)
     services = configuration.services_by_name
     assert services["s"].engine == gateway.EngineFacts(64, 104140, 327680)
     assert services["k"].store.address == "10.0.0.1:80"
