At large size a watch brings several changes, and two parts are watched at leisure

Change: above 16 hosts a watch pauses up to 0.3 s after a change; hosts and leases are watched 15 s a call.

--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -185,6 +185,7 @@
     Verdict,
 )
 from sycamorespoke.decisions._urgency import WaitEstimate, choose_urgency
+from sycamorespoke.decisions._watch_pace import WatchPace, pace_watch
 from sycamorespoke.decisions._weight_rollout import (
     EngineVersion,
     compute_turn_s,
@@ -258,6 +259,7 @@
     "UpstreamLimit",
     "Verdict",
     "WaitEstimate",
+    "WatchPace",
     "adopt",
     "allow_without_owner",
     "begin_transfer",
@@ -302,6 +304,7 @@
     "note_success",
     "observe_speed",
     "open_ledger",
+    "pace_watch",
     "parse_rules",
     "parse_service_state",
     "pick_weighted",
--- a/sycamorespoke/gateway/_follower.py
+++ b/sycamorespoke/gateway/_follower.py
@@ -7,7 +7,6 @@
 
 from sycamorespoke.gateway import _source
 
-WATCH_S = 2.5
 # While something is missing it is looked at this often.
 MISSING_WATCH_S = 0.5
 RETRY_S = 0.1
@@ -56,13 +55,16 @@
         Returns seconds of the boot clock.
     confirm : callable
         Takes the part and the time of each answer of the source.
+    choose_pace : callable
+        Returns the `decisions.WatchPace` to follow at.
     """
 
-    def __init__(self, source, reader, read_clock, confirm):
+    def __init__(self, source, reader, read_clock, confirm, choose_pace):
         self.source = source
         self.reader = reader
         self.read_clock = read_clock
         self.confirm = confirm
+        self.choose_pace = choose_pace
         self.items_by_name = {}
         self.revision = None
         self._revisions_by_name = {}
@@ -93,7 +95,9 @@
         if self.revision is None:
             answer = self.source.list(self.reader.kind)
         else:
-            wait_s = MISSING_WATCH_S if self._missing_until_s_by_name else WATCH_S
+            wait_s = self.choose_pace().watch_s
+            if self._missing_until_s_by_name:
+                wait_s = MISSING_WATCH_S
             answer = self.source.watch(self.reader.kind, self.revision, wait_s)
         now = self.read_clock()
         if isinstance(answer, _source.Unavailable):
@@ -109,7 +113,7 @@
             self._published = True
             self.reader.publish(dict(self.items_by_name), now)
         self.confirm(self.reader.part, now)
-        return 0.0
+        return self.choose_pace().pause_s if changed else 0.0
 
     def _run(self):
         while not self._stopped.is_set():
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -1,5 +1,6 @@
 """Builds a gateway from its settings and runs it until a shutdown ends."""
 
+import functools
 import secrets
 import threading
 
@@ -26,6 +27,9 @@
 MS_PER_S = 1000.0
 PEER_KEY_BYTES = 32
 PEER_THREADS = 2
+URGENT_PARTS = frozenset(
+    {_views.CONFIGURATION, "upstreams", "data_centres_out", _views.VERSIONS}
+)
 THREADS = 96
 # Descriptors for the store, logs, listeners and files.
 RESERVED_FILES = 300
@@ -236,11 +240,18 @@
         ]
         return [
             _follower.Follower(
-                self.deployment.source, reader, serving.read_clock, self.views.confirm
+                self.deployment.source,
+                reader,
+                serving.read_clock,
+                self.views.confirm,
+                functools.partial(self._choose_pace, reader.part in URGENT_PARTS),
             )
             for reader in readers
         ]
 
+    def _choose_pace(self, is_urgent):
+        return decisions.pace_watch(len(self.views.get().hosts), is_urgent)
+
     def _make_reader(self, part, publish, keeps_missing=None):
         kind = getattr(self.deployment.kinds, part)
         return _follower.Reader(part, kind.name, kind.read, publish, keeps_missing)
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -3,6 +3,7 @@
 import attrs
 import pytest
 
+from sycamorespoke import decisions
 from sycamorespoke.gateway import _follower, _source
 
 
@@ -27,7 +28,8 @@
 
 
 class Following:
-    def __init__(self, answers, keeps_missing=None):
+    def __init__(self, answers, keeps_missing=None, pause_s=0.0):
+        self.pause_s = pause_s
         self.now = 100.0
         self.published = []
         self.confirmed = []
@@ -40,6 +42,7 @@
             reader,
             lambda: self.now,
             lambda part, now: self.confirmed.append((part, now)),
+            lambda: decisions.WatchPace(2.5, self.pause_s),
         )
 
     def read(self, value, now):
@@ -147,3 +150,10 @@
     )
     following.steps(2)
     assert following.published[-1] == {}
+
+
+def test_at_large_size_it_pauses_after_a_change_and_not_after_none():
+    following = Following(
+        [listing(5, a=1), changes(6), changes(7, ("b", 2, False))], pause_s=0.3
+    )
+    assert [following.follower.step() for _ in range(3)] == [0.3, 0.0, 0.3]
