Stores: scopes read once each, room counted as parts come and go; dead code removed

Each host read the scope of every part of every store twice each half second, with a pattern, though scopes are few, and summed all parts at every answer of a store. What that cost was not measured. Removed: a constant that stood twice, a flag and a property that nothing read. One fake of lease objects serves two tests.

--- a/sycamorespoke/decisions/_block_retirement.py
+++ b/sycamorespoke/decisions/_block_retirement.py
@@ -114,11 +114,13 @@
     [('v1 m', 'p')]
     """
     wait_s = OFFER_S + FETCH_S + MARGIN_S
-    return [
-        key
-        for key in tokens_by_key
-        if _is_old(read_scope(key[0]), seen_s_by_version_by_model, now - wait_s)
-    ]
+    # Parts are many and scopes few.
+    old = {
+        scope
+        for scope in {scope for scope, _ in tokens_by_key}
+        if _is_old(read_scope(scope), seen_s_by_version_by_model, now - wait_s)
+    }
+    return [key for key in tokens_by_key if key[0] in old]
 
 
 def _is_old(scope, seen_s_by_version_by_model, latest_s):
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -92,8 +92,7 @@
                     self.parts.table.note_success(choice.upstream)
                     return head
                 self.fail_server_error(head)
-                self._reached.add(choice.upstream.boot)
-                self._excluded.add(choice.upstream.boot)
+                self._rule_out(choice.upstream)
                 if not self._may_repeat(choice.upstream.service):
                     return head
                 self._pass_over_error()
@@ -114,8 +113,7 @@
         self._note_fault(upstream, failure.refusal.kind)
         self._log("attempt broke", upstream, reason=failure.refusal.reason)
         self.end()
-        self._reached.add(upstream.boot)
-        self._excluded.add(upstream.boot)
+        self._rule_out(upstream)
         self._keep_worst(failure.refusal)
         if not self._may_repeat(upstream.service):
             return self._worst
@@ -128,6 +126,11 @@
         self.parts.table.note_failure(upstream, SERVER_ERROR_WEIGHT, now)
         self._log("upstream error", upstream, status=head.status)
 
+    def _rule_out(self, upstream):
+        """Note that an upstream received the call and is not asked again."""
+        self._reached.add(upstream.boot)
+        self._excluded.add(upstream.boot)
+
     def _pass_over_error(self):
         # Read to its end, so that the connection can carry another request.
         self.exchange.read_whole()
@@ -279,8 +282,7 @@
         now = self.parts.read_clock()
         model = self.call.prompt.model if self.call.prompt else ""
         if not head.is_wrong_upstream:
-            self._reached.add(upstream.boot)
-            self._excluded.add(upstream.boot)
+            self._rule_out(upstream)
             self.parts.table.note_full(upstream, now + FULL_S)
             return
         is_named = head.upstream_id in ("", upstream.id)
--- a/sycamorespoke/gateway/_calls.py
+++ b/sycamorespoke/gateway/_calls.py
@@ -201,8 +201,3 @@
 
     refusal: world.Refusal
     head: AnswerHead | None = None
-
-    @property
-    def is_not_run(self):
-        """Whether the request certainly did not run."""
-        return self.refusal.answer().execution is world.Execution.NOT_RUN
--- a/sycamorespoke/gateway/_exchange.py
+++ b/sycamorespoke/gateway/_exchange.py
@@ -11,7 +11,6 @@
 # Time that an upstream gets beyond the deadline to say so itself.
 OWN_ANSWER_S = 0.05
 SHORTEST_WAIT_S = 0.001
-SERVER_ERROR_STATUS = 500
 
 FAULTS = (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError, ValueError)
 
--- a/sycamorespoke/gateway/_gateway.py
+++ b/sycamorespoke/gateway/_gateway.py
@@ -194,7 +194,6 @@
         self._first = b""
         self._status = None
         self._ended = False
-        self._passed = False
 
     def begin(self):
         """Send the call and wait for the first event.
@@ -220,14 +219,12 @@
 
     def __iter__(self):
         if self._first:
-            self._passed = True
             yield self._first
         while not self._ended:
             chunk = self._read()
             if isinstance(chunk, _calls.Failure):
                 self._go_on(chunk)
             elif chunk:
-                self._passed = True
                 yield chunk
         self.attempts.end()
         self.gateway.log_stream_end(self.attempts, self._status, "")
--- a/sycamorespoke/gateway/_retirement.py
+++ b/sycamorespoke/gateway/_retirement.py
@@ -65,8 +65,14 @@
         retired_by_index = {}
         for index in self.blocks.list_indexes():
             parts = index.list_parts()
-            index.drop(decisions.select_retired(parts, newest, now - TAKEN_AS_FREED_S))
-            retired = decisions.select_retired(index.list_parts(), newest, now)
+            retired = decisions.select_retired(parts, newest, now)
+            if not retired:
+                continue
+            taken_as_freed = set(
+                decisions.select_retired(parts, newest, now - TAKEN_AS_FREED_S)
+            )
+            index.drop(taken_as_freed)
+            retired = [key for key in retired if key not in taken_as_freed]
             if retired and index.is_known(now):
                 retired_by_index[index] = retired
         if not retired_by_index:
--- a/sycamorespoke/gateway/_store_index.py
+++ b/sycamorespoke/gateway/_store_index.py
@@ -154,10 +154,10 @@
         with self._lock:
             for scope, part_id in keys:
                 self._apply(scope, part_id, 0, self.number)
-            self.used_tokens = sum(self._tokens_by_key.values())
 
     def _restart(self, epoch, number):
         self.epoch = epoch
+        self.used_tokens = 0
         self._tokens_by_key = {}
         self._seen_s_by_key = {}
         self._log.clear()
@@ -165,6 +165,7 @@
 
     def _apply(self, scope, part_id, tokens, number):
         key = (scope, part_id)
+        self.used_tokens += tokens - self._tokens_by_key.get(key, 0)
         if tokens:
             self._tokens_by_key[key] = tokens
             self._seen_s_by_key.setdefault(key, serving.read_clock())
@@ -177,7 +178,6 @@
 
     def _confirm(self, number, confirmed_s, clock_ms):
         self.number = number
-        self.used_tokens = sum(self._tokens_by_key.values())
         self._confirmed_s = confirmed_s
         if clock_ms is not None:
             self._clock_offset_ms = clock_ms - confirmed_s * 1000
--- a/sycamorespoke/platform/_names.py
+++ b/sycamorespoke/platform/_names.py
@@ -82,5 +82,3 @@
 KIND_KEYS = "syk-keys"
 PEER_KEY = "peers"
 KIND_LEASES = "syk-leases"
-
-CONFIGURATION_NAME = "main"
--- /dev/null
+++ b/tests/fakes/lease_objects.py
@@ -0,0 +1,31 @@
+"""Lease objects in memory, with versions as a platform keeps them."""
+
+import attrs
+
+from sycamorespoke import clients
+
+
+@attrs.define
+class FakeLeases:
+    objects: dict = attrs.field(factory=dict)
+    announced: list = attrs.field(factory=list)
+    refuse: bool = False
+
+    def get(self, name):
+        if self.refuse:
+            return clients.Unavailable("away")
+        found = self.objects.get(name)
+        return clients.Stored(*found) if found else clients.Missing()
+
+    def put(self, name, value, version):
+        if self.refuse:
+            return clients.Unavailable("away")
+        current = self.objects.get(name, (None, 0))[1]
+        if version != current:
+            return clients.Conflict()
+        self.objects[name] = (value, current + 1)
+        return clients.Stored(None, current + 1)
+
+    def announce(self, name, value):
+        self.announced.append(value)
+        return True
--- a/tests/gateway/test_retirement.py
+++ b/tests/gateway/test_retirement.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sycamorespoke import clients, serving
+from sycamorespoke import serving
 from sycamorespoke.gateway import (
     _blocks,
     _model,
@@ -11,25 +11,11 @@
     _store_index,
     _views as views_module,
 )
+from tests.fakes import lease_objects
 
 STORE = _model.BlockStore("10.0.0.1:80", "z", 100_000, 1e9, 0.0, is_managed=True)
 
 
-class Leases:
-    def __init__(self):
-        self.objects = {}
-
-    def get(self, name):
-        found = self.objects.get(name)
-        return clients.Stored(*found) if found else clients.Missing()
-
-    def put(self, name, value, version):
-        if version != self.objects.get(name, (None, 0))[1]:
-            return clients.Conflict()
-        self.objects[name] = (value, version + 1)
-        return clients.Stored(None, version + 1)
-
-
 class StoreClient:
     def __init__(self, works=True):
         self.works = works
@@ -63,7 +49,7 @@
         blocks = _blocks.Blocks(client=None)
         blocks._indexes_by_address[STORE.address] = index
         actor = _retirement.Retirement.start(
-            host, views, blocks, client, leases or Leases(), 3.0
+            host, views, blocks, client, leases or lease_objects.FakeLeases(), 3.0
         )
         actors.append(actor)
         return actor
@@ -97,7 +83,7 @@
 
 
 def test_a_second_host_frees_nothing_while_the_first_holds_the_lease(start):
-    leases = Leases()
+    leases = lease_objects.FakeLeases()
     first, second = StoreClient(works=False), StoreClient()
     step(start(make_index(("v1 m", "old")), first, "h1", leases))
     step(start(make_index(("v1 m", "old")), second, "h2", leases))
--- a/tests/gateway/test_rollout.py
+++ b/tests/gateway/test_rollout.py
@@ -5,7 +5,7 @@
 import attrs
 import pytest
 
-from sycamorespoke import clients, serving
+from sycamorespoke import serving
 from sycamorespoke.gateway import (
     _model,
     _orders,
@@ -14,36 +14,11 @@
     _table,
     _views as views_module,
 )
+from tests.fakes import lease_objects
 
 MODEL = "m"
 
 
-@attrs.define
-class FakeLeases:
-    objects: dict = attrs.field(factory=dict)
-    announced: list = attrs.field(factory=list)
-    refuse: bool = False
-
-    def get(self, name):
-        if self.refuse:
-            return clients.Unavailable("away")
-        found = self.objects.get(name)
-        return clients.Stored(*found) if found else clients.Missing()
-
-    def put(self, name, value, version):
-        if self.refuse:
-            return clients.Unavailable("away")
-        current = self.objects.get(name, (None, 0))[1]
-        if version != current:
-            return clients.Conflict()
-        self.objects[name] = (value, current + 1)
-        return clients.Stored(None, current + 1)
-
-    def announce(self, name, value):
-        self.announced.append(value)
-        return True
-
-
 @attrs.define
 class FakeEngine:
     version: int = 1
@@ -116,7 +91,7 @@
 
 def test_every_engine_gets_the_version_and_is_announced_before(start):
     engines = FakeEngines(**{f"i{n}": FakeEngine() for n in range(5)})
-    leases = FakeLeases()
+    leases = lease_objects.FakeLeases()
     actor = start(engines, leases)
     behind = engines.by_id.values()
     assert run_until(actor, lambda: all(each.version == 2 for each in behind))
@@ -129,7 +104,7 @@
 
 def test_an_order_without_an_answer_is_given_again_under_the_same_condition(start):
     engines = FakeEngines(i0=FakeEngine(lost=2))
-    actor = start(engines, FakeLeases())
+    actor = start(engines, lease_objects.FakeLeases())
     assert run_until(actor, lambda: engines.by_id["i0"].version == 2)
     taken = engines.by_id["i0"].taken
     assert len(taken) == 3
@@ -138,14 +113,14 @@
 
 def test_an_engine_that_does_not_answer_keeps_the_others_from_nothing(start):
     engines = FakeEngines(i0=FakeEngine(dark=True), i1=FakeEngine(), i2=FakeEngine())
-    actor = start(engines, FakeLeases())
+    actor = start(engines, lease_objects.FakeLeases())
     sound = [engines.by_id["i1"], engines.by_id["i2"]]
     assert run_until(actor, lambda: all(each.version == 2 for each in sound))
 
 
 def test_without_the_lease_no_order_is_given(start):
     engines = FakeEngines(i0=FakeEngine())
-    leases = FakeLeases(refuse=True)
+    leases = lease_objects.FakeLeases(refuse=True)
     actor = start(engines, leases)
     assert not run_until(actor, lambda: engines.by_id["i0"].taken, timeout_s=1.0)
 
@@ -153,14 +128,14 @@
 def test_while_another_host_holds_the_lease_no_order_is_given(start):
     engines = FakeEngines(i0=FakeEngine())
     record = {"holder": "h2", "fencing_number": 4, "duration_s": 3.0, "renewal": 0}
-    leases = FakeLeases({"leases/weights": (record, 1)})
+    leases = lease_objects.FakeLeases({"leases/weights": (record, 1)})
     actor = start(engines, leases)
     assert not run_until(actor, lambda: engines.by_id["i0"].taken, timeout_s=1.5)
 
 
 def test_a_host_that_is_refused_for_a_higher_number_gives_the_lease_up(start):
     engines = FakeEngines(i0=FakeEngine(fenced=True))
-    leases = FakeLeases()
+    leases = lease_objects.FakeLeases()
     actor = start(engines, leases)
     assert run_until(actor, lambda: engines.by_id["i0"].taken)
     first = engines.by_id["i0"].taken[0].fencing_number
@@ -171,6 +146,6 @@
 
 def test_where_every_engine_has_the_version_nothing_is_written(start):
     engines = FakeEngines(i0=FakeEngine())
-    leases = FakeLeases()
+    leases = lease_objects.FakeLeases()
     actor = start(engines, leases, wanted=1)
     assert not run_until(actor, lambda: leases.objects, timeout_s=0.5)
