Two hosts a data centre read the shared objects and tell the rest at large size

Ruled out: longer watches (a lost answer leaves a connection silent, which only a short wait shows). Change: up to 16 hosts nothing changes; above, two hosts a data centre watch and the others ask them four times a second, over the messages that told of the stores already.

--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -156,7 +156,7 @@
     judge_read_back,
     next_value,
 )
-from sycamorespoke.decisions._readers import ReaderPlan, plan_reading
+from sycamorespoke.decisions._readers import ReaderPlan, count_readers, plan_reading
 from sycamorespoke.decisions._routing import (
     Candidate,
     Cost,
@@ -185,7 +185,12 @@
     Verdict,
 )
 from sycamorespoke.decisions._urgency import WaitEstimate, choose_urgency
-from sycamorespoke.decisions._watch_pace import WatchPace, pace_watch
+from sycamorespoke.decisions._watch_pace import (
+    SMALL_HOSTS,
+    Reading,
+    WatchPace,
+    pace_watch,
+)
 from sycamorespoke.decisions._weight_rollout import (
     EngineVersion,
     compute_turn_s,
@@ -208,6 +213,7 @@
     "RENEW_INTERVAL_S",
     "REPORT_LAG_S",
     "RETRIED_KINDS",
+    "SMALL_HOSTS",
     "WATCHERS_PER_DATA_CENTRE",
     "Applied",
     "BlockPlan",
@@ -242,6 +248,7 @@
     "PublishRules",
     "ReadBackVerdict",
     "ReaderPlan",
+    "Reading",
     "Record",
     "Recorded",
     "Release",
@@ -273,6 +280,7 @@
     "compute_turn_s",
     "confirmed_by_peers",
     "count_loads_at_once",
+    "count_readers",
     "count_used",
     "decide_permit",
     "end_transfer",
--- a/sycamorespoke/decisions/_readers.py
+++ b/sycamorespoke/decisions/_readers.py
@@ -1,23 +1,26 @@
-"""Which hosts read the events of the stores themselves, and who tells the rest.
+"""Which hosts read the stores and the shared objects, and who tells the rest.
 
-Answers large deployments: a store serves only a few readers at a time.
+Answers large deployments: a store of cached parts serves only a few readers at a
+time, and each call to the platform costs.
 """
 
 import attrs
 
-from sycamorespoke.decisions import _placement
+from sycamorespoke.decisions import _placement, _watch_pace
 
 OCCASION = "store readers"
+# One may be gone or cut off, and the other still tells.
+READERS_PER_DATA_CENTRE = 2
 
 
 @attrs.frozen
 class ReaderPlan:
-    """How one host learns what the stores hold.
+    """How one host learns what the stores and the platform hold.
 
     Parameters
     ----------
     is_reader : bool
-        It reads the stores itself.
+        It reads by itself.
     tellers : tuple of str
         Else the hosts to ask, in order.
     """
@@ -26,8 +29,31 @@
     tellers: tuple[str, ...] = ()
 
 
+def count_readers(data_centres_by_host, most):
+    """Return how many hosts read for all.
+
+    Parameters
+    ----------
+    data_centres_by_host : dict of str to str
+        All hosts and where they stand.
+    most : int
+        Readers that every store serves at least, above 0.
+
+    Examples
+    --------
+    >>> count_readers({f"h{n}": f"dc{n % 3}" for n in range(12)}, most=10)
+    10
+    >>> count_readers({f"h{n}": f"dc{n % 3}" for n in range(74)}, most=10)
+    6
+    """
+    if len(data_centres_by_host) <= _watch_pace.SMALL_HOSTS:
+        return most
+    data_centres = set(data_centres_by_host.values())
+    return min(most, READERS_PER_DATA_CENTRE * len(data_centres))
+
+
 def plan_reading(host, data_centres_by_host, most):
-    """Plan how a host learns what the stores hold.
+    """Plan how a host learns what the stores and the platform hold.
 
     Parameters
     ----------
@@ -36,7 +62,7 @@
     data_centres_by_host : dict of str to str
         All hosts and where they stand.
     most : int
-        Readers that every store serves at least, above 0.
+        Readers, see `count_readers`.
 
     Returns
     -------
--- a/sycamorespoke/decisions/_watch_pace.py
+++ b/sycamorespoke/decisions/_watch_pace.py
@@ -1,19 +1,33 @@
 """How often one host asks the platform for changes.
 
 Answers large deployments: each change is told to every host by a call of its
-own, so that calls grow with hosts times changes.
+own, so that calls grow with hosts times changes. There a few hosts read and tell
+the others.
 """
 
+import enum
+
 import attrs
 
-# Up to this many hosts every change is fetched at once.
+# Up to this many hosts each reads everything by itself, at once.
 SMALL_HOSTS = 16
 URGENT_WATCH_S = 2.5
 RELAXED_WATCH_S = 15.0
+# Hosts that read for others notice a silent connection before these would.
+TELLER_WATCH_S = 1.5
+TELLER_PAUSE_S = 0.05
 PAUSE_S_PER_HOST = 0.004
 LONGEST_PAUSE_S = 0.3
 
 
+class Reading(enum.Enum):
+    """How a host learns of the shared objects."""
+
+    FOR_ITSELF = "for itself"
+    FOR_OTHERS = "for others"
+    TOLD = "told"
+
+
 @attrs.frozen
 class WatchPace:
     """The pace of one watch.
@@ -31,7 +45,7 @@
     pause_s: float
 
 
-def pace_watch(hosts, is_urgent):
+def pace_watch(hosts, is_urgent, reading):
     """Choose the pace of a watch.
 
     Parameters
@@ -40,6 +54,8 @@
         Entry hosts, 0 or more.
     is_urgent : bool
         Requests are wrongly served soon after a change that is not known.
+    reading : Reading
+        How this host learns of changes at present.
 
     Returns
     -------
@@ -48,12 +64,20 @@
 
     Examples
     --------
-    >>> pace_watch(9, is_urgent=False)
+    >>> pace_watch(9, is_urgent=False, reading=Reading.FOR_ITSELF)
     WatchPace(watch_s=2.5, pause_s=0.0)
-    >>> pace_watch(74, is_urgent=True)
+    >>> pace_watch(74, is_urgent=True, reading=Reading.FOR_ITSELF)
     WatchPace(watch_s=2.5, pause_s=0.296)
+    >>> pace_watch(74, is_urgent=False, reading=Reading.FOR_OTHERS)
+    WatchPace(watch_s=1.5, pause_s=0.05)
+    >>> pace_watch(74, is_urgent=False, reading=Reading.TOLD)
+    WatchPace(watch_s=15.0, pause_s=0.0)
     """
     if hosts <= SMALL_HOSTS:
         return WatchPace(URGENT_WATCH_S, 0.0)
-    pause_s = min(hosts * PAUSE_S_PER_HOST, LONGEST_PAUSE_S)
-    return WatchPace(URGENT_WATCH_S if is_urgent else RELAXED_WATCH_S, pause_s)
+    if reading is Reading.FOR_OTHERS:
+        return WatchPace(TELLER_WATCH_S, TELLER_PAUSE_S)
+    watch_s = URGENT_WATCH_S if is_urgent else RELAXED_WATCH_S
+    if reading is Reading.TOLD:
+        return WatchPace(watch_s, 0.0)
+    return WatchPace(watch_s, min(hosts * PAUSE_S_PER_HOST, LONGEST_PAUSE_S))
--- a/sycamorespoke/gateway/_follower.py
+++ b/sycamorespoke/gateway/_follower.py
@@ -112,7 +112,7 @@
         if changed or not self._published:
             self._published = True
             self.reader.publish(dict(self.items_by_name), now)
-        self.confirm(self.reader.part, now)
+        self.confirm(self.reader.part, now - answer.age_s)
         return self.choose_pace().pause_s if changed else 0.0
 
     def _run(self):
@@ -172,7 +172,7 @@
 
     def _apply_change(self, change, now):
         if change.is_deleted:
-            name = _name_of(change.value)
+            name = _source.name_of(change.value)
             if name not in self.items_by_name or self._may_keep(name, now):
                 return False
             del self.items_by_name[name]
@@ -210,8 +210,8 @@
         return bool(due)
 
     def _read(self, value, now):
-        name = _name_of(value)
-        revision = _revision_of(value)
+        name = _source.name_of(value)
+        revision = _source.look_up(value, "Revision")
         if name in self.items_by_name and self._revisions_by_name[name] == revision:
             # Listed again unchanged: what was received first has the right time.
             return name, self.items_by_name[name]
@@ -224,18 +224,3 @@
 
     def _log(self, event, **fields):
         loguru.logger.bind(part=self.reader.part, **fields).info(event)
-
-
-def _name_of(value):
-    return _look_up(value, "Name") or ""
-
-
-def _revision_of(value):
-    return _look_up(value, "Revision")
-
-
-def _look_up(value, key):
-    try:
-        return value["Metadata"][key]
-    except (KeyError, TypeError):
-        return None
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -15,10 +15,11 @@
     _gateway,
     _model,
     _readiness,
+    _relay,
     _retirement,
     _retry_budgets,
     _rollout,
-    _store_relay,
+    _shared_source,
     _table,
     _views,
 )
@@ -62,6 +63,11 @@
         self.table = _table.UpstreamTable()
         self.pool = _connections.ConnectionPool()
         self.blocks = _blocks.Blocks(deployment.block_stores)
+        self.source = _shared_source.SharedSource(
+            deployment.source,
+            frozenset({deployment.kinds.configuration.name}),
+            serving.read_clock,
+        )
         self.stop_requested = threading.Event()
         self._limits = serving.CallerLimits()
         self._announced = None
@@ -240,7 +246,7 @@
         ]
         return [
             _follower.Follower(
-                self.deployment.source,
+                self.source,
                 reader,
                 serving.read_clock,
                 self.views.confirm,
@@ -250,7 +256,12 @@
         ]
 
     def _choose_pace(self, is_urgent):
-        return decisions.pace_watch(len(self.views.get().hosts), is_urgent)
+        reading = decisions.Reading.FOR_ITSELF
+        if self._reading.is_reader:
+            reading = decisions.Reading.FOR_OTHERS
+        elif self.source.is_told(serving.read_clock()):
+            reading = decisions.Reading.TOLD
+        return decisions.pace_watch(len(self.views.get().hosts), is_urgent, reading)
 
     def _make_reader(self, part, publish, keeps_missing=None):
         kind = getattr(self.deployment.kinds, part)
@@ -339,23 +350,30 @@
             self._answer_peer,
             PEER_THREADS,
         )
-        _store_relay.StoreAsker(
-            self.blocks.list_indexes, self._list_tellers, messages.Codec(key)
+        _relay.UpdateAsker(
+            self.blocks.list_indexes,
+            self.source,
+            self._list_tellers,
+            messages.Codec(key),
         ).start()
 
     def _answer_peer(self, message):
-        if isinstance(message, messages.StoreEventsRequest):
+        if isinstance(message, messages.UpdatesRequest):
             now = serving.read_clock()
-            return _store_relay.make_reply(self.blocks.list_indexes(), message, now)
+            indexes = self.blocks.list_indexes()
+            return _relay.make_reply(indexes, self.source, message, now)
         return None
 
     def _plan_reading(self, view):
         if view.configuration is None:
             return
-        readers = self.blocks.count_readers(view.configuration)
         places = {host.name: host.data_centre for host in view.hosts_by_name.values()}
+        most = self.blocks.count_readers(view.configuration)
+        readers = decisions.count_readers(places, most)
         self._reading = decisions.plan_reading(self.settings.name, places, readers)
         self.blocks.configure(view.configuration, self._reading.is_reader)
+        is_large = len(places) > decisions.SMALL_HOSTS
+        self.source.set_told(is_large and not self._reading.is_reader)
 
     def _list_tellers(self):
         hosts_by_name = self.views.get().hosts_by_name
--- /dev/null
+++ b/sycamorespoke/gateway/_relay.py
@@ -0,0 +1,139 @@
+"""Tells other hosts what this one reads for them, and asks others for it."""
+
+import threading
+
+import loguru
+
+from sycamorespoke import messages, serving
+
+ASK_S = 0.25
+ANSWER_TIMEOUT_S = 0.4
+# A host that does not answer, or tells too little, is passed over for this long.
+PASS_OVER_S = 3.0
+
+
+def make_reply(indexes, source, request, now):
+    """Answer a host that asks what this one has read.
+
+    Parameters
+    ----------
+    indexes : list of StoreIndex
+        What this host has read of the stores.
+    source : SharedSource
+        What this host has read of the shared objects.
+    request : messages.UpdatesRequest
+        How far the other host has come.
+    now : float
+        Present time, seconds of the boot clock.
+
+    Returns
+    -------
+    messages.UpdatesReply
+        What is not known at present is left out.
+    """
+    pages_by_store = {}
+    for index in indexes:
+        address = index.store.address
+        if address in request.seen_by_store and index.is_known(now):
+            epoch, number = request.seen_by_store[address]
+            pages_by_store[address] = index.make_page(epoch, number, now)
+    pages_by_kind = source.make_pages(request.revisions_by_kind, now)
+    return messages.UpdatesReply(pages_by_store, pages_by_kind)
+
+
+class UpdateAsker:
+    """Keeps this host up to date by asking other hosts.
+
+    Parameters
+    ----------
+    list_indexes : callable
+        Returns the indexes of the stores to keep.
+    source : SharedSource
+        Takes what is told of the shared objects.
+    list_tellers : callable
+        Returns the addresses of the hosts to ask, in order; empty if this host
+        reads by itself.
+    codec : messages.Codec
+        Holds the key that the hosts share.
+    """
+
+    def __init__(self, list_indexes, source, list_tellers, codec):
+        self.list_indexes = list_indexes
+        self.source = source
+        self.list_tellers = list_tellers
+        self.codec = codec
+        self._peer = None
+        self._passed_over_until_s_by_address = {}
+        self._stopped = threading.Event()
+
+    def start(self):
+        """Ask in a thread of its own until `stop`."""
+        threading.Thread(target=self._run, name="ask hosts", daemon=True).start()
+
+    def stop(self):
+        """Stop asking."""
+        self._stopped.set()
+
+    def step(self, now):
+        """Ask one host, at ``now``, seconds of the boot clock.
+
+        Returns
+        -------
+        bool
+            Whether to wait before the next question; else another host is asked
+            at once.
+        """
+        address = self._choose_teller(now)
+        if address is None:
+            return True
+        if self._peer is None or self._peer.address != address:
+            self._set_peer(address)
+        indexes = self.list_indexes()
+        request = messages.UpdatesRequest(
+            {
+                index.store.address: (index.epoch or 0, index.number)
+                for index in indexes
+            },
+            self.source.list_wanted(),
+        )
+        reply = self._peer.ask(request, ANSWER_TIMEOUT_S)
+        if not isinstance(reply, messages.UpdatesReply):
+            self._pass_over(address, now, reply.reason)
+            return False
+        for index in indexes:
+            page = reply.pages_by_store.get(index.store.address)
+            if page is not None:
+                # What a host tells is as old as the question at least.
+                index.take_page(page, now)
+        if self.source.take(reply.pages_by_kind, now):
+            return True
+        self._pass_over(address, now, "it has not read all kinds of objects lately")
+        return False
+
+    def _run(self):
+        while not self._stopped.is_set():
+            waits = True
+            try:
+                waits = self.step(serving.read_clock())
+                self.source.check(serving.read_clock())
+            except Exception:
+                loguru.logger.exception("asking other hosts failed")
+            if waits:
+                self._stopped.wait(ASK_S)
+
+    def _choose_teller(self, now):
+        for address in self.list_tellers():
+            if now >= self._passed_over_until_s_by_address.get(address, 0.0):
+                return address
+        return None
+
+    def _pass_over(self, address, now, reason):
+        self._passed_over_until_s_by_address[address] = now + PASS_OVER_S
+        loguru.logger.bind(peer=address, reason=reason).info(
+            "host does not tell what it reads"
+        )
+
+    def _set_peer(self, address):
+        if self._peer is not None:
+            self._peer.close()
+        self._peer = messages.Peer(address, self.codec)
--- a/sycamorespoke/gateway/_source.py
+++ b/sycamorespoke/gateway/_source.py
@@ -13,10 +13,13 @@
         JSON values.
     revision : int
         Changes after it are not contained.
+    age_s : float, default=0.0
+        Seconds since the source said so, if another host told it.
     """
 
     values: tuple
     revision: int
+    age_s: float = 0.0
 
 
 @attrs.frozen
@@ -45,10 +48,13 @@
         In order; may be empty.
     revision : int
         To watch from.
+    age_s : float, default=0.0
+        Seconds since the source said so, if another host told it.
     """
 
     changes: tuple[Change, ...]
     revision: int
+    age_s: float = 0.0
 
 
 @attrs.frozen
@@ -73,3 +79,16 @@
     reason: str
     status: int | None = None
     page: object = None
+
+
+def name_of(value):
+    """Return the name of an object from its JSON value, ``""`` for none."""
+    return look_up(value, "Name") or ""
+
+
+def look_up(value, key):
+    """Return what the source says of an object itself; ``None`` for nothing."""
+    try:
+        return value["Metadata"][key]
+    except (KeyError, TypeError):
+        return None
--- a/sycamorespoke/messages/__init__.py
+++ b/sycamorespoke/messages/__init__.py
@@ -19,12 +19,13 @@
     InForceReply,
     InForceRequest,
     Message,
+    ObjectsPage,
     PermitReply,
     PermitRequest,
     PermitReturn,
-    StoreEventsReply,
-    StoreEventsRequest,
     StorePage,
+    UpdatesReply,
+    UpdatesRequest,
 )
 
 __all__ = [
@@ -44,13 +45,14 @@
     "InForceRequest",
     "Message",
     "NoAnswer",
+    "ObjectsPage",
     "Peer",
     "PermitReply",
     "PermitRequest",
     "PermitReturn",
     "Server",
-    "StoreEventsReply",
-    "StoreEventsRequest",
     "StorePage",
+    "UpdatesReply",
+    "UpdatesRequest",
     "ask",
 ]
--- a/sycamorespoke/messages/_types.py
+++ b/sycamorespoke/messages/_types.py
@@ -216,16 +216,21 @@
     upstream: str
 
 
-class StoreEventsRequest(Message, tag="s"):
-    """Ask a host what the stores of cached parts hold.
+class UpdatesRequest(Message, tag="s"):
+    """Ask a host what it has read for others.
 
     Parameters
     ----------
     seen_by_store : dict of str to (int, int)
-        For each store its epoch and the number up to which events are known.
+        For each store of cached parts its epoch and the number up to which
+        events are known.
+    revisions_by_kind : dict of str to int
+        For each kind of shared objects the revision up to which changes are
+        known; 0 asks for all objects.
     """
 
     seen_by_store: dict[str, tuple[int, int]] = {}
+    revisions_by_kind: dict[str, int] = {}
 
 
 class StorePage(Message, tag="sp"):
@@ -255,16 +260,47 @@
     clock_ms: float
 
 
-class StoreEventsReply(Message, tag="sr"):
-    """What the stores hold.
+class ObjectsPage(Message, tag="op"):
+    """Changes of one kind of shared objects, or all objects of it.
+
+    Parameters
+    ----------
+    since : int
+        Changes after this revision are contained, as asked.
+    revision : int
+        Revision up to which these changes go.
+    changed : int
+        Revision by which the last change had happened.
+    is_whole : bool
+        The changes are all objects.
+    changes : list of (object, bool)
+        JSON value of each object and whether it is gone. Empty for kinds with
+        large objects, which each host reads itself.
+    age_s : float
+        Seconds since the source confirmed it.
+    """
+
+    since: int
+    revision: int
+    changed: int
+    is_whole: bool
+    changes: list[tuple[typing.Any, bool]]
+    age_s: float
+
+
+class UpdatesReply(Message, tag="sr"):
+    """What a host has read for others.
 
     Parameters
     ----------
     pages_by_store : dict of str to StorePage
         By address; a store that is not known at present is left out.
+    pages_by_kind : dict of str to ObjectsPage
+        Kinds that this host does not read itself are left out.
     """
 
     pages_by_store: dict[str, StorePage] = {}
+    pages_by_kind: dict[str, ObjectsPage] = {}
 
 
 MESSAGE_TYPES = (
@@ -279,6 +315,6 @@
     PermitRequest,
     PermitReply,
     PermitReturn,
-    StoreEventsRequest,
-    StoreEventsReply,
+    UpdatesRequest,
+    UpdatesReply,
 )
--- a/tests/gateway/test_blocks.py
+++ b/tests/gateway/test_blocks.py
@@ -3,7 +3,14 @@
 import attrs
 
 from sycamorespoke import decisions, messages, serving
-from sycamorespoke.gateway import _blocks, _calls, _model, _store_index, _store_relay
+from sycamorespoke.gateway import (
+    _blocks,
+    _calls,
+    _model,
+    _relay,
+    _shared_source,
+    _store_index,
+)
 
 STORE = _model.BlockStore("10.0.0.1:80", "z", 100_000, 1e9, 0.0, is_managed=True)
 SCOPE = "v1 m"
@@ -56,11 +63,12 @@
 
 
 def ask(teller, asker):
-    request = messages.StoreEventsRequest(
+    request = messages.UpdatesRequest(
         {asker.store.address: (asker.epoch or 0, asker.number)}
     )
     now = serving.read_clock()
-    reply = _store_relay.make_reply([teller], request, now)
+    source = _shared_source.SharedSource(None, frozenset(), serving.read_clock)
+    reply = _relay.make_reply([teller], source, request, now)
     for told in reply.pages_by_store.values():
         asker.take_page(told, now)
     return reply
