Metrics by route and phase, gauges of duties and upstream states; label values escaped

Cause of the last: an independent parser could not read the page once a label held a quote or line end, since the library writes labels as they are. The gauges are set when the page is fetched, not four times a second.

--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -61,6 +61,7 @@
         self._sent_s = 0.0
         self._read_s = 0.0
         self._is_urgent = False
+        self.timing = _calls.CallTiming(call.arrived_s)
 
     def leave(self):
         """Stop at once since the caller has gone; from any thread."""
@@ -111,6 +112,7 @@
         """
         upstream = self.exchange.upstream
         self._note_fault(upstream, failure.refusal.kind)
+        self._count("broke", upstream)
         self._log("attempt broke", upstream, reason=failure.refusal.reason)
         self.end()
         self._rule_out(upstream)
@@ -124,6 +126,7 @@
         upstream = self.exchange.upstream
         now = self.parts.read_clock()
         self.parts.table.note_failure(upstream, SERVER_ERROR_WEIGHT, now)
+        self._count("upstream_error", upstream)
         self._log("upstream error", upstream, status=head.status)
 
     def _rule_out(self, upstream):
@@ -173,6 +176,8 @@
         self.exchange = exchange
         if self.left:
             exchange.cancel()
+        if self.timing.sent_s is None:
+            self.timing.sent_s = self.parts.read_clock()
         self._log_sent(dispatch)
         self.parts.table.begin(upstream, self._work)
         self._counted = upstream
@@ -180,6 +185,7 @@
         return exchange.open(choice.connections, fresh)
 
     def _log_sent(self, dispatch):
+        self._count("sent", dispatch.upstream)
         self._log(
             "call sent",
             dispatch.upstream,
@@ -229,8 +235,9 @@
 
     def note_first_event(self):
         """Note how long the upstream took to begin."""
+        now = self.parts.read_clock()
+        self.timing.first_event_s = now
         if self._is_urgent:
-            now = self.parts.read_clock()
             wait_s = now - self._sent_s - self._read_s
             self.parts.table.note_wait(self.exchange.upstream, wait_s, now)
 
@@ -264,6 +271,7 @@
         """Handle a failed attempt; return a refusal if it was the last."""
         upstream = choice.upstream
         refusal = failure.refusal
+        self._count("failed", upstream)
         self._log("attempt failed", upstream, reason=refusal.reason)
         self.end()
         self._keep_worst(refusal)
@@ -336,6 +344,9 @@
     def _is_server_error(self, head):
         return head.status >= SERVER_ERROR_STATUS
 
+    def _count(self, outcome, upstream):
+        self.parts.call_metrics.note_attempt(outcome, upstream.service)
+
     def _log(self, event, upstream, level="INFO", **fields):
         now = self.parts.read_clock()
         view = self.parts.views.get()
--- a/sycamorespoke/gateway/_calls.py
+++ b/sycamorespoke/gateway/_calls.py
@@ -5,6 +5,25 @@
 from sycamorespoke import decisions, world
 
 
+@attrs.define
+class CallTiming:
+    """When the phases of a call ended, seconds of the boot clock.
+
+    Parameters
+    ----------
+    arrived_s : float
+        It was read from the caller.
+    sent_s : float or None, default=None
+        It was first sent to an upstream.
+    first_event_s : float or None, default=None
+        The first event of its stream arrived.
+    """
+
+    arrived_s: float
+    sent_s: float | None = None
+    first_event_s: float | None = None
+
+
 @attrs.frozen
 class PromptPart:
     """A part of a prompt that requests may share.
--- a/sycamorespoke/gateway/_gateway.py
+++ b/sycamorespoke/gateway/_gateway.py
@@ -34,8 +34,8 @@
         Stores of cached prompt parts.
     budgets : RetryBudgets
         Retries.
-    metrics : telemetry.Metrics
-        Metrics of the process.
+    call_metrics : CallMetrics
+        Counts and measures calls.
     read_clock : callable
         Returns seconds of the boot clock.
     """
@@ -47,7 +47,7 @@
     pool: object
     blocks: object
     budgets: object
-    metrics: object
+    call_metrics: object
     read_clock: object
 
     def __call__(self, environ, start_response):
@@ -129,7 +129,7 @@
     def _refuse(self, start_response, call, route, refusal):
         now = self.read_clock()
         refusal = _set_return_time(refusal, call, now)
-        self.metrics.count("calls", outcome=refusal.kind.value)
+        self.call_metrics.note_refused(refusal.kind, route)
         view = self.views.get()
         loguru.logger.bind(
             request_id=call.id if call else "",
@@ -153,7 +153,7 @@
         """Log how a stream ended; ``reason`` is empty if it is whole."""
         if reason:
             now = self.read_clock()
-            self.metrics.count("calls", outcome="broken")
+            self.call_metrics.note_broken(attempts.route)
             loguru.logger.bind(
                 request_id=attempts.call.id,
                 route=attempts.route.name,
@@ -166,8 +166,7 @@
     def _log_answer(self, attempts, status):
         now = self.read_clock()
         duration_s = now - attempts.call.arrived_s
-        self.metrics.count("calls", outcome="answered")
-        self.metrics.observe("call_seconds", duration_s, route=attempts.route.name)
+        self.call_metrics.note_answered(attempts.route, attempts.timing, now)
         loguru.logger.bind(
             request_id=attempts.call.id,
             route=attempts.route.name,
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -9,8 +9,10 @@
 from sycamorespoke import decisions, messages, serving, telemetry
 from sycamorespoke.gateway import (
     _blocks,
+    _call_metrics,
     _chooser,
     _connections,
+    _duty,
     _follower,
     _gateway,
     _model,
@@ -58,7 +60,9 @@
     def __init__(self, gateway_settings, deployment):
         self.settings = gateway_settings
         self.deployment = deployment
-        self.metrics = telemetry.Metrics({"host": gateway_settings.name})
+        self.metrics = telemetry.Metrics(
+            {"host": gateway_settings.name}, self._refresh_gauges
+        )
         self.views = _views.Views()
         self.table = _table.UpstreamTable()
         self.pool = _connections.ConnectionPool()
@@ -81,21 +85,14 @@
             int(self._files * CALLER_FILES_SHARE),
             self._limits,
         )
+        rollout_duty = self._make_duty(_rollout.LEASE_NAME)
+        retirement_duty = self._make_duty(_retirement.LEASE_NAME)
+        self.duties = (rollout_duty, retirement_duty)
         self.rollout = _rollout.Rollout.start(
-            gateway_settings.name,
-            self.views,
-            self.table,
-            deployment.leases,
-            deployment.engines,
-            gateway_settings.lease_ms / MS_PER_S,
+            rollout_duty, self.views, self.table, deployment.leases, deployment.engines
         )
         self.retirement = _retirement.Retirement.start(
-            gateway_settings.name,
-            self.views,
-            self.blocks,
-            deployment.block_stores,
-            deployment.leases,
-            gateway_settings.lease_ms / MS_PER_S,
+            retirement_duty, self.views, self.blocks, deployment.block_stores
         )
         self.followers = self._make_followers()
 
@@ -151,9 +148,6 @@
         if view.configuration and view.configuration.limits != self._limits:
             self._limits = view.configuration.limits
             self.server.set_limits(self._limits)
-        self.metrics.gauge("caller_connections", self.server.count_connections())
-        for part, confirmed_s in view.confirmed_s_by_part.items():
-            self.metrics.gauge("view_age_seconds", now - confirmed_s, part=part)
 
     def stop(self):
         """Shut down gracefully.
@@ -202,6 +196,18 @@
             "stores": self.blocks.dump(now),
         }
 
+    def _refresh_gauges(self):
+        now = serving.read_clock()
+        view = self.views.get()
+        self.metrics.gauge("caller_connections", self.server.count_connections())
+        self.metrics.gauge("is_ready", int(self.is_ready()))
+        for part, confirmed_s in view.confirmed_s_by_part.items():
+            self.metrics.gauge("view_age_seconds", now - confirmed_s, part=part)
+        for duty in self.duties:
+            self.metrics.gauge("lease_held", int(duty.is_held()), lease=duty.name)
+        for (service, state), count in self.table.count_states(view, now).items():
+            self.metrics.gauge("upstreams", count, service=service, state=state)
+
     def _in_force(self):
         configuration = self.views.get().configuration
         return {"configuration": configuration.version if configuration else None}
@@ -224,10 +230,20 @@
             budgets=_retry_budgets.RetryBudgets(
                 settings.retry_ratio, settings.retry_slack
             ),
-            metrics=self.metrics,
+            call_metrics=_call_metrics.CallMetrics(self.metrics),
             read_clock=serving.read_clock,
         )
 
+    def _make_duty(self, lease):
+        return _duty.Duty(
+            lease,
+            self.settings.name,
+            self.views,
+            self.deployment.leases,
+            serving.read_clock,
+            self.settings.lease_ms / MS_PER_S,
+        )
+
     def _make_limits(self):
         return _chooser.UpstreamLimits(
             self.settings.cold_tolerated,
--- a/sycamorespoke/gateway/_retirement.py
+++ b/sycamorespoke/gateway/_retirement.py
@@ -4,7 +4,7 @@
 import pykka
 
 from sycamorespoke import decisions, serving
-from sycamorespoke.gateway import _duty, _orders, _rollout
+from sycamorespoke.gateway import _orders, _rollout
 
 LEASE_NAME = "stores"
 PARTS_A_CALL = 200
@@ -21,30 +21,24 @@
 
     Parameters
     ----------
-    host : str
-        Name of this host.
+    duty : Duty
+        The right to free parts.
     views : Views
         What this host believes.
     blocks : Blocks
         What the stores hold.
     client : object
         Has ``free(address, keys, epoch, until_ms)``.
-    leases : object
-        Lease objects, see `Duty`.
-    lease_s : float
-        Time for which a lease counts, seconds.
     """
 
     use_daemon_thread = True
 
-    def __init__(self, host, views, blocks, client, leases, lease_s):
+    def __init__(self, duty, views, blocks, client):
         super().__init__()
+        self.duty = duty
         self.views = views
         self.blocks = blocks
         self.client = client
-        self.duty = _duty.Duty(
-            LEASE_NAME, host, views, leases, serving.read_clock, lease_s
-        )
         self._next_s = 0.0
 
     def on_receive(self, message):
--- a/sycamorespoke/gateway/_rollout.py
+++ b/sycamorespoke/gateway/_rollout.py
@@ -8,7 +8,7 @@
 import pykka
 
 from sycamorespoke import decisions, serving
-from sycamorespoke.gateway import _chooser, _duty, _orders, _source
+from sycamorespoke.gateway import _chooser, _orders, _source
 
 LEASE_NAME = "weights"
 # Names the engines that load, so that hosts send them nothing new.
@@ -42,31 +42,27 @@
 
     Parameters
     ----------
-    host : str
-        Name of this host.
+    duty : Duty
+        The right to give orders.
     views : Views
         What this host believes.
     table : UpstreamTable
         What was seen of the upstreams.
     leases : object
-        Has ``get(name)`` and ``put(name, value, version)``.
+        Has ``announce(name, value)``.
     engines : object
         Has ``read_report(upstream)`` and ``order_version(upstream, order)``.
-    lease_s : float
-        Time for which a lease counts, seconds.
     """
 
     use_daemon_thread = True
 
-    def __init__(self, host, views, table, leases, engines, lease_s):
+    def __init__(self, duty, views, table, leases, engines):
         super().__init__()
+        self.duty = duty
         self.views = views
         self.table = table
         self.engines = engines
         self.leases = leases
-        self.duty = _duty.Duty(
-            LEASE_NAME, host, views, leases, serving.read_clock, lease_s
-        )
         self._executor = concurrent.futures.ThreadPoolExecutor(MOST_LOADS, "load")
         self._loading_by_boot = {}
         self._announced = frozenset()
--- a/sycamorespoke/gateway/_table.py
+++ b/sycamorespoke/gateway/_table.py
@@ -6,6 +6,14 @@
 
 from sycamorespoke import decisions
 
+DRAINING = "draining"
+LEFT_OUT = "left_out"
+LOADING = "loading"
+COLD = "cold"
+FULL = "full"
+READY = "ready"
+STATES = (DRAINING, LEFT_OUT, LOADING, COLD, FULL, READY)
+
 
 @attrs.define
 class UpstreamState:
@@ -162,6 +170,31 @@
             state.cold_bucket = bucket.take() if has_token else bucket
             return has_token
 
+    def count_states(self, view, now):
+        """Count the registered upstreams by service and what is believed of them.
+
+        Parameters
+        ----------
+        view : View
+            Lists the upstreams.
+        now : float
+            Present time, seconds of the boot clock.
+
+        Returns
+        -------
+        dict of (str, str) to int
+            By service and state, one of `STATES`; 0 for states that none is in.
+        """
+        upstreams = (view.upstreams_by_id or {}).values()
+        states_by_boot = self.read(upstreams)
+        counts = {
+            (upstream.service, state): 0 for upstream in upstreams for state in STATES
+        }
+        for upstream in upstreams:
+            state = _judge(upstream, states_by_boot[upstream.boot], view, now)
+            counts[upstream.service, state] += 1
+        return counts
+
     def retain(self, boots):
         """Forget the upstreams that are listed no more and have no request."""
         with self._lock:
@@ -188,3 +221,16 @@
         if state is None:
             state = self._states_by_boot[boot] = UpstreamState()
         return state
+
+
+def _judge(upstream, state, view, now):
+    """Return the state of an upstream that matters most for choosing it."""
+    if upstream.is_draining:
+        return DRAINING
+    if state.faults.is_ejected(now):
+        return LEFT_OUT
+    if view.is_loading(upstream, now):
+        return LOADING
+    if upstream.is_cold(now):
+        return COLD
+    return FULL if now < state.full_until_s else READY
--- a/sycamorespoke/telemetry/_metrics.py
+++ b/sycamorespoke/telemetry/_metrics.py
@@ -6,6 +6,8 @@
 
 TIME_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.43, 1.0, 2.5, 5.0, 10.0, 30.0]
 PREFIX = "sycamorespoke_"
+# The library writes the values of labels as they are.
+ESCAPES = str.maketrans({"\\": "\\\\", '"': '\\"', "\n": "\\n"})
 
 
 class Metrics:
@@ -15,10 +17,13 @@
     ----------
     constant_labels : dict of str to str or None, default=None
         Labels on every sample, for example the host.
+    refresh : callable or None, default=None
+        Called before each rendering, to set gauges.
     """
 
-    def __init__(self, constant_labels=None):
+    def __init__(self, constant_labels=None, refresh=None):
         self.constant_labels = constant_labels
+        self.refresh = refresh
         self._registry = aioprometheus.Registry()
         self._lock = threading.Lock()
         self._collectors_by_name = {}
@@ -36,7 +41,7 @@
             Labels of the sample.
         """
         with self._lock:
-            self._collector(aioprometheus.Counter, name).add(labels, amount)
+            self._collector(aioprometheus.Counter, name).add(_escape(labels), amount)
 
     def gauge(self, name, value, **labels):
         """Set a gauge.
@@ -51,7 +56,7 @@
             Labels of the sample.
         """
         with self._lock:
-            self._collector(aioprometheus.Gauge, name).set(labels, value)
+            self._collector(aioprometheus.Gauge, name).set(_escape(labels), value)
 
     def observe(self, name, seconds, **labels):
         """Add a duration to a histogram.
@@ -67,7 +72,7 @@
         """
         with self._lock:
             collector = self._collector(aioprometheus.Histogram, name)
-            collector.observe(labels, seconds)
+            collector.observe(_escape(labels), seconds)
 
     def render(self):
         """Render every metric in the text form of Prometheus.
@@ -77,6 +82,8 @@
         bytes
             The page.
         """
+        if self.refresh is not None:
+            self.refresh()
         with self._lock:
             page, _ = aioprometheus.render(self._registry, ["text/plain"])
         return page
@@ -90,10 +97,14 @@
 
     def _make_collector(self, collector_class, name):
         options = {
-            "const_labels": self.constant_labels,
+            "const_labels": _escape(self.constant_labels or {}),
             "registry": self._registry,
         }
         if collector_class is aioprometheus.Histogram:
             options["buckets"] = TIME_BUCKETS_S
         documentation = name.replace("_", " ")
         return collector_class(PREFIX + name, documentation, **options)
+
+
+def _escape(labels):
+    return {name: text.translate(ESCAPES) for name, text in labels.items()}
--- a/tests/fakes/path_gateway.py
+++ b/tests/fakes/path_gateway.py
@@ -5,6 +5,7 @@
 from sycamorespoke import serving, telemetry
 from sycamorespoke.gateway import (
     _blocks,
+    _call_metrics,
     _chooser,
     _connections,
     _gateway,
@@ -59,7 +60,7 @@
             pool=self.pool,
             blocks=_blocks.Blocks(None),
             budgets=_retry_budgets.RetryBudgets(0.2, 100.0),
-            metrics=self.metrics,
+            call_metrics=_call_metrics.CallMetrics(self.metrics),
             read_clock=serving.read_clock,
         )
         self.server = serving.CallerServer(
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -307,3 +307,20 @@
     assert threading.active_count() - before >= 12
     released.set()
     assert [each.getresponse().status for each in connections] == [200] * 12
+
+
+def test_calls_are_counted_and_their_phases_measured(world):
+    def stream(request):
+        path_upstream.begin_stream(request)
+        path_upstream.send_events(request, 1, 2)
+        path_upstream.send_chunk(request, b"")
+
+    gateway = world.gateway([world.upstream(stream)])
+    gateway.call("/stream/x")
+    gateway.call("/none/x")
+    page = gateway.metrics.render().decode()
+    assert 'calls{outcome="answered",route="stream"} 1' in page
+    assert 'calls{outcome="no_route",route=""} 1' in page
+    assert 'attempts{outcome="sent",service="s"} 1' in page
+    for phase in ("queue", "first_event", "whole"):
+        assert f'call_seconds_count{{phase="{phase}",route="stream"}} 1' in page
--- a/tests/gateway/test_retirement.py
+++ b/tests/gateway/test_retirement.py
@@ -5,6 +5,7 @@
 from sycamorespoke import serving
 from sycamorespoke.gateway import (
     _blocks,
+    _duty,
     _model,
     _retirement,
     _rollout,
@@ -48,9 +49,11 @@
         views.set_parts(versions_by_model={"m": _model.NamedVersion("m", 2, seen_s)})
         blocks = _blocks.Blocks(client=None)
         blocks._indexes_by_address[STORE.address] = index
-        actor = _retirement.Retirement.start(
-            host, views, blocks, client, leases or lease_objects.FakeLeases(), 3.0
+        leases = leases or lease_objects.FakeLeases()
+        duty = _duty.Duty(
+            _retirement.LEASE_NAME, host, views, leases, serving.read_clock, 3.0
         )
+        actor = _retirement.Retirement.start(duty, views, blocks, client)
         actors.append(actor)
         return actor
 
--- a/tests/gateway/test_rollout.py
+++ b/tests/gateway/test_rollout.py
@@ -7,6 +7,7 @@
 
 from sycamorespoke import serving
 from sycamorespoke.gateway import (
+    _duty,
     _model,
     _orders,
     _rollout,
@@ -72,7 +73,10 @@
             versions_by_model={MODEL: _model.NamedVersion(MODEL, wanted, now)},
         )
         table = _table.UpstreamTable()
-        actor = _rollout.Rollout.start(host, views, table, leases, engines, 3.0)
+        duty = _duty.Duty(
+            _rollout.LEASE_NAME, host, views, leases, serving.read_clock, 3.0
+        )
+        actor = _rollout.Rollout.start(duty, views, table, leases, engines)
         actors.append(actor)
         return actor
 
--- /dev/null
+++ b/tests/gateway/test_table.py
@@ -0,0 +1,58 @@
+"""What is believed of upstreams, counted by state."""
+
+import attrs
+import pytest
+
+from sycamorespoke.gateway import _model, _table, _views
+
+NOW = 100.0
+UPSTREAM = _model.Upstream(
+    id="i-1",
+    started_ms=1,
+    service="s",
+    address="10.0.0.1:80",
+    data_centre="dc-1",
+    slots=4,
+    is_draining=False,
+    seen_s=NOW,
+)
+
+
+def count(upstream, table=None, **parts):
+    view = _views.View(upstreams_by_id={upstream.id: upstream}, **parts)
+    counts = (table or _table.UpstreamTable()).count_states(view, NOW)
+    assert {service for service, _ in counts} == {"s"}
+    assert {state for _, state in counts} == set(_table.STATES)
+    assert sum(counts.values()) == 1
+    return next(state for (_, state), number in counts.items() if number)
+
+
+@pytest.mark.parametrize(
+    ("fields", "state"),
+    [
+        ({}, _table.READY),
+        ({"is_draining": True}, _table.DRAINING),
+        ({"cold_s": 3.0}, _table.COLD),
+        ({"cold_s": 3.0, "is_draining": True}, _table.DRAINING),
+    ],
+)
+def test_an_upstream_counts_as_what_it_says_of_itself(fields, state):
+    assert count(attrs.evolve(UPSTREAM, **fields)) == state
+
+
+def test_an_upstream_that_loads_weights_counts_as_loading():
+    loading = frozenset({UPSTREAM.boot})
+    assert count(UPSTREAM, loading=loading, loading_seen_s=NOW) == _table.LOADING
+
+
+def test_an_upstream_counts_as_what_was_seen_of_it():
+    table = _table.UpstreamTable()
+    table.note_full(UPSTREAM, NOW + 1.0)
+    assert count(UPSTREAM, table) == _table.FULL
+    while not table.note_failure(UPSTREAM, 1.0, NOW):
+        pass
+    assert count(UPSTREAM, table) == _table.LEFT_OUT
+
+
+def test_no_upstream_is_counted_before_they_are_known():
+    assert _table.UpstreamTable().count_states(_views.View(), NOW) == {}
