At large size hosts learn of each other's work at the engines

Answers a prompt that many hosts send: each host has under one request at an engine, so its own count bounds nothing (slack of 4 requests times 74 hosts). A host reports its work with each question and is told the sum of the hosts that ask the same reader, from which it estimates all; the slack is then 8 requests of all hosts. Test: tests/gateway/test_peer_loads.py plays one prompt from 74 hosts.

--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -102,6 +102,7 @@
     make_link_budget,
     observe_speed,
 )
+from sycamorespoke.decisions._load_sample import scale_sample
 from sycamorespoke.decisions._membership import (
     ALIVE_WITHIN_S,
     CONFIRMED_WITHIN_S,
@@ -329,6 +330,7 @@
     "read_scope",
     "reserve_bytes",
     "return_permit",
+    "scale_sample",
     "select_due",
     "select_loads",
     "select_not_ejected",
--- a/sycamorespoke/gateway/_chooser.py
+++ b/sycamorespoke/gateway/_chooser.py
@@ -9,7 +9,10 @@
 # Prompt tokens that cost an engine as much as one generated token.
 PROMPT_TOKENS_PER_OUTPUT_TOKEN = 10.0
 AFFINITY_BOUND = 1.3
+# Requests above the bound that this host alone may have at an upstream, where the
+# work of the others is not known, and that all hosts may have together, where it is.
 AFFINITY_SLACK_REQUESTS = 4.0
+AFFINITY_SLACK_ALL_REQUESTS = 8.0
 NEAR_ADVANTAGE = 0.25
 # Before the time from which no request may begin on older weights, this long is
 # left for requests that wait at an engine.
@@ -70,15 +73,18 @@
         What was seen of the upstreams.
     limits : UpstreamLimits
         What upstreams bear.
+    loads : PeerLoads
+        Work of the other hosts.
     generator : random.Random or None, default=None
         Breaks ties.
     """
 
-    def __init__(self, host, data_centre, table, limits, generator=None):
+    def __init__(self, host, data_centre, table, limits, loads, generator=None):
         self.host = host
         self.data_centre = data_centre
         self.table = table
         self.limits = limits
+        self.loads = loads
         self.generator = generator or random.Random()
 
     def choose(self, view, route, call, excluded, now):
@@ -140,7 +146,7 @@
         idle = [each for each in upstreams if not view.is_loading(each, now)]
         upstreams = _keep_sound(idle or upstreams, states_by_boot, now)
         while upstreams:
-            upstream = self._place(upstreams, states_by_boot, call)
+            upstream = self._place(view, upstreams, states_by_boot, call, now)
             if self._bears(view, upstream, now):
                 return self._make_choice(view, upstream, states_by_boot, call)
             upstreams = [other for other in upstreams if other is not upstream]
@@ -165,28 +171,41 @@
     def _is_due(self, named, now):
         return now - named.seen_s >= self.limits.version_s - OLD_WEIGHTS_MARGIN_S
 
-    def _place(self, upstreams, states_by_boot, call):
-        is_prompt = call.prompt is not None
-        candidates = [
+    def _place(self, view, upstreams, states_by_boot, call, now):
+        if call.prompt is None:
+            candidates = self._make_candidates(upstreams, states_by_boot, {})
+            chosen = decisions.place_by_load(
+                candidates, NEAR_ADVANTAGE, self.generator.choice
+            )
+        else:
+            others_by_boot = self.loads.estimate_others(len(view.hosts), now)
+            candidates = self._make_candidates(
+                upstreams, states_by_boot, others_by_boot or {}
+            )
+            slack_requests = AFFINITY_SLACK_REQUESTS
+            if others_by_boot is not None:
+                slack_requests = AFFINITY_SLACK_ALL_REQUESTS
+            work = estimate_work(call.prompt)
+            chosen = decisions.place_by_key(
+                affinity_key(call.prompt),
+                candidates,
+                work,
+                AFFINITY_BOUND,
+                slack_requests * work,
+            )
+        return next(each for each in upstreams if each.boot == chosen.name)
+
+    def _make_candidates(self, upstreams, states_by_boot, others_by_boot):
+        return [
             decisions.PlacementCandidate(
                 name=upstream.boot,
-                load=_load(states_by_boot[upstream.boot], is_prompt),
+                load=states_by_boot[upstream.boot].work
+                + others_by_boot.get(upstream.boot, 0.0),
                 capacity=float(upstream.slots),
                 is_near=upstream.data_centre == self.data_centre,
             )
             for upstream in upstreams
         ]
-        if is_prompt:
-            work = estimate_work(call.prompt)
-            slack = AFFINITY_SLACK_REQUESTS * work
-            chosen = decisions.place_by_key(
-                affinity_key(call.prompt), candidates, work, AFFINITY_BOUND, slack
-            )
-        else:
-            chosen = decisions.place_by_load(
-                candidates, NEAR_ADVANTAGE, self.generator.choice
-            )
-        return next(each for each in upstreams if each.boot == chosen.name)
 
     def _bears(self, view, upstream, now):
         service = view.configuration.services_by_name.get(upstream.service)
@@ -241,10 +260,6 @@
     return prompt.input_tokens / PROMPT_TOKENS_PER_OUTPUT_TOKEN + output
 
 
-def _load(state, is_prompt):
-    return state.work if is_prompt else float(state.requests)
-
-
 def version_of(upstream, states_by_boot, model):
     """Return the newest weights of a model that an upstream has shown.
 
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -16,6 +16,7 @@
     _follower,
     _gateway,
     _model,
+    _peer_loads,
     _readiness,
     _relay,
     _retirement,
@@ -65,6 +66,7 @@
         )
         self.views = _views.Views()
         self.table = _table.UpstreamTable()
+        self.loads = _peer_loads.PeerLoads()
         self.pool = _connections.ConnectionPool()
         self.blocks = _blocks.Blocks(deployment.block_stores)
         self.source = _shared_source.SharedSource(
@@ -222,7 +224,11 @@
             protocol=self.deployment.protocol,
             views=self.views,
             chooser=_chooser.Chooser(
-                settings.name, settings.data_centre, self.table, self._make_limits()
+                settings.name,
+                settings.data_centre,
+                self.table,
+                self._make_limits(),
+                self.loads,
             ),
             table=self.table,
             pool=self.pool,
@@ -367,8 +373,11 @@
             PEER_THREADS,
         )
         _relay.UpdateAsker(
+            self.settings.name,
             self.blocks.list_indexes,
             self.source,
+            self.loads,
+            self.table,
             self._list_tellers,
             messages.Codec(key),
         ).start()
@@ -377,7 +386,9 @@
         if isinstance(message, messages.UpdatesRequest):
             now = serving.read_clock()
             indexes = self.blocks.list_indexes()
-            return _relay.make_reply(indexes, self.source, message, now)
+            return _relay.make_reply(
+                indexes, self.source, self.loads, self.table, message, now
+            )
         return None
 
     def _plan_reading(self, view):
--- a/sycamorespoke/gateway/_relay.py
+++ b/sycamorespoke/gateway/_relay.py
@@ -5,6 +5,7 @@
 import loguru
 
 from sycamorespoke import messages, serving
+from sycamorespoke.gateway import _peer_loads
 
 ASK_S = 0.25
 ANSWER_TIMEOUT_S = 0.4
@@ -12,7 +13,7 @@
 PASS_OVER_S = 3.0
 
 
-def make_reply(indexes, source, request, now):
+def make_reply(indexes, source, loads, table, request, now):
     """Answer a host that asks what this one has read.
 
     Parameters
@@ -21,6 +22,10 @@
         What this host has read of the stores.
     source : SharedSource
         What this host has read of the shared objects.
+    loads : PeerLoads
+        Takes the work of the other host and adds up.
+    table : UpstreamTable
+        Knows the work of this host.
     request : messages.UpdatesRequest
         How far the other host has come.
     now : float
@@ -38,7 +43,11 @@
             epoch, number = request.seen_by_store[address]
             pages_by_store[address] = index.make_page(epoch, number, now)
     pages_by_kind = source.make_pages(request.revisions_by_kind, now)
-    return messages.UpdatesReply(pages_by_store, pages_by_kind)
+    loads.note(request.host, request.work_by_upstream, now)
+    total = loads.add_up(table.list_work(), now)
+    return messages.UpdatesReply(
+        pages_by_store, pages_by_kind, total.work_by_boot, total.hosts
+    )
 
 
 class UpdateAsker:
@@ -46,10 +55,16 @@
 
     Parameters
     ----------
+    host : str
+        Name of this host.
     list_indexes : callable
         Returns the indexes of the stores to keep.
     source : SharedSource
         Takes what is told of the shared objects.
+    loads : PeerLoads
+        Takes what is told of the work of other hosts.
+    table : UpstreamTable
+        Knows the work of this host.
     list_tellers : callable
         Returns the addresses of the hosts to ask, in order; empty if this host
         reads by itself.
@@ -57,9 +72,12 @@
         Holds the key that the hosts share.
     """
 
-    def __init__(self, list_indexes, source, list_tellers, codec):
+    def __init__(self, host, list_indexes, source, loads, table, list_tellers, codec):
+        self.host = host
         self.list_indexes = list_indexes
         self.source = source
+        self.loads = loads
+        self.table = table
         self.list_tellers = list_tellers
         self.codec = codec
         self._peer = None
@@ -89,17 +107,22 @@
         if self._peer is None or self._peer.address != address:
             self._set_peer(address)
         indexes = self.list_indexes()
+        own_by_boot = self.table.list_work()
         request = messages.UpdatesRequest(
             {
                 index.store.address: (index.epoch or 0, index.number)
                 for index in indexes
             },
             self.source.list_wanted(),
+            self.host,
+            own_by_boot,
         )
         reply = self._peer.ask(request, ANSWER_TIMEOUT_S)
         if not isinstance(reply, messages.UpdatesReply):
             self._pass_over(address, now, reply.reason)
             return False
+        report = _peer_loads.LoadReport(reply.work_by_upstream, now, reply.hosts)
+        self.loads.take_told(report, own_by_boot)
         for index in indexes:
             page = reply.pages_by_store.get(index.store.address)
             if page is not None:
--- a/sycamorespoke/gateway/_table.py
+++ b/sycamorespoke/gateway/_table.py
@@ -86,6 +86,15 @@
             state.requests -= 1
             state.work = max(state.work - work, 0.0) if state.requests else 0.0
 
+    def list_work(self):
+        """Return the work under way by start of the upstream, where there is some."""
+        with self._lock:
+            return {
+                boot: state.work
+                for boot, state in self._states_by_boot.items()
+                if state.work > 0
+            }
+
     def note_success(self, upstream):
         """Note an answer of an upstream."""
         with self._lock:
--- a/sycamorespoke/messages/_types.py
+++ b/sycamorespoke/messages/_types.py
@@ -227,10 +227,16 @@
     revisions_by_kind : dict of str to int
         For each kind of shared objects the revision up to which changes are
         known; 0 asks for all objects.
+    host : str, default=""
+        Name of the asking host.
+    work_by_upstream : dict of str to float
+        Its work under way at each upstream, by start; absent for none.
     """
 
     seen_by_store: dict[str, tuple[int, int]] = {}
     revisions_by_kind: dict[str, int] = {}
+    host: str = ""
+    work_by_upstream: dict[str, float] = {}
 
 
 class StorePage(Message, tag="sp"):
@@ -297,10 +303,16 @@
         By address; a store that is not known at present is left out.
     pages_by_kind : dict of str to ObjectsPage
         Kinds that this host does not read itself are left out.
+    work_by_upstream : dict of str to float
+        Work under way of the hosts that ask this one and of itself.
+    hosts : int, default=0
+        How many hosts these are.
     """
 
     pages_by_store: dict[str, StorePage] = {}
     pages_by_kind: dict[str, ObjectsPage] = {}
+    work_by_upstream: dict[str, float] = {}
+    hosts: int = 0
 
 
 MESSAGE_TYPES = (
--- a/tests/fakes/path_gateway.py
+++ b/tests/fakes/path_gateway.py
@@ -10,6 +10,7 @@
     _connections,
     _gateway,
     _model,
+    _peer_loads,
     _retry_budgets,
     _table,
     _views,
@@ -55,7 +56,9 @@
         self.gateway = _gateway.Gateway(
             protocol=_protocol,
             views=self.views,
-            chooser=_chooser.Chooser("host-1", "dc-1", self.table, limits),
+            chooser=_chooser.Chooser(
+                "host-1", "dc-1", self.table, limits, _peer_loads.PeerLoads()
+            ),
             table=self.table,
             pool=self.pool,
             blocks=_blocks.Blocks(None),
--- a/tests/gateway/test_blocks.py
+++ b/tests/gateway/test_blocks.py
@@ -7,9 +7,11 @@
     _blocks,
     _calls,
     _model,
+    _peer_loads,
     _relay,
     _shared_source,
     _store_index,
+    _table,
 )
 
 STORE = _model.BlockStore("10.0.0.1:80", "z", 100_000, 1e9, 0.0, is_managed=True)
@@ -68,7 +70,14 @@
     )
     now = serving.read_clock()
     source = _shared_source.SharedSource(None, frozenset(), serving.read_clock)
-    reply = _relay.make_reply([teller], source, request, now)
+    reply = _relay.make_reply(
+        [teller],
+        source,
+        _peer_loads.PeerLoads(),
+        _table.UpstreamTable(),
+        request,
+        now,
+    )
     for told in reply.pages_by_store.values():
         asker.take_page(told, now)
     return reply
--- a/tests/gateway/test_chooser.py
+++ b/tests/gateway/test_chooser.py
@@ -6,7 +6,7 @@
 import pytest
 
 from sycamorespoke import world
-from sycamorespoke.gateway import _calls, _chooser, _model, _table, _views
+from sycamorespoke.gateway import _calls, _chooser, _model, _peer_loads, _table, _views
 from tests.fakes import path_gateway
 
 NOW = 100.0
@@ -42,8 +42,9 @@
 class Choosing:
     def __init__(self):
         self.table = _table.UpstreamTable()
+        self.loads = _peer_loads.PeerLoads()
         self.chooser = _chooser.Chooser(
-            "h1", "dc-1", self.table, LIMITS, random.Random(1)
+            "h1", "dc-1", self.table, LIMITS, self.loads, random.Random(1)
         )
 
     def choose(self, view, prompt=PROMPT, excluded=(), now=NOW, route=ROUTE):
--- /dev/null
+++ b/tests/gateway/test_peer_loads.py
@@ -0,0 +1,109 @@
+"""Work of other hosts: what is added up, estimated and done with it."""
+
+import random
+
+import pytest
+
+from sycamorespoke.gateway import _chooser, _peer_loads, _table
+from tests.gateway import test_chooser
+
+NOW = 100.0
+HOSTS = 74
+ENGINES = 12
+SLOTS = 16
+ROUNDS = 10
+MOST_OF_MEAN = 2.5
+
+
+def test_the_sum_holds_every_host_that_reported_lately():
+    loads = _peer_loads.PeerLoads()
+    loads.note("h1", {"a": 2.0}, NOW - _peer_loads.RECENT_S - 0.1)
+    loads.note("h2", {"a": 3.0, "b": 1.0}, NOW)
+    report = loads.add_up({"a": 4.0}, NOW)
+    assert report.work_by_boot == {"a": 7.0, "b": 1.0}
+    assert report.hosts == 2
+
+
+def test_a_newer_report_of_a_host_replaces_the_older_one():
+    loads = _peer_loads.PeerLoads()
+    loads.note("h1", {"a": 2.0}, NOW - 0.2)
+    loads.note("h1", {}, NOW)
+    assert loads.add_up({}, NOW).work_by_boot == {}
+
+
+def test_what_is_told_is_scaled_to_all_hosts_and_leaves_out_the_own_work():
+    loads = _peer_loads.PeerLoads()
+    loads.take_told(_peer_loads.LoadReport({"a": 7.0}, NOW, hosts=4), {"a": 1.0})
+    assert loads.estimate_others(13, NOW) == {"a": pytest.approx(24.0)}
+
+
+@pytest.mark.parametrize("age_s", [_peer_loads.RECENT_S + 0.1, 1000.0])
+def test_what_is_not_recent_is_not_believed(age_s):
+    loads = _peer_loads.PeerLoads()
+    loads.take_told(_peer_loads.LoadReport({"a": 7.0}, NOW, hosts=4), {})
+    assert loads.estimate_others(13, NOW + age_s) is None
+
+
+def test_a_host_that_hears_nobody_estimates_nothing():
+    assert _peer_loads.PeerLoads().estimate_others(1, NOW) is None
+
+
+class Fleet:
+    """Many hosts, each with a few requests that share one prompt."""
+
+    def __init__(self, is_told):
+        self.is_told = is_told
+        names = [f"i-{number}" for number in range(ENGINES)]
+        upstreams = [
+            test_chooser.make_upstream(name, slots=SLOTS, versions_by_model={})
+            for name in names
+        ]
+        self.view = test_chooser.make_view(
+            *upstreams, hosts_by_name=dict.fromkeys(range(HOSTS))
+        )
+        self.hosts = [self.make_host(number) for number in range(HOSTS)]
+
+    def make_host(self, number):
+        table = _table.UpstreamTable()
+        loads = _peer_loads.PeerLoads()
+        chooser = _chooser.Chooser(
+            f"h{number}",
+            "dc-1",
+            table,
+            test_chooser.LIMITS,
+            loads,
+            random.Random(number),
+        )
+        return chooser
+
+    def tell(self):
+        group = self.hosts[: HOSTS // 6]
+        teller = _peer_loads.PeerLoads()
+        for number, host in enumerate(group):
+            teller.note(number, host.table.list_work(), NOW)
+        for number, host in enumerate(self.hosts):
+            own_by_boot = host.table.list_work() if number < len(group) else {}
+            host.loads.take_told(teller.add_up({}, NOW), own_by_boot)
+
+    def play(self):
+        """Let each host send one request a round; return the requests by engine."""
+        call = test_chooser.make_call()
+        work = _chooser.estimate_work(call.prompt)
+        requests_by_engine = {}
+        for _ in range(ROUNDS):
+            for number, host in enumerate(self.hosts):
+                if self.is_told and number % 10 == 0:
+                    self.tell()
+                choice = host.choose(
+                    self.view, test_chooser.ROUTE, call, frozenset(), NOW
+                )
+                host.table.begin(choice.upstream, work)
+                engine = choice.upstream.id
+                requests_by_engine[engine] = requests_by_engine.get(engine, 0) + 1
+        return requests_by_engine
+
+
+def test_one_prompt_of_all_hosts_is_spread_once_its_engine_has_enough():
+    mean = HOSTS * ROUNDS / ENGINES
+    assert max(Fleet(is_told=True).play().values()) <= MOST_OF_MEAN * mean
+    assert max(Fleet(is_told=False).play().values()) > MOST_OF_MEAN * mean
--- a/tests/gateway/test_shared_source.py
+++ b/tests/gateway/test_shared_source.py
@@ -6,8 +6,15 @@
 import pytest
 
 from sycamorespoke import messages
-from sycamorespoke.gateway import _object_history, _relay, _shared_source, _source
-from tests.gateway import test_follower
+from sycamorespoke.gateway import (
+    _object_history,
+    _peer_loads,
+    _relay,
+    _shared_source,
+    _source,
+    _table,
+)
+from tests.gateway import test_follower, test_table
 
 KIND = "things"
 LARGE = "large"
@@ -42,6 +49,10 @@
         self.teller = self.make(self.teller_script)
         self.told = self.make(self.own_script)
         self.told.set_told(True)
+        self.teller_loads = _peer_loads.PeerLoads()
+        self.told_loads = _peer_loads.PeerLoads()
+        self.teller_table = _table.UpstreamTable()
+        self.told_table = _table.UpstreamTable()
 
     def make(self, script):
         return _shared_source.SharedSource(script, frozenset({LARGE}), self.clock)
@@ -203,18 +214,26 @@
 
     def make_asker(self, pair, addresses):
         return _relay.UpdateAsker(
-            list, pair.told, lambda: addresses, messages.Codec(KEY)
+            "h2",
+            list,
+            pair.told,
+            pair.told_loads,
+            pair.told_table,
+            lambda: addresses,
+            messages.Codec(KEY),
         )
 
-    def serve(self, source, clock):
+    def serve(self, pair, source):
         return messages.Server(
             "127.0.0.1:0",
             KEY,
-            lambda message: _relay.make_reply([], source, message, clock()),
+            lambda message: _relay.make_reply(
+                [], source, pair.teller_loads, pair.teller_table, message, pair.clock()
+            ),
         )
 
     def test_it_keeps_a_host_up_to_date(self, pair):
-        with self.serve(pair.teller, pair.clock) as server:
+        with self.serve(pair, pair.teller) as server:
             asker = self.make_asker(pair, [server.address])
             pair.read(KIND, _source.Changes((change("a", 7, 9),), 7))
             assert asker.step(pair.clock.now)
@@ -223,14 +242,26 @@
     def test_it_turns_to_the_next_host_when_one_tells_too_little(self, pair):
         empty = pair.make(test_follower.Script([]))
         with (
-            self.serve(empty, pair.clock) as useless,
-            self.serve(pair.teller, pair.clock) as useful,
+            self.serve(pair, empty) as useless,
+            self.serve(pair, pair.teller) as useful,
         ):
             asker = self.make_asker(pair, [useless.address, useful.address])
             assert not asker.step(pair.clock.now)
             assert asker.step(pair.clock.now)
             assert pair.told.is_told(pair.clock.now)
 
+    def test_each_host_learns_of_the_work_of_the_other(self, pair):
+        upstream = test_table.UPSTREAM
+        pair.told_table.begin(upstream, 5.0)
+        pair.teller_table.begin(upstream, 3.0)
+        with self.serve(pair, pair.teller) as server:
+            asker = self.make_asker(pair, [server.address])
+            assert asker.step(pair.clock.now)
+        now = pair.clock.now
+        boot = upstream.boot
+        assert pair.told_loads.estimate_others(2, now) == {boot: 3.0}
+        assert pair.teller_loads.estimate_others(2, now) == {boot: 5.0}
+
     def test_it_waits_when_no_host_answers(self, pair):
         asker = self.make_asker(pair, ["127.0.0.1:1"])
         assert not asker.step(pair.clock.now)
