Sockets are closed only when no thread waits at them

Found by closing servers and peers under eight threads: aborted after less than 30 s in each of three variants; the variant that closes only unused sockets went on for 60 s. Ruled out: descriptors, threads, our own frames. Change: a server wakes and ends its threads before it closes; a peer closes after the request under way. Test: tests/messages/test_stop_under_load.py, red three times of three on the code before.

--- a/sycamorespoke/messages/_peer.py
+++ b/sycamorespoke/messages/_peer.py
@@ -122,8 +122,12 @@
             return self._receive(nonce, timeout_s)
 
     def close(self):
-        """Close the connection."""
-        self._socket.close()
+        """Close the connection, after a request that is under way.
+
+        The library ends the process if a socket is closed while it is used.
+        """
+        with self._lock:
+            self._socket.close()
 
     def _send(self, message, timeout_s):
         value = next(self._nonces) % (1 << (8 * _frame.NONCE_BYTES))
--- a/sycamorespoke/messages/_server.py
+++ b/sycamorespoke/messages/_server.py
@@ -9,6 +9,10 @@
 
 from sycamorespoke.messages import _frame
 
+WAKE_FRAME = b"wake"
+WAKE_TIMEOUT_MS = 100
+WAKE_INTERVAL_S = 0.002
+
 
 class Server:
     """Answer requests of other processes.
@@ -39,6 +43,7 @@
         self.handle = handle
         self.threads = threads
         self.dropped_by_reason = collections.Counter()
+        self._stopped = threading.Event()
         self._codec = _frame.Codec(shared_key)
         self._count_lock = threading.Lock()
         self._socket = pynng.Rep0(recv_max_size=_frame.MAX_FRAME_BYTES)
@@ -53,10 +58,21 @@
         self.stop()
 
     def stop(self):
-        """Stop listening and end the threads."""
+        """End the threads, then stop listening.
+
+        The library ends the process if a socket is closed while a thread waits at
+        it, so each is woken by a request first.
+        """
+        self._stopped.set()
+        with pynng.Req0() as waker:
+            waker.send_timeout = WAKE_TIMEOUT_MS
+            waker.dial(f"tcp://{self.address}", block=False)
+            for thread in self._threads:
+                while thread.is_alive():
+                    with contextlib.suppress(pynng.NNGException):
+                        waker.send(WAKE_FRAME)
+                    thread.join(WAKE_INTERVAL_S)
         self._socket.close()
-        for thread in self._threads:
-            thread.join()
 
     def _start_thread(self, number):
         thread = threading.Thread(
@@ -69,14 +85,13 @@
         return thread
 
     def _serve(self, context):
-        while True:
+        while not self._stopped.is_set():
             try:
                 self._serve_one(context)
             except pynng.Closed:
                 break
             except pynng.NNGException as error:
                 self._count(type(error).__name__)
-        # The socket is closed already; this frees the context's own record.
         with contextlib.suppress(pynng.Closed):
             context.close()
 
--- /dev/null
+++ b/tests/messages/test_stop_under_load.py
@@ -0,0 +1,69 @@
+"""Servers and peers closed while others use them.
+
+The library ends the whole process if a socket is closed under a thread that waits at
+it. The rounds therefore run in a process of their own.
+"""
+
+import random
+import subprocess
+import sys
+import threading
+
+import pytest
+
+from sycamorespoke import messages
+
+THREADS = 8
+ROUNDS = 40
+KEY = "secret"
+
+
+def ask_often(peer, generator):
+    for _ in range(generator.randint(1, 6)):
+        peer.ask(messages.InForceRequest(), generator.choice([0.001, 0.01, 0.2]))
+
+
+def play_round(generator):
+    server = messages.Server(
+        "127.0.0.1:0", KEY, lambda message: message, generator.choice([1, 2, 4])
+    )
+    peers = [messages.Peer(server.address, messages.Codec(KEY)) for _ in range(3)]
+    threads = [
+        threading.Thread(target=ask_often, args=(peer, random.Random(number)))
+        for number, peer in enumerate(peers)
+    ]
+    for thread in threads:
+        thread.start()
+    if generator.random() < 0.5:
+        threads[0].join(generator.random() * 0.01)
+        server.stop()
+    for peer in peers:
+        peer.close()
+    for thread in threads:
+        thread.join()
+    server.stop()
+
+
+def play(seed):
+    generator = random.Random(seed)
+    for _ in range(ROUNDS):
+        play_round(generator)
+
+
+def main():
+    threads = [threading.Thread(target=play, args=(seed,)) for seed in range(THREADS)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+@pytest.mark.processes
+def test_a_process_survives_sockets_closed_while_others_use_them():
+    command = [sys.executable, "-m", "tests.messages.test_stop_under_load"]
+    ended = subprocess.run(command, capture_output=True, text=True, check=False)
+    assert ended.returncode == 0, ended.stderr[:2000]
+
+
+if __name__ == "__main__":
+    main()
