--- a/sycamorespoke/decisions/_urgency.py
+++ b/sycamorespoke/decisions/_urgency.py
@@ -1,8 +1,8 @@
 """How urgent a request is for the engine that gets it.
 
 Answers overload: when an engine takes longer than the target of its requests,
-those that cannot meet theirs any more stand back behind those that can. Served
-in the order of arrival, all of them would be late.
+those that cannot meet theirs any more get a lower priority than those that can.
+Served in the order of arrival, all of them would be late.
 """
 
 import math
@@ -14,7 +14,7 @@
 NEWEST_WEIGHT = 0.4
 # Part of its target that a request may need by the estimate.
 TARGET_SHARE = 0.85
-SET_BACK = 5
+LATE_RANKS = 5
 LEAST_URGENT = 9
 
 
@@ -77,5 +77,6 @@
     (1, 6)
     """
     expected_s = elapsed_s + wait_s + read_s
-    set_back = 0 if expected_s <= target_s * TARGET_SHARE else SET_BACK
-    return min(max(int(priority), 0) + set_back, LEAST_URGENT)
+    is_late = expected_s > target_s * TARGET_SHARE
+    ranks = max(int(priority), 0) + (LATE_RANKS if is_late else 0)
+    return min(ranks, LEAST_URGENT)
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -1,6 +1,5 @@
 """Builds a gateway from its settings and runs it until a shutdown ends."""
 
-import functools
 import secrets
 import threading
 
@@ -13,7 +12,6 @@
     _chooser,
     _connections,
     _duty,
-    _follower,
     _gateway,
     _model,
     _peer_loads,
@@ -24,6 +22,7 @@
     _rollout,
     _shared_source,
     _table,
+    _view_keeper,
     _views,
 )
 
@@ -31,9 +30,6 @@
 MS_PER_S = 1000.0
 PEER_KEY_BYTES = 32
 PEER_THREADS = 2
-URGENT_PARTS = frozenset(
-    {_views.CONFIGURATION, "upstreams", "data_centres_out", _views.VERSIONS}
-)
 THREADS = 96
 # Descriptors for the store, logs, listeners and files.
 RESERVED_FILES = 300
@@ -76,7 +72,6 @@
         )
         self.stop_requested = threading.Event()
         self._limits = serving.CallerLimits()
-        self._announced = None
         self._reading = decisions.ReaderPlan(is_reader=True)
         self._files = max(gateway_settings.files - RESERVED_FILES, 64)
         self.gateway = self._make_gateway()
@@ -96,7 +91,7 @@
         self.retirement = _retirement.Retirement.start(
             retirement_duty, self.views, self.blocks, deployment.block_stores
         )
-        self.followers = self._make_followers()
+        self.view_keeper = self._make_view_keeper()
 
     def start(self):
         """Start every part; callers are served once the view is complete."""
@@ -108,8 +103,7 @@
             self.deployment.ready_path, self.is_ready
         )
         telemetry.OperatorsServer(self.settings.ready_listen, readiness_app).start()
-        for follower in self.followers:
-            follower.start()
+        self.view_keeper.start()
         self.server.start()
         threading.Thread(target=self._register, name="register", daemon=True).start()
         loguru.logger.bind(listen=self.settings.listen).info("gateway started")
@@ -257,25 +251,19 @@
             self.settings.version_ms / MS_PER_S,
         )
 
-    def _make_followers(self):
-        readers = [
-            self._make_reader(_views.CONFIGURATION, self._take_configuration),
-            self._make_reader("upstreams", self._take_upstreams, _is_kept),
-            self._make_reader("data_centres_out", self._take_data_centres_out),
-            self._make_reader(_views.VERSIONS, self._take_versions),
-            self._make_reader("hosts", self._take_hosts),
-            self._make_reader("leases", self._take_leases),
-        ]
-        return [
-            _follower.Follower(
-                self.source,
-                reader,
-                serving.read_clock,
-                self.views.confirm,
-                functools.partial(self._choose_pace, reader.part in URGENT_PARTS),
-            )
-            for reader in readers
-        ]
+    def _make_view_keeper(self):
+        duties_by_lease = {
+            _rollout.LEASE_NAME: self.rollout,
+            _retirement.LEASE_NAME: self.retirement,
+        }
+        return _view_keeper.ViewKeeper(
+            self.deployment.kinds,
+            self.source,
+            self.views,
+            duties_by_lease,
+            self._choose_pace,
+            self._plan_reading,
+        )
 
     def _choose_pace(self, is_urgent):
         reading = decisions.Reading.FOR_ITSELF
@@ -285,69 +273,6 @@
             reading = decisions.Reading.TOLD
         return decisions.pace_watch(len(self.views.get().hosts), is_urgent, reading)
 
-    def _make_reader(self, part, publish, keeps_missing=None):
-        kind = getattr(self.deployment.kinds, part)
-        return _follower.Reader(part, kind.name, kind.read, publish, keeps_missing)
-
-    def _take_configuration(self, items_by_name, now):
-        for configuration in items_by_name.values():
-            if self.views.set_configuration(configuration):
-                self._plan_reading(self.views.get())
-                loguru.logger.bind(
-                    version=configuration.version, routes=len(configuration.routes)
-                ).info("configuration in force")
-
-    def _take_upstreams(self, items_by_name, now):
-        known = self.views.get().upstreams_by_id or {}
-        self.views.set_parts(upstreams_by_id=items_by_name)
-        for name in known.keys() - items_by_name.keys():
-            loguru.logger.bind(upstream=name).info("upstream gone")
-        for name, upstream in items_by_name.items():
-            if known.get(name) != upstream:
-                loguru.logger.bind(
-                    upstream=name,
-                    service=upstream.service,
-                    data_centre=upstream.data_centre,
-                    draining=upstream.is_draining,
-                    cold_s=upstream.cold_s,
-                    versions=upstream.versions_by_model,
-                ).info("upstream changed")
-
-    def _take_data_centres_out(self, items_by_name, now):
-        out = frozenset(items_by_name)
-        self.views.set_parts(data_centres_out=out)
-        loguru.logger.bind(data_centres=sorted(out)).info("data centres out")
-
-    def _take_versions(self, items_by_name, now):
-        known = self.views.get().versions_by_model or {}
-        versions_by_model = {}
-        for named in items_by_name.values():
-            current = known.get(named.model)
-            is_older = current is not None and named.version <= current.version
-            versions_by_model[named.model] = current if is_older else named
-        self.views.set_parts(versions_by_model=versions_by_model)
-        shown = {model: named.version for model, named in versions_by_model.items()}
-        loguru.logger.bind(versions=shown).info("weights named")
-        self.rollout.tell(_rollout.Tick(now))
-
-    def _take_hosts(self, items_by_name, now):
-        self.views.set_parts(hosts_by_name=items_by_name)
-
-    def _take_leases(self, items_by_name, now):
-        duties_by_lease = {
-            _rollout.LEASE_NAME: self.rollout,
-            _retirement.LEASE_NAME: self.retirement,
-        }
-        for name, actor in duties_by_lease.items():
-            if name in items_by_name:
-                actor.tell(items_by_name[name])
-        announced = items_by_name.get(_rollout.LOADING_NAME)
-        if announced is not None and announced != self._announced:
-            self._announced = announced
-            loading = frozenset(announced.value)
-            self.views.set_parts(loading=loading, loading_seen_s=now)
-            loguru.logger.bind(upstreams=sorted(loading)).info("engines load weights")
-
     def _register(self):
         """Join the other hosts; tried again until the store takes it."""
         registry = self.deployment.registry
@@ -413,7 +338,3 @@
     def _unregister(self):
         if not self.deployment.registry.unregister(self.settings.name):
             loguru.logger.info("host could not be unregistered")
-
-
-def _is_kept(upstream):
-    return not upstream.is_draining
--- /dev/null
+++ b/sycamorespoke/gateway/_view_keeper.py
@@ -0,0 +1,137 @@
+"""Keeps what this host believes up to date with the shared objects."""
+
+import functools
+
+import loguru
+
+from sycamorespoke import serving
+from sycamorespoke.gateway import _follower, _rollout, _views
+
+# Requests are wrongly served soon after a change of these that is not known.
+URGENT_PARTS = frozenset(
+    {_views.CONFIGURATION, "upstreams", "data_centres_out", _views.VERSIONS}
+)
+
+
+class ViewKeeper:
+    """Follows each kind of shared objects and sets the parts of the view.
+
+    Parameters
+    ----------
+    kinds : Kinds
+        Names and readers of the kinds.
+    source : SharedSource
+        Where they are listed and watched.
+    views : Views
+        What this host believes.
+    duties_by_lease : dict of str to pykka.ActorRef
+        Actors that are told of their lease.
+    choose_pace : callable
+        Takes whether a part is urgent and returns the `decisions.WatchPace`.
+    on_configuration : callable
+        Takes the view after each new configuration.
+    """
+
+    def __init__(
+        self, kinds, source, views, duties_by_lease, choose_pace, on_configuration
+    ):
+        self.kinds = kinds
+        self.source = source
+        self.views = views
+        self.duties_by_lease = duties_by_lease
+        self.choose_pace = choose_pace
+        self.on_configuration = on_configuration
+        self._announced = None
+        self._followers = self._make_followers()
+
+    def start(self):
+        """Follow every kind in threads of their own."""
+        for follower in self._followers:
+            follower.start()
+
+    def _make_followers(self):
+        readers = [
+            self._make_reader(_views.CONFIGURATION, self._take_configuration),
+            self._make_reader("upstreams", self._take_upstreams, _is_kept),
+            self._make_reader("data_centres_out", self._take_data_centres_out),
+            self._make_reader(_views.VERSIONS, self._take_versions),
+            self._make_reader("hosts", self._take_hosts),
+            self._make_reader("leases", self._take_leases),
+        ]
+        return [
+            _follower.Follower(
+                self.source,
+                reader,
+                serving.read_clock,
+                self.views.confirm,
+                functools.partial(self.choose_pace, reader.part in URGENT_PARTS),
+            )
+            for reader in readers
+        ]
+
+    def _make_reader(self, part, publish, keeps_missing=None):
+        kind = getattr(self.kinds, part)
+        return _follower.Reader(part, kind.name, kind.read, publish, keeps_missing)
+
+    def _take_configuration(self, items_by_name, now):
+        for configuration in items_by_name.values():
+            if self.views.set_configuration(configuration):
+                self.on_configuration(self.views.get())
+                loguru.logger.bind(
+                    version=configuration.version, routes=len(configuration.routes)
+                ).info("configuration in force")
+
+    def _take_upstreams(self, items_by_name, now):
+        known = self.views.get().upstreams_by_id or {}
+        self.views.set_parts(upstreams_by_id=items_by_name)
+        for name in known.keys() - items_by_name.keys():
+            loguru.logger.bind(upstream=name).info("upstream gone")
+        for name, upstream in items_by_name.items():
+            if known.get(name) != upstream:
+                _log_upstream(name, upstream)
+
+    def _take_data_centres_out(self, items_by_name, now):
+        out = frozenset(items_by_name)
+        self.views.set_parts(data_centres_out=out)
+        loguru.logger.bind(data_centres=sorted(out)).info("data centres out")
+
+    def _take_versions(self, items_by_name, now):
+        known = self.views.get().versions_by_model or {}
+        versions_by_model = {}
+        for named in items_by_name.values():
+            current = known.get(named.model)
+            is_older = current is not None and named.version <= current.version
+            versions_by_model[named.model] = current if is_older else named
+        self.views.set_parts(versions_by_model=versions_by_model)
+        shown = {model: named.version for model, named in versions_by_model.items()}
+        loguru.logger.bind(versions=shown).info("weights named")
+        self.duties_by_lease[_rollout.LEASE_NAME].tell(_rollout.Tick(now))
+
+    def _take_hosts(self, items_by_name, now):
+        self.views.set_parts(hosts_by_name=items_by_name)
+
+    def _take_leases(self, items_by_name, now):
+        for name, actor in self.duties_by_lease.items():
+            if name in items_by_name:
+                actor.tell(items_by_name[name])
+        announced = items_by_name.get(_rollout.LOADING_NAME)
+        if announced is not None and announced != self._announced:
+            self._announced = announced
+            loading = frozenset(announced.value)
+            self.views.set_parts(loading=loading, loading_seen_s=now)
+            loguru.logger.bind(upstreams=sorted(loading)).info("engines load weights")
+
+
+def _log_upstream(name, upstream):
+    loguru.logger.bind(
+        upstream=name,
+        service=upstream.service,
+        data_centre=upstream.data_centre,
+        draining=upstream.is_draining,
+        cold_s=upstream.cold_s,
+        versions=upstream.versions_by_model,
+    ).info("upstream changed")
+
+
+def _is_kept(upstream):
+    return not upstream.is_draining
--- a/tests/decisions/test_urgency.py
+++ b/tests/decisions/test_urgency.py
@@ -1,4 +1,4 @@
-"""Overload played on one engine: what callers get with and without standing back."""
+"""Overload played on one engine, with and without a lower priority of late requests."""
 
 import heapq
 import random
