--- a/sycamorespoke/gateway/_orders.py
+++ b/sycamorespoke/gateway/_orders.py
@@ -3,6 +3,7 @@
 import enum
 
 import attrs
+import cattrs
 
 
 class RolloutMode(enum.Enum):
@@ -85,3 +86,45 @@
     name: str
     value: object
     version: int
+
+
+@attrs.frozen
+class LoadAnnouncement:
+    """What the host that orders loads tells the others.
+
+    Parameters
+    ----------
+    loading : list of str
+        Starts of the engines that load weights.
+    versions_by_boot : dict of str to dict of str to int
+        Weights that engines were brought to, by their start and by model.
+
+    Examples
+    --------
+    >>> announcement = LoadAnnouncement(["i-1@7"], {"i-2@7": {"m": 3}})
+    >>> LoadAnnouncement.from_value(announcement.to_value()) == announcement
+    True
+    """
+
+    loading: list[str] = attrs.field(factory=list)
+    versions_by_boot: dict[str, dict[str, int]] = attrs.field(factory=dict)
+
+    @classmethod
+    def from_value(cls, value):
+        """Read it from a JSON value.
+
+        Raises
+        ------
+        ValueError
+            If it has another form.
+        """
+        if not isinstance(value, dict):
+            raise ValueError("it is no announcement of loads: not a table")
+        try:
+            return cattrs.structure(value, cls)
+        except Exception as error:
+            raise ValueError(f"it is no announcement of loads: {error!r}") from error
+
+    def to_value(self):
+        """Return it as a JSON value."""
+        return cattrs.unstructure(self)
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -261,6 +261,7 @@
             self.source,
             self.views,
             duties_by_lease,
+            self.table,
             self._choose_pace,
             self._plan_reading,
         )
--- a/sycamorespoke/gateway/_rollout.py
+++ b/sycamorespoke/gateway/_rollout.py
@@ -65,7 +65,8 @@
         self.leases = leases
         self._executor = concurrent.futures.ThreadPoolExecutor(MOST_LOADS, "load")
         self._loading_by_boot = {}
-        self._announced = frozenset()
+        self._versions_by_boot = {}
+        self._announced = _orders.LoadAnnouncement()
         self._put_off_until_s_by_boot = {}
         self._lock = threading.Lock()
         self._pause = threading.Event()
@@ -94,6 +95,7 @@
         """
         view = self.views.get()
         engines = self._list_engines(view)
+        self._forget_gone({engine.name for engine in engines})
         wanted_by_model = {
             model: named.version
             for model, named in (view.versions_by_model or {}).items()
@@ -128,6 +130,11 @@
             for model in upstream.versions_by_model
         ]
 
+    def _forget_gone(self, boots):
+        with self._lock:
+            for boot in self._versions_by_boot.keys() - boots:
+                del self._versions_by_boot[boot]
+
     def _start_loads(self, view, engines, wanted_by_model, now):
         put_off = {
             boot
@@ -153,15 +160,24 @@
             self._executor.submit(self._run_load, boot, load)
 
     def _announce(self):
-        """Tell the other hosts which engines load, if that has changed."""
+        """Tell the other hosts which engines load or have loaded, if that changed."""
         with self._lock:
-            loading = frozenset(self._loading_by_boot)
-        if loading == self._announced or not self.duty.is_held():
+            announcement = _orders.LoadAnnouncement(
+                sorted(self._loading_by_boot),
+                {boot: dict(held) for boot, held in self._versions_by_boot.items()},
+            )
+        if announcement == self._announced or not self.duty.is_held():
             return
-        self._announced = loading
-        if self.leases.announce(LOADING_NAME, sorted(loading)):
+        self._announced = announcement
+        if self.leases.announce(LOADING_NAME, announcement.to_value()):
             self._pause.wait(ANNOUNCE_LEAD_S)
 
+    def note_loaded(self, upstream, model, version):
+        """Note the weights that an engine reports, to tell the other hosts."""
+        self.table.note_version(upstream, model, version)
+        with self._lock:
+            self._versions_by_boot.setdefault(upstream.boot, {})[model] = version
+
     def _run_load(self, boot, load):
         try:
             is_done = load.run()
@@ -217,7 +233,7 @@
             wanted = self._wanted()
             held = report.versions_by_model.get(self.model, 0)
             if held >= wanted:
-                self.rollout.table.note_version(self.upstream, self.model, held)
+                self.rollout.note_loaded(self.upstream, self.model, held)
                 self._log("engine has the version", version=held)
                 return True
             if self._may_order(report) and not self._order(report, wanted):
--- a/sycamorespoke/gateway/_view_keeper.py
+++ b/sycamorespoke/gateway/_view_keeper.py
@@ -5,7 +5,7 @@
 import loguru
 
 from sycamorespoke import serving
-from sycamorespoke.gateway import _follower, _rollout, _views
+from sycamorespoke.gateway import _follower, _orders, _rollout, _views
 
 # Requests are wrongly served soon after a change of these that is not known.
 URGENT_PARTS = frozenset(
@@ -26,6 +26,8 @@
         What this host believes.
     duties_by_lease : dict of str to pykka.ActorRef
         Actors that are told of their lease.
+    table : UpstreamTable
+        Takes the weights that engines were brought to.
     choose_pace : callable
         Takes whether a part is urgent and returns the `decisions.WatchPace`.
     on_configuration : callable
@@ -33,12 +35,20 @@
     """
 
     def __init__(
-        self, kinds, source, views, duties_by_lease, choose_pace, on_configuration
+        self,
+        kinds,
+        source,
+        views,
+        duties_by_lease,
+        table,
+        choose_pace,
+        on_configuration,
     ):
         self.kinds = kinds
         self.source = source
         self.views = views
         self.duties_by_lease = duties_by_lease
+        self.table = table
         self.choose_pace = choose_pace
         self.on_configuration = on_configuration
         self._announced = None
@@ -117,9 +127,18 @@
         announced = items_by_name.get(_rollout.LOADING_NAME)
         if announced is not None and announced != self._announced:
             self._announced = announced
-            loading = frozenset(announced.value)
-            self.views.set_parts(loading=loading, loading_seen_s=now)
-            loguru.logger.bind(upstreams=sorted(loading)).info("engines load weights")
+            self._take_loads(_orders.LoadAnnouncement.from_value(announced.value), now)
+
+    def _take_loads(self, announcement, now):
+        upstreams = (self.views.get().upstreams_by_id or {}).values()
+        # The weights come first, so that no request names those of before.
+        for upstream in upstreams:
+            held = announcement.versions_by_boot.get(upstream.boot, {})
+            for model, version in held.items():
+                self.table.note_version(upstream, model, version)
+        loading = frozenset(announcement.loading)
+        self.views.set_parts(loading=loading, loading_seen_s=now)
+        loguru.logger.bind(upstreams=sorted(loading)).info("engines load weights")
 
 
 def _log_upstream(name, upstream):
--- a/tests/gateway/test_rollout.py
+++ b/tests/gateway/test_rollout.py
@@ -100,10 +100,25 @@
     behind = engines.by_id.values()
     assert run_until(actor, lambda: all(each.version == 2 for each in behind))
     assert {order.fencing_number for each in behind for order in each.taken} == {1}
-    assert max(len(loading) for loading in leases.announced) == 2
-    assert {boot for loading in leases.announced for boot in loading} == {
-        f"i{n}@1" for n in range(5)
-    }
+    announced = list(map(_orders.LoadAnnouncement.from_value, leases.announced))
+    assert max(len(each.loading) for each in announced) == 2
+    boots = {f"i{n}@1" for n in range(5)}
+    assert {boot for each in announced for boot in each.loading} == boots
+
+
+def test_engines_are_announced_with_their_new_weights_when_they_have_them(start):
+    engines = FakeEngines(**{f"i{n}": FakeEngine() for n in range(5)})
+    leases = lease_objects.FakeLeases()
+    actor = start(engines, leases)
+    done = {f"i{n}@1": {MODEL: 2} for n in range(5)}
+
+    def is_told():
+        return leases.announced and leases.announced[-1]["versions_by_boot"] == done
+
+    assert run_until(actor, is_told)
+    for value in leases.announced:
+        announcement = _orders.LoadAnnouncement.from_value(value)
+        assert not set(announcement.loading) & announcement.versions_by_boot.keys()
 
 
 def test_an_order_without_an_answer_is_given_again_under_the_same_condition(start):
