--- a/sycamorespoke/gateway/_rollout.py
+++ b/sycamorespoke/gateway/_rollout.py
@@ -162,9 +162,13 @@
     def _announce(self):
         """Tell the other hosts which engines load or have loaded, if that changed."""
         with self._lock:
+            versions_by_boot = {
+                boot: dict(held)
+                for boot, held in self._versions_by_boot.items()
+                if boot not in self._loading_by_boot
+            }
             announcement = _orders.LoadAnnouncement(
-                sorted(self._loading_by_boot),
-                {boot: dict(held) for boot, held in self._versions_by_boot.items()},
+                sorted(self._loading_by_boot), versions_by_boot
             )
         if announcement == self._announced or not self.duty.is_held():
             return
