--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,142 @@
+"""Callers that keep their connections until the host is gone."""
+
+import enum
+import http.client
+import random
+import threading
+import time
+
+import attrs
+
+from tests.fakes import path_gateway, path_upstream
+
+DEADLINE_S = 2.0
+# A host that answers nothing so long after the deadline has hung.
+PATIENCE_S = 2.0
+PAUSE_S = 0.03
+
+
+class Kind(enum.Enum):
+    """Kinds of requests, by the first part of their path."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+    ONCE = "once"
+
+
+@attrs.frozen
+class Outcome:
+    """What a caller got.
+
+    Parameters
+    ----------
+    request_id : str
+        Id of the request.
+    kind : Kind
+        Its kind.
+    host : str
+        Name of the host that it was sent to.
+    sent_s, ended_s : float
+        When, seconds of the steady clock.
+    status : int or None
+        ``None`` without the head of an answer.
+    has_receipt : bool
+        The answer carries an upstream's receipt.
+    body : bytes
+        What came.
+    is_whole : bool
+        The answer is complete.
+    """
+
+    request_id: str
+    kind: Kind
+    host: str
+    sent_s: float
+    ended_s: float
+    status: int | None = None
+    has_receipt: bool = False
+    body: bytes = b""
+    is_whole: bool = False
+
+
+class Caller(threading.Thread):
+    """Sends one request after the other until it is stopped.
+
+    Parameters
+    ----------
+    number : int
+        Makes its ids unique.
+    hosts : list of soak.world.Host
+        Hosts to choose from.
+    seed : int
+        Seed of its choices.
+    """
+
+    def __init__(self, number, hosts, seed):
+        super().__init__(daemon=True)
+        self.number = number
+        self.hosts = hosts
+        self.generator = random.Random(f"{seed} {number}")
+        self.outcomes = []
+        self.stopped = threading.Event()
+        self._connection = None
+        self._address = None
+
+    def run(self):
+        """Send until `stopped` is set."""
+        count = 0
+        while not self.stopped.wait(PAUSE_S):
+            count += 1
+            host = self.generator.choice(self.hosts)
+            kind = self.generator.choice(list(Kind))
+            request_id = f"c{self.number}-{count}"
+            self.outcomes.append(self.send(host, kind, request_id))
+
+    def send(self, host, kind, request_id):
+        """Send one request and return its `Outcome`."""
+        sent_s = time.monotonic()
+        head, body, is_whole = None, b"", False
+        try:
+            connection = self._connect(host)
+            path_gateway.send(
+                connection,
+                f"/{kind.value}/x",
+                X_Sycamorespoke_Request_Id=request_id,
+                X_Sycamorespoke_Deadline_Ms=str(int(DEADLINE_S * 1000)),
+            )
+            head = connection.getresponse()
+            while chunk := head.read1(4096):
+                body += chunk
+            is_whole = not head.length
+        except (OSError, http.client.HTTPException):
+            self._drop()
+        if head is not None and head.will_close:
+            self._drop()
+        return Outcome(
+            request_id,
+            kind,
+            host.name,
+            sent_s,
+            time.monotonic(),
+            head.status if head else None,
+            bool(head and head.headers.get(path_upstream.RECEIPT)),
+            body,
+            is_whole,
+        )
+
+    def _connect(self, host):
+        """Return the kept connection, if it leads to the host."""
+        port = host.port
+        if self._connection is None or self._address != port:
+            self._drop()
+            self._connection = http.client.HTTPConnection(
+                "127.0.0.1", port, timeout=DEADLINE_S + PATIENCE_S
+            )
+            self._address = port
+        return self._connection
+
+    def _drop(self):
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,123 @@
+"""A loopback proxy that delays, resets, cuts one way or silences connections."""
+
+import contextlib
+import enum
+import socket
+import struct
+import threading
+
+READ_BYTES = 65536
+DELAY_S = 0.2
+# A linger time of 0 makes closing send a reset.
+RESET_OPTION = struct.pack("ii", 1, 0)
+
+
+class Mode(enum.Enum):
+    """What happens to the bytes of all connections."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    RESET = "reset"
+    ONE_WAY = "one way"
+    SILENCE = "silence"
+
+
+class LoopbackProxy:
+    """Passes connections on to a target, as its mode says.
+
+    Parameters
+    ----------
+    target : str
+        IP number and port.
+
+    Notes
+    -----
+    Bytes that were swallowed are lost: a connection stays silent after
+    `Mode.ONE_WAY` and `Mode.SILENCE`, while new ones work.
+    """
+
+    def __init__(self, target):
+        self.target = target
+        self.mode = Mode.PASS
+        self._pairs = set()
+        self._lock = threading.Lock()
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def set_mode(self, mode):
+        """Set what happens from now on."""
+        self.mode = mode
+        if mode is Mode.RESET:
+            self.reset_all()
+
+    def reset_all(self):
+        """Reset every open connection."""
+        with self._lock:
+            pairs, self._pairs = self._pairs, set()
+        for pair in pairs:
+            for each in pair:
+                _reset(each)
+
+    def close(self):
+        """Accept no more and reset what is open."""
+        self._listener.close()
+        self.reset_all()
+
+    def _accept(self):
+        while True:
+            try:
+                near, _ = self._listener.accept()
+            except OSError:
+                return
+            if self.mode is Mode.RESET:
+                _reset(near)
+                continue
+            threading.Thread(target=self._connect, args=(near,), daemon=True).start()
+
+    def _connect(self, near):
+        host, _, port = self.target.rpartition(":")
+        try:
+            far = socket.create_connection((host, int(port)))
+        except OSError:
+            _reset(near)
+            return
+        pair = (near, far)
+        with self._lock:
+            self._pairs.add(pair)
+        back = threading.Thread(
+            target=self._copy, args=(far, near, False, pair), daemon=True
+        )
+        back.start()
+        self._copy(near, far, True, pair)
+
+    def _copy(self, source, sink, is_request, pair):
+        swallows = False
+        try:
+            while data := source.recv(READ_BYTES):
+                swallows = swallows or self._swallows(is_request)
+                if self.mode is Mode.DELAY:
+                    threading.Event().wait(DELAY_S)
+                if not swallows:
+                    sink.sendall(data)
+            if not swallows:
+                sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            with self._lock:
+                self._pairs.discard(pair)
+            for each in pair:
+                _reset(each)
+
+    def _swallows(self, is_request):
+        if self.mode is Mode.ONE_WAY:
+            return not is_request
+        return self.mode is Mode.SILENCE
+
+
+def _reset(connection):
+    with contextlib.suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_OPTION)
+    with contextlib.suppress(OSError):
+        # Wakes a thread that reads it.
+        connection.shutdown(socket.SHUT_RDWR)
+    connection.close()
--- /dev/null
+++ b/tests/soak/upstreams.py
@@ -0,0 +1,152 @@
+"""Upstreams that log what runs at them and can misbehave."""
+
+import enum
+import threading
+import time
+
+import attrs
+
+from tests.fakes import path_upstream
+from tests.soak import proxy
+
+EVENTS = 4
+EVENT_PAUSE_S = 0.05
+WORK_S = 0.02
+SLOW_S = 0.4
+
+
+class Behaviour(enum.Enum):
+    """How an upstream treats the requests that it gets."""
+
+    SOUND = "sound"
+    ERROR = "error"
+    FULL = "full"
+    CUT = "cut"
+    SLOW = "slow"
+
+
+@attrs.frozen
+class Run:
+    """One request that an upstream began to work on.
+
+    Parameters
+    ----------
+    request_id : str
+        Its id.
+    upstream : str
+        Id of the upstream.
+    at_s : float
+        When, seconds of the steady clock.
+    """
+
+    request_id: str
+    upstream: str
+    at_s: float
+
+
+class RunLog:
+    """Runs of all upstreams; any thread may add to it."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._runs = []
+
+    def add(self, run):
+        """Add a run."""
+        with self._lock:
+            self._runs.append(run)
+
+    def list(self):
+        """Return the runs so far."""
+        with self._lock:
+            return list(self._runs)
+
+
+class Upstream:
+    """An upstream behind a proxy.
+
+    Parameters
+    ----------
+    number : int
+        Its place; each start there has another id.
+    log : RunLog
+        Takes its runs.
+    """
+
+    def __init__(self, number, log):
+        self.number = number
+        self.log = log
+        self.starts = 1
+        self.behaviour = Behaviour.SOUND
+        self.stub = path_upstream.PathUpstream(self._behave)
+        self.proxy = proxy.LoopbackProxy(self.stub.address)
+
+    @property
+    def id(self):
+        """Id of the present start."""
+        return f"i-{self.number}-{self.starts}"
+
+    def make_entry(self, state="ready"):
+        """Return what it registers."""
+        return {
+            "Service": "s",
+            "Address": self.proxy.address,
+            "Zone": "dc-1",
+            "Slots": 16,
+            "State": state,
+            "ColdRemainingMs": 0,
+            "born": self.starts,
+        }
+
+    def close(self):
+        """Stop serving."""
+        self.proxy.close()
+        self.stub.close()
+
+    def _behave(self, request):
+        upstream_id = self.id
+        expected = request.headers.get("X-Sycamorespoke-Expect-Instance", upstream_id)
+        if expected != upstream_id:
+            path_upstream.answer(request, 421, b"", X_Sycamorespoke_Not_Run="1")
+            return
+        if self.behaviour is Behaviour.FULL:
+            path_upstream.answer(request, 503, b"", X_Sycamorespoke_Not_Run="1")
+            return
+        request_id = request.headers["X-Sycamorespoke-Request-Id"]
+        self.log.add(Run(request_id, upstream_id, time.monotonic()))
+        if self.behaviour is Behaviour.ERROR:
+            path_upstream.answer(request, 500, b"fault")
+            return
+        time.sleep(SLOW_S if self.behaviour is Behaviour.SLOW else WORK_S)
+        if request.path.startswith(("/stream/", "/once/")):
+            self._stream(request, request_id)
+        elif self.behaviour is Behaviour.CUT:
+            path_upstream.cut(request)
+        else:
+            path_upstream.answer(request, body=make_body(request_id))
+
+    def _stream(self, request, request_id):
+        path_upstream.begin_stream(request)
+        first = int(request.headers.get("Last-Event-Id") or 0) + 1
+        for number in range(first, EVENTS + 1):
+            if self.behaviour is Behaviour.CUT and number == EVENTS:
+                path_upstream.send_chunk(request, b"id: ")
+                path_upstream.cut(request)
+            path_upstream.send_chunk(request, make_event(request_id, number))
+            time.sleep(EVENT_PAUSE_S)
+        path_upstream.send_chunk(request, b"")
+
+
+def make_body(request_id):
+    """Return the whole answer to a request."""
+    return f"answer to {request_id}".encode()
+
+
+def make_event(request_id, number):
+    """Return one event of the stream of a request."""
+    return f"id: {number}\ndata: {request_id}\n\n".encode()
+
+
+def make_stream(request_id):
+    """Return the whole stream of a request."""
+    return b"".join(make_event(request_id, each) for each in range(1, EVENTS + 1))
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,141 @@
+"""The real programs, the stand-ins around them and the proxies between."""
+
+import pathlib
+import signal
+import tempfile
+
+from tests.fakes import object_store, path_gateway
+from tests.platform import test_program
+from tests.soak import proxy, upstreams
+
+ROUTE_ATTEMPTS = 3
+HOSTS = 3
+UPSTREAMS = 4
+TIMEOUT_MS = 9000
+
+
+class Host:
+    """A gateway process that reaches the platform's store through a proxy.
+
+    Parameters
+    ----------
+    name : str
+        Its name; it keeps it when it is started again.
+    store : ObjectStoreStandIn
+        The platform's store.
+    """
+
+    def __init__(self, name, store):
+        self.name = name
+        self.proxy = proxy.LoopbackProxy(store.address)
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
+        self.program = None
+        self.logs = []
+
+    @property
+    def port(self):
+        """Port of the present process for callers."""
+        return self.program.ports["listen"]
+
+    def start(self):
+        """Start a process; a former one must have ended."""
+        self.program = test_program.Program(
+            self.proxy, self.folder, name=f'"{self.name}"', log_level="INFO"
+        )
+
+    def signal(self, number):
+        """Send a signal to the present process, if it runs."""
+        if self.program.process.poll() is None:
+            self.program.process.send_signal(number)
+
+    def end(self):
+        """Kill the present process and keep its log."""
+        self.signal(signal.SIGCONT)
+        self.logs.append(self.program.close())
+
+    def close(self):
+        """End everything and write the logs to the host's folder."""
+        self.end()
+        self.proxy.close()
+        (self.folder / "log").write_text("\n".join(self.logs))
+
+
+class World:
+    """Hosts, upstreams and the platform's store.
+
+    Notes
+    -----
+    Only processes that it started itself are ever signalled.
+    """
+
+    def __init__(self):
+        self.log = upstreams.RunLog()
+        self.store = object_store.ObjectStoreStandIn()
+        self.upstreams = [upstreams.Upstream(n, self.log) for n in range(UPSTREAMS)]
+        self.version = 0
+        self.change_configuration()
+        for upstream in self.upstreams:
+            self.register(upstream)
+        self.hosts = [Host(f"h{n}", self.store) for n in range(HOSTS)]
+        for host in self.hosts:
+            host.start()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exception):
+        for host in self.hosts:
+            host.close()
+        for upstream in self.upstreams:
+            upstream.close()
+        self.store.close()
+
+    def wait_ready(self):
+        """Wait until every host is ready; return whether they are."""
+        return all(host.program.wait_ready() for host in self.hosts)
+
+    def change_configuration(self):
+        """Write the next version of the configuration, which allows the same."""
+        self.version += 1
+        self.store.put("config", "main", make_configuration(self.version))
+
+    def register(self, upstream, state="ready"):
+        """Register an upstream as it is now."""
+        self.store.put("servers", upstream.id, upstream.make_entry(state))
+
+    def restart(self, upstream):
+        """Let an upstream start anew, under another id at the same address."""
+        self.store.delete("servers", upstream.id)
+        upstream.proxy.reset_all()
+        upstream.starts += 1
+        self.register(upstream)
+
+
+def make_configuration(version):
+    """Return a configuration with a route for each kind of request."""
+    routes = [
+        {
+            "Name": name,
+            "Host": path_gateway.HOST,
+            "PathPrefix": f"/{name}/",
+            "Kind": kind,
+            "TimeoutMs": TIMEOUT_MS,
+            "TargetLatencyMs": 500,
+            "Priority": 0,
+            "Service": "s",
+            "MaxAttempts": ROUTE_ATTEMPTS,
+            "Resumable": name == "stream",
+        }
+        for name, kind in (
+            ("safe", "safe"),
+            ("unsafe", "unsafe"),
+            ("stream", "streaming"),
+            ("once", "streaming"),
+        )
+    ]
+    return {
+        "Version": version,
+        "Routes": routes,
+        "Services": [{"Name": "s", "MaxConns": 200}],
+        "Tenants": [{"Name": "t", "ApiKeys": [path_gateway.KEY]}],
+    }
