Joining other hosts and making dispatches stand apart; a told host confirms the weights every second

A fetch from the stores asks that the named weights were confirmed within 3 s; a told host that waited 2.5 s for news of an age of up to 1.75 s often had none.

--- a/sycamorespoke/decisions/_watch_pace.py
+++ b/sycamorespoke/decisions/_watch_pace.py
@@ -16,6 +16,8 @@
 # Hosts that read for others notice a silent connection before these would.
 TELLER_WATCH_S = 1.5
 TELLER_PAUSE_S = 0.05
+# Costs no call; what other hosts told is confirmed this often.
+TOLD_WATCH_S = 1.0
 PAUSE_S_PER_HOST = 0.004
 LONGEST_PAUSE_S = 0.3
 
@@ -71,13 +73,13 @@
     >>> pace_watch(74, is_urgent=False, reading=Reading.FOR_OTHERS)
     WatchPace(watch_s=1.5, pause_s=0.05)
     >>> pace_watch(74, is_urgent=False, reading=Reading.TOLD)
-    WatchPace(watch_s=15.0, pause_s=0.0)
+    WatchPace(watch_s=1.0, pause_s=0.0)
     """
     if hosts <= SMALL_HOSTS:
         return WatchPace(URGENT_WATCH_S, 0.0)
     if reading is Reading.FOR_OTHERS:
         return WatchPace(TELLER_WATCH_S, TELLER_PAUSE_S)
-    watch_s = URGENT_WATCH_S if is_urgent else RELAXED_WATCH_S
     if reading is Reading.TOLD:
-        return WatchPace(watch_s, 0.0)
+        return WatchPace(TOLD_WATCH_S, 0.0)
+    watch_s = URGENT_WATCH_S if is_urgent else RELAXED_WATCH_S
     return WatchPace(watch_s, min(hosts * PAUSE_S_PER_HOST, LONGEST_PAUSE_S))
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -3,7 +3,7 @@
 import loguru
 
 from sycamorespoke import decisions, world
-from sycamorespoke.gateway import _calls, _chooser, _exchange, _model
+from sycamorespoke.gateway import _calls, _chooser, _dispatcher, _exchange, _model
 
 # How much each failure says of its upstream, 0 to 1.
 FAULT_WEIGHT_BY_KIND = {
@@ -22,8 +22,6 @@
 FULL_S = 0.1
 # A refusal is answered this long before the deadline at the latest.
 LEAST_LEFT_S = 0.02
-# Prompt tokens that an engine reads in a second when it does nothing else.
-READ_TOKENS_PER_S = 90000.0
 
 
 class Attempts:
@@ -58,9 +56,7 @@
         self._deposited = set()
         # Upstreams that received the call, whether or not they ran it.
         self._reached = set()
-        self._sent_s = 0.0
-        self._read_s = 0.0
-        self._is_urgent = False
+        self._dispatcher = _dispatcher.Dispatcher(parts, call, route, account, ends_s)
         self.timing = _calls.CallTiming(call.arrived_s)
 
     def leave(self):
@@ -164,7 +160,7 @@
     def _attempt(self, choice, last_event_id):
         upstream = choice.upstream
         self._deposit(upstream.service)
-        dispatch = self._make_dispatch(choice, last_event_id)
+        dispatch = self._dispatcher.make(choice, last_event_id)
         exchange = _exchange.Exchange(
             self.parts.protocol,
             self.parts.pool,
@@ -197,76 +193,14 @@
             resumed_after=dispatch.last_event_id,
         )
 
-    def _make_dispatch(self, choice, last_event_id):
-        prompt = self.call.prompt
-        priority = self.route.priority
-        if self.account is not None and self.account.priority is not None:
-            priority = self.account.priority
-        scope, blocks, until_ms, urgency = "", decisions.BlockPlan(), 0, None
-        if prompt:
-            scope = self._make_scope(choice)
-            blocks, until_ms = self._plan_blocks(choice, scope)
-            urgency = self._choose_urgency(choice, priority, blocks)
-        return _calls.Dispatch(
-            upstream=choice.upstream,
-            account=self.account,
-            left_s=self.ends_s - self.parts.read_clock(),
-            priority=urgency,
-            weight_version=choice.weight_version,
-            cache_scope=scope,
-            last_event_id=last_event_id,
-            blocks=blocks,
-            fetch_until_ms=until_ms,
-        )
-
-    def _choose_urgency(self, choice, priority, blocks):
-        now = self.parts.read_clock()
-        self._sent_s = now
-        self._read_s = _estimate_read_s(self.call.prompt, blocks)
-        urgency = decisions.choose_urgency(
-            priority,
-            self.route.target_latency_s,
-            now - self.call.arrived_s,
-            self.parts.table.read_wait_s(choice.upstream, now),
-            self._read_s,
-        )
-        self._is_urgent = urgency == priority
-        return urgency
-
     def note_first_event(self):
         """Note how long the upstream took to begin."""
         now = self.parts.read_clock()
         self.timing.first_event_s = now
-        if self._is_urgent:
-            wait_s = now - self._sent_s - self._read_s
+        if self._dispatcher.is_urgent:
+            wait_s = now - self._dispatcher.sent_s - self._dispatcher.read_s
             self.parts.table.note_wait(self.exchange.upstream, wait_s, now)
 
-    def _plan_blocks(self, choice, scope):
-        """Plan transfers for a call that must run on the newest weights."""
-        view = self.parts.views.get()
-        now = self.parts.read_clock()
-        if choice.weight_version is None:
-            return decisions.BlockPlan(), 0
-        named = (view.versions_by_model or {}).get(self.call.prompt.model)
-        may_fetch = decisions.may_fetch(
-            choice.weight_version,
-            named.version if named else 0,
-            view.versions_confirmed_s,
-            now,
-        )
-        return self.parts.blocks.plan(
-            self.call.prompt, scope, may_fetch, view.versions_confirmed_s, now
-        )
-
-    def _make_scope(self, choice):
-        """Name the cached parts that this call may share."""
-        is_private = self.account is not None and self.account.is_isolated
-        return decisions.Scope(
-            self.call.prompt.model,
-            choice.weight_version or 0,
-            self.account.name if is_private else "",
-        ).text
-
     def _take_failure(self, choice, failure):
         """Handle a failed attempt; return a refusal if it was the last."""
         upstream = choice.upstream
@@ -356,7 +290,7 @@
             upstream=upstream.id,
             reached=len(self._reached),
             left_ms=int((self.ends_s - now) * 1000),
-            urgent=self._is_urgent,
+            urgent=self._dispatcher.is_urgent,
             configuration=view.configuration.version,
             upstreams_age_ms=_age_ms(view, "upstreams", now),
             **fields,
@@ -366,12 +300,3 @@
 def _age_ms(view, part, now):
     confirmed_s = view.confirmed_s_by_part.get(part)
     return None if confirmed_s is None else int((now - confirmed_s) * 1000)
-
-
-def _estimate_read_s(prompt, blocks):
-    held = sum(
-        part.tokens
-        for part, address in zip(prompt.parts, blocks.fetch_from, strict=False)
-        if address is not None
-    )
-    return max(prompt.input_tokens - held, 0) / READ_TOKENS_PER_S
--- /dev/null
+++ b/sycamorespoke/gateway/_peering.py
@@ -0,0 +1,133 @@
+"""Joins the other hosts and plans who reads for whom."""
+
+import secrets
+import threading
+
+import attrs
+import loguru
+
+from sycamorespoke import decisions, messages, serving
+from sycamorespoke.gateway import _model, _relay
+
+KEY_BYTES = 32
+ANSWER_THREADS = 2
+RETRY_S = 0.5
+
+
+@attrs.define
+class Peering:
+    """Registers this host and plans what it reads for others.
+
+    Parameters
+    ----------
+    host : Host
+        This host.
+    registry : object
+        Registers hosts and keeps the key that they share, see `Deployment`.
+    views : Views
+        What this host believes.
+    source : SharedSource
+        Shared objects, read or told.
+    blocks : Blocks
+        Stores of cached parts, read or told.
+    loads : PeerLoads
+        Work of the other hosts.
+    table : UpstreamTable
+        Work of this host.
+    """
+
+    host: _model.Host
+    registry: object
+    views: object
+    source: object
+    blocks: object
+    loads: object
+    table: object
+    _plan: decisions.ReaderPlan = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self._plan = decisions.ReaderPlan(is_reader=True)
+
+    def join(self, stop_requested):
+        """Register and serve other hosts, in a thread of its own.
+
+        Parameters
+        ----------
+        stop_requested : threading.Event
+            Ends the tries.
+        """
+        threading.Thread(
+            target=self._run, args=(stop_requested,), name="join", daemon=True
+        ).start()
+
+    def leave(self):
+        """Take this host out of the registry."""
+        if not self.registry.unregister(self.host.name):
+            loguru.logger.info("host could not be unregistered")
+
+    def plan(self, view):
+        """Plan what this host reads itself, by the hosts and stores of a view."""
+        if view.configuration is None:
+            return
+        places = {host.name: host.data_centre for host in view.hosts_by_name.values()}
+        most = self.blocks.count_readers(view.configuration)
+        readers = decisions.count_readers(places, most)
+        self._plan = decisions.plan_reading(self.host.name, places, readers)
+        self.blocks.configure(view.configuration, self._plan.is_reader)
+        is_large = len(places) > decisions.SMALL_HOSTS
+        self.source.set_told(is_large and not self._plan.is_reader)
+
+    def choose_pace(self, is_urgent):
+        """Choose the `decisions.WatchPace` of one part of the view."""
+        reading = decisions.Reading.FOR_ITSELF
+        if self._plan.is_reader:
+            reading = decisions.Reading.FOR_OTHERS
+        elif self.source.is_told(serving.read_clock()):
+            reading = decisions.Reading.TOLD
+        return decisions.pace_watch(len(self.views.get().hosts), is_urgent, reading)
+
+    def _run(self, stop_requested):
+        while not stop_requested.is_set():
+            try:
+                if self._try_join():
+                    return
+            except Exception:
+                loguru.logger.exception("joining the other hosts failed")
+            stop_requested.wait(RETRY_S)
+
+    def _try_join(self):
+        key = self.registry.agree_key(secrets.token_hex(KEY_BYTES))
+        if key is None or not self.registry.register(self.host):
+            return False
+        loguru.logger.info("host registered")
+        messages.Server(self.host.peer_address, key, self._answer, ANSWER_THREADS)
+        _relay.UpdateAsker(
+            self.host.name,
+            self.blocks.list_indexes,
+            self.source,
+            self.loads,
+            self.table,
+            self._list_tellers,
+            messages.Codec(key),
+        ).start()
+        return True
+
+    def _answer(self, message):
+        if not isinstance(message, messages.UpdatesRequest):
+            return None
+        return _relay.make_reply(
+            self.blocks.list_indexes(),
+            self.source,
+            self.loads,
+            self.table,
+            message,
+            serving.read_clock(),
+        )
+
+    def _list_tellers(self):
+        hosts_by_name = self.views.get().hosts_by_name
+        return [
+            hosts_by_name[name].peer_address
+            for name in self._plan.tellers
+            if name in hosts_by_name
+        ]
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -1,11 +1,10 @@
 """Builds a gateway from its settings and runs it until a shutdown ends."""
 
-import secrets
 import threading
 
 import loguru
 
-from sycamorespoke import decisions, messages, serving, telemetry
+from sycamorespoke import serving, telemetry
 from sycamorespoke.gateway import (
     _blocks,
     _call_metrics,
@@ -15,8 +14,8 @@
     _gateway,
     _model,
     _peer_loads,
+    _peering,
     _readiness,
-    _relay,
     _retirement,
     _retry_budgets,
     _rollout,
@@ -28,8 +27,6 @@
 
 UPDATE_INTERVAL_S = 0.25
 MS_PER_S = 1000.0
-PEER_KEY_BYTES = 32
-PEER_THREADS = 2
 THREADS = 96
 # Descriptors for the store, logs, listeners and files.
 RESERVED_FILES = 300
@@ -72,7 +69,6 @@
         )
         self.stop_requested = threading.Event()
         self._limits = serving.CallerLimits()
-        self._reading = decisions.ReaderPlan(is_reader=True)
         self._files = max(gateway_settings.files - RESERVED_FILES, 64)
         self.gateway = self._make_gateway()
         self.server = serving.CallerServer(
@@ -91,6 +87,7 @@
         self.retirement = _retirement.Retirement.start(
             retirement_duty, self.views, self.blocks, deployment.block_stores
         )
+        self.peering = self._make_peering()
         self.view_keeper = self._make_view_keeper()
 
     def start(self):
@@ -105,7 +102,7 @@
         telemetry.OperatorsServer(self.settings.ready_listen, readiness_app).start()
         self.view_keeper.start()
         self.server.start()
-        threading.Thread(target=self._register, name="register", daemon=True).start()
+        self.peering.join(self.stop_requested)
         loguru.logger.bind(listen=self.settings.listen).info("gateway started")
 
     def is_ready(self):
@@ -139,7 +136,7 @@
         boots = view.list_boots()
         self.pool.retain(boots, now)
         self.table.retain(boots)
-        self._plan_reading(view)
+        self.peering.plan(view)
         self.blocks.forget_old_saves(now)
         if view.configuration and view.configuration.limits != self._limits:
             self._limits = view.configuration.limits
@@ -159,7 +156,7 @@
         self.server.close_connections_after_answers()
         self.rollout.stop(block=False)
         self.retirement.stop(block=False)
-        self._unregister()
+        self.peering.leave()
         self._wait_until(begun_s + BALANCER_NOTICE_S)
         self.server.close_listener()
         drained = self.server.wait_closed(max(ends_s - serving.read_clock(), 0.0))
@@ -251,6 +248,22 @@
             self.settings.version_ms / MS_PER_S,
         )
 
+    def _make_peering(self):
+        host = _model.Host(
+            self.settings.name,
+            self.settings.data_centre,
+            f"{self.settings.peer_ip}:{self.settings.peer_port}",
+        )
+        return _peering.Peering(
+            host,
+            self.deployment.registry,
+            self.views,
+            self.source,
+            self.blocks,
+            self.loads,
+            self.table,
+        )
+
     def _make_view_keeper(self):
         duties_by_lease = {
             _rollout.LEASE_NAME: self.rollout,
@@ -262,80 +275,6 @@
             self.views,
             duties_by_lease,
             self.table,
-            self._choose_pace,
-            self._plan_reading,
+            self.peering.choose_pace,
+            self.peering.plan,
         )
-
-    def _choose_pace(self, is_urgent):
-        reading = decisions.Reading.FOR_ITSELF
-        if self._reading.is_reader:
-            reading = decisions.Reading.FOR_OTHERS
-        elif self.source.is_told(serving.read_clock()):
-            reading = decisions.Reading.TOLD
-        return decisions.pace_watch(len(self.views.get().hosts), is_urgent, reading)
-
-    def _register(self):
-        """Join the other hosts; tried again until the store takes it."""
-        registry = self.deployment.registry
-        host = _model.Host(
-            self.settings.name,
-            self.settings.data_centre,
-            f"{self.settings.peer_ip}:{self.settings.peer_port}",
-        )
-        key = None
-        while not self.stop_requested.is_set():
-            key = key or registry.agree_key(secrets.token_hex(PEER_KEY_BYTES))
-            if key and registry.register(host):
-                loguru.logger.info("host registered")
-                self._join(key)
-                return
-            self.stop_requested.wait(UPDATE_INTERVAL_S * 2)
-
-    def _join(self, key):
-        messages.Server(
-            f"{self.settings.peer_ip}:{self.settings.peer_port}",
-            key,
-            self._answer_peer,
-            PEER_THREADS,
-        )
-        _relay.UpdateAsker(
-            self.settings.name,
-            self.blocks.list_indexes,
-            self.source,
-            self.loads,
-            self.table,
-            self._list_tellers,
-            messages.Codec(key),
-        ).start()
-
-    def _answer_peer(self, message):
-        if isinstance(message, messages.UpdatesRequest):
-            now = serving.read_clock()
-            indexes = self.blocks.list_indexes()
-            return _relay.make_reply(
-                indexes, self.source, self.loads, self.table, message, now
-            )
-        return None
-
-    def _plan_reading(self, view):
-        if view.configuration is None:
-            return
-        places = {host.name: host.data_centre for host in view.hosts_by_name.values()}
-        most = self.blocks.count_readers(view.configuration)
-        readers = decisions.count_readers(places, most)
-        self._reading = decisions.plan_reading(self.settings.name, places, readers)
-        self.blocks.configure(view.configuration, self._reading.is_reader)
-        is_large = len(places) > decisions.SMALL_HOSTS
-        self.source.set_told(is_large and not self._reading.is_reader)
-
-    def _list_tellers(self):
-        hosts_by_name = self.views.get().hosts_by_name
-        return [
-            hosts_by_name[name].peer_address
-            for name in self._reading.tellers
-            if name in hosts_by_name
-        ]
-
-    def _unregister(self):
-        if not self.deployment.registry.unregister(self.settings.name):
-            loguru.logger.info("host could not be unregistered")
