--- a/sycamorespoke/decisions/_urgency.py
+++ b/sycamorespoke/decisions/_urgency.py
@@ -39,9 +39,26 @@
     wait_s: float = 0.0
     at_s: float = float("-inf")
 
-    def read(self, now):
-        """Return the estimate at ``now``, seconds."""
-        return self.wait_s * math.exp(-max(now - self.at_s, 0.0) / FADE_S)
+    def read(self, now, expected_s=()):
+        """Return the estimate at ``now``, seconds.
+
+        Parameters
+        ----------
+        now : float
+            Present time, seconds.
+        expected_s : iterable of float, default=()
+            When the first events of urgent requests under way were expected if
+            none had to wait. The one that waits longest says that others will:
+            a host with few requests at an engine sees it before the first event.
+
+        Examples
+        --------
+        >>> WaitEstimate().read(now=10.0, expected_s=[9.2, 9.9])
+        0.8
+        """
+        faded_s = self.wait_s * math.exp(-max(now - self.at_s, 0.0) / FADE_S)
+        overdue_s = round(now - min(expected_s, default=now), 6)
+        return max(faded_s, overdue_s)
 
     def observe(self, wait_s, now):
         """Return the estimate after a request that waited ``wait_s`` seconds."""
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -140,6 +140,7 @@
     def end(self):
         """Count the present attempt as ended."""
         if self._counted is not None:
+            self.parts.table.forget_event(self._counted, self)
             self.parts.table.end(self._counted, self._work)
             self._counted = None
         self.exchange = None
@@ -177,6 +178,9 @@
         self._log_sent(dispatch)
         self.parts.table.begin(upstream, self._work)
         self._counted = upstream
+        if self._dispatcher.is_urgent:
+            expected_s = self._dispatcher.sent_s + self._dispatcher.read_s
+            self.parts.table.expect_event(upstream, self, expected_s)
         fresh = self.route.kind is _model.RouteKind.UNSAFE
         return exchange.open(choice.connections, fresh)
 
@@ -197,9 +201,7 @@
         """Note how long the upstream took to begin."""
         now = self.parts.read_clock()
         self.timing.first_event_s = now
-        if self._dispatcher.is_urgent:
-            wait_s = now - self._dispatcher.sent_s - self._dispatcher.read_s
-            self.parts.table.note_wait(self.exchange.upstream, wait_s, now)
+        self.parts.table.note_event(self.exchange.upstream, self, now)
 
     def _take_failure(self, choice, failure):
         """Handle a failed attempt; return a refusal if it was the last."""
--- a/sycamorespoke/gateway/_table.py
+++ b/sycamorespoke/gateway/_table.py
@@ -33,6 +33,9 @@
         This host's share while it is cold.
     wait : decisions.WaitEstimate
         How long urgent requests wait there for their first event.
+    expected_s_by_request : dict of object to float
+        When the first events of urgent requests under way were expected, seconds of
+        the boot clock.
     full_until_s : float, default=-inf
         It refused a request as full; others are preferred until then.
     """
@@ -43,6 +46,7 @@
     versions_by_model: dict[str, int] = attrs.field(factory=dict)
     cold_bucket: decisions.TokenBucket | None = None
     wait: decisions.WaitEstimate = attrs.field(factory=decisions.WaitEstimate)
+    expected_s_by_request: dict[object, float] = attrs.field(factory=dict)
     full_until_s: float = float("-inf")
 
 
@@ -120,16 +124,41 @@
         with self._lock:
             self._state(upstream.boot).full_until_s = until_s
 
-    def note_wait(self, upstream, wait_s, now):
-        """Note how long an urgent request waited for its first event."""
+    def expect_event(self, upstream, request, expected_s):
+        """Note when the first event of an urgent request is expected.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            Where the request goes.
+        request : object
+            Identifies it, until `forget_event`.
+        expected_s : float
+            If it does not have to wait, seconds of the boot clock.
+        """
+        with self._lock:
+            state = self._state(upstream.boot)
+            state.expected_s_by_request[request] = expected_s
+
+    def forget_event(self, upstream, request):
+        """Note that an urgent request has ended without an event."""
+        with self._lock:
+            state = self._state(upstream.boot)
+            state.expected_s_by_request.pop(request, None)
+
+    def note_event(self, upstream, request, now):
+        """Note the first event of a request, if it was expected."""
         with self._lock:
             state = self._state(upstream.boot)
-            state.wait = state.wait.observe(wait_s, now)
+            expected_s = state.expected_s_by_request.pop(request, None)
+            if expected_s is not None:
+                state.wait = state.wait.observe(now - expected_s, now)
 
     def read_wait_s(self, upstream, now):
         """Return how long urgent requests wait at an upstream, seconds."""
         with self._lock:
-            return self._state(upstream.boot).wait.read(now)
+            state = self._state(upstream.boot)
+            return state.wait.read(now, state.expected_s_by_request.values())
 
     def note_version(self, upstream, model, version):
         """Note the weights that an upstream showed.
--- a/tests/gateway/test_table.py
+++ b/tests/gateway/test_table.py
@@ -56,3 +56,19 @@
 
 def test_no_upstream_is_counted_before_they_are_known():
     assert _table.UpstreamTable().count_states(_views.View(), NOW) == {}
+
+
+def test_a_request_without_its_first_event_counts_as_waiting_until_it_ends():
+    table = _table.UpstreamTable()
+    table.expect_event(UPSTREAM, "r1", NOW)
+    assert table.read_wait_s(UPSTREAM, NOW + 0.7) == pytest.approx(0.7)
+    table.forget_event(UPSTREAM, "r1")
+    assert table.read_wait_s(UPSTREAM, NOW + 0.7) == 0.0
+
+
+def test_the_first_event_of_an_expected_request_is_a_wait_observed():
+    table = _table.UpstreamTable()
+    table.expect_event(UPSTREAM, "r1", NOW)
+    table.note_event(UPSTREAM, "r1", NOW + 1.0)
+    table.note_event(UPSTREAM, "never expected", NOW + 9.0)
+    assert 0.0 < table.read_wait_s(UPSTREAM, NOW + 1.0) < 1.0
