Named weights are confirmed every second

Cause: a part of a store counts only if this host learned of it before the weights were last confirmed; with watches of 2.5 s a new part could be fetched 1.5 s after it was complete on the mean, and was read again meanwhile. Change: the watch of named weights lasts 1 s.

--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -188,6 +188,7 @@
 from sycamorespoke.decisions._urgency import WaitEstimate, choose_urgency
 from sycamorespoke.decisions._watch_pace import (
     SMALL_HOSTS,
+    ChangeNeed,
     Reading,
     WatchPace,
     pace_watch,
@@ -219,6 +220,7 @@
     "Applied",
     "BlockPlan",
     "Candidate",
+    "ChangeNeed",
     "ChangeRecord",
     "Claim",
     "ClaimToken",
--- a/sycamorespoke/decisions/_watch_pace.py
+++ b/sycamorespoke/decisions/_watch_pace.py
@@ -12,6 +12,7 @@
 # Up to this many hosts each reads everything by itself, at once.
 SMALL_HOSTS = 16
 URGENT_WATCH_S = 2.5
+CONFIRMED_WATCH_S = 1.0
 RELAXED_WATCH_S = 15.0
 # Hosts that read for others notice a silent connection before these would.
 TELLER_WATCH_S = 1.5
@@ -22,6 +23,23 @@
 LONGEST_PAUSE_S = 0.3
 
 
+class ChangeNeed(enum.Enum):
+    """What depends on hearing of the changes of one kind."""
+
+    RELAXED = "relaxed"
+    # Requests are wrongly served soon after a change that is not known.
+    URGENT = "urgent"
+    # Work waits for the confirmation that nothing has changed, too.
+    CONFIRMED = "confirmed"
+
+
+WATCH_S_BY_NEED = {
+    ChangeNeed.RELAXED: RELAXED_WATCH_S,
+    ChangeNeed.URGENT: URGENT_WATCH_S,
+    ChangeNeed.CONFIRMED: CONFIRMED_WATCH_S,
+}
+
+
 class Reading(enum.Enum):
     """How a host learns of the shared objects."""
 
@@ -47,15 +65,15 @@
     pause_s: float
 
 
-def pace_watch(hosts, is_urgent, reading):
+def pace_watch(hosts, need, reading):
     """Choose the pace of a watch.
 
     Parameters
     ----------
     hosts : int
         Entry hosts, 0 or more.
-    is_urgent : bool
-        Requests are wrongly served soon after a change that is not known.
+    need : ChangeNeed
+        What depends on it.
     reading : Reading
         How this host learns of changes at present.
 
@@ -66,20 +84,21 @@
 
     Examples
     --------
-    >>> pace_watch(9, is_urgent=False, reading=Reading.FOR_ITSELF)
+    >>> pace_watch(9, ChangeNeed.RELAXED, Reading.FOR_ITSELF)
     WatchPace(watch_s=2.5, pause_s=0.0)
-    >>> pace_watch(74, is_urgent=True, reading=Reading.FOR_ITSELF)
+    >>> pace_watch(74, ChangeNeed.URGENT, Reading.FOR_ITSELF)
     WatchPace(watch_s=2.5, pause_s=0.296)
-    >>> pace_watch(74, is_urgent=False, reading=Reading.FOR_OTHERS)
+    >>> pace_watch(74, ChangeNeed.RELAXED, Reading.FOR_OTHERS)
     WatchPace(watch_s=1.5, pause_s=0.05)
-    >>> pace_watch(74, is_urgent=False, reading=Reading.TOLD)
+    >>> pace_watch(74, ChangeNeed.RELAXED, Reading.TOLD)
     WatchPace(watch_s=1.0, pause_s=0.0)
     """
     if hosts <= SMALL_HOSTS:
-        return WatchPace(URGENT_WATCH_S, 0.0)
+        return WatchPace(min(WATCH_S_BY_NEED[need], URGENT_WATCH_S), 0.0)
     if reading is Reading.FOR_OTHERS:
         return WatchPace(TELLER_WATCH_S, TELLER_PAUSE_S)
     if reading is Reading.TOLD:
         return WatchPace(TOLD_WATCH_S, 0.0)
-    watch_s = URGENT_WATCH_S if is_urgent else RELAXED_WATCH_S
-    return WatchPace(watch_s, min(hosts * PAUSE_S_PER_HOST, LONGEST_PAUSE_S))
+    return WatchPace(
+        WATCH_S_BY_NEED[need], min(hosts * PAUSE_S_PER_HOST, LONGEST_PAUSE_S)
+    )
--- a/sycamorespoke/gateway/_peering.py
+++ b/sycamorespoke/gateway/_peering.py
@@ -77,14 +77,14 @@
         is_large = len(places) > decisions.SMALL_HOSTS
         self.source.set_told(is_large and not self._plan.is_reader)
 
-    def choose_pace(self, is_urgent):
+    def choose_pace(self, need):
         """Choose the `decisions.WatchPace` of one part of the view."""
         reading = decisions.Reading.FOR_ITSELF
         if self._plan.is_reader:
             reading = decisions.Reading.FOR_OTHERS
         elif self.source.is_told(serving.read_clock()):
             reading = decisions.Reading.TOLD
-        return decisions.pace_watch(len(self.views.get().hosts), is_urgent, reading)
+        return decisions.pace_watch(len(self.views.get().hosts), need, reading)
 
     def _run(self, stop_requested):
         while not stop_requested.is_set():
--- a/sycamorespoke/gateway/_view_keeper.py
+++ b/sycamorespoke/gateway/_view_keeper.py
@@ -4,13 +4,18 @@
 
 import loguru
 
-from sycamorespoke import serving
+from sycamorespoke import decisions, serving
 from sycamorespoke.gateway import _follower, _orders, _rollout, _views
 
-# Requests are wrongly served soon after a change of these that is not known.
-URGENT_PARTS = frozenset(
-    {_views.CONFIGURATION, "upstreams", "data_centres_out", _views.VERSIONS}
-)
+NEED_BY_PART = {
+    _views.CONFIGURATION: decisions.ChangeNeed.URGENT,
+    "upstreams": decisions.ChangeNeed.URGENT,
+    "data_centres_out": decisions.ChangeNeed.URGENT,
+    # Parts in the stores count only once the weights were confirmed after them.
+    _views.VERSIONS: decisions.ChangeNeed.CONFIRMED,
+    "hosts": decisions.ChangeNeed.RELAXED,
+    "leases": decisions.ChangeNeed.RELAXED,
+}
 
 
 class ViewKeeper:
@@ -29,7 +34,8 @@
     table : UpstreamTable
         Takes the weights that engines were brought to.
     choose_pace : callable
-        Takes whether a part is urgent and returns the `decisions.WatchPace`.
+        Takes the `decisions.ChangeNeed` of a part and returns its
+        `decisions.WatchPace`.
     on_configuration : callable
         Takes the view after each new configuration.
     """
@@ -74,7 +80,7 @@
                 reader,
                 serving.read_clock,
                 self.views.confirm,
-                functools.partial(self.choose_pace, reader.part in URGENT_PARTS),
+                functools.partial(self.choose_pace, NEED_BY_PART[reader.part]),
             )
             for reader in readers
         ]
