--- a/sycamorespoke/gateway/_blocks.py
+++ b/sycamorespoke/gateway/_blocks.py
@@ -29,7 +29,7 @@
         self._saved_s_by_key = {}
         self._lock = threading.Lock()
 
-    def configure(self, configuration, is_reader):
+    def configure(self, configuration, is_reader, pause_s=0.0):
         """Follow the managed stores of a configuration, and no others.
 
         Parameters
@@ -38,6 +38,8 @@
             Lists the stores.
         is_reader : bool
             This host reads the stores itself; else it is told by others.
+        pause_s : float, default=0.0
+            Wait of the reader after events, seconds.
         """
         stores_by_address = {
             service.store.address: service.store
@@ -49,15 +51,15 @@
         for address, store in stores_by_address.items():
             if address not in self._indexes_by_address:
                 self._indexes_by_address[address] = _store_index.StoreIndex(store)
-        self._follow(stores_by_address if is_reader else {})
+        self._follow(stores_by_address if is_reader else {}, pause_s)
 
-    def _follow(self, addresses):
+    def _follow(self, addresses, pause_s):
         for address in self._followers_by_address.keys() - set(addresses):
             self._followers_by_address.pop(address).stop()
         for address in addresses:
             if address not in self._followers_by_address:
                 index = self._indexes_by_address[address]
-                follower = _store_follower.StoreFollower(self.client, index)
+                follower = _store_follower.StoreFollower(self.client, index, pause_s)
                 self._followers_by_address[address] = follower
                 follower.start()
 
--- a/sycamorespoke/gateway/_peering.py
+++ b/sycamorespoke/gateway/_peering.py
@@ -12,6 +12,8 @@
 KEY_BYTES = 32
 ANSWER_THREADS = 2
 RETRY_S = 0.5
+# Readers of many stores wait so long after events of one.
+STORE_PAUSE_S = 0.1
 
 
 @attrs.define
@@ -73,8 +75,9 @@
         most = self.blocks.count_readers(view.configuration)
         readers = decisions.count_readers(places, most)
         self._plan = decisions.plan_reading(self.host.name, places, readers)
-        self.blocks.configure(view.configuration, self._plan.is_reader)
         is_large = len(places) > decisions.SMALL_HOSTS
+        pause_s = STORE_PAUSE_S if is_large else 0.0
+        self.blocks.configure(view.configuration, self._plan.is_reader, pause_s)
         self.source.set_told(is_large and not self._plan.is_reader)
 
     def choose_pace(self, need):
--- a/sycamorespoke/gateway/_store_follower.py
+++ b/sycamorespoke/gateway/_store_follower.py
@@ -7,7 +7,7 @@
 from sycamorespoke import serving
 from sycamorespoke.gateway import _source
 
-POLL_S = 0.25
+POLL_S = 0.5
 RETRY_S = 0.3
 
 
@@ -20,11 +20,14 @@
         Has ``read_events(address, since, wait_s)``.
     index : StoreIndex
         What it keeps.
+    pause_s : float, default=0.0
+        Wait after events, so that one call brings several, seconds.
     """
 
-    def __init__(self, client, index):
+    def __init__(self, client, index, pause_s=0.0):
         self.client = client
         self.index = index
+        self.pause_s = pause_s
         self._stopped = threading.Event()
         self._was_away = False
 
@@ -50,7 +53,7 @@
         if is_new or self._was_away or page.is_gap:
             self._was_away = False
             self._log("store of parts known", epoch=page.epoch, gap=page.is_gap)
-        return 0.0
+        return self.pause_s if page.events else 0.0
 
     def _run(self):
         while not self._stopped.is_set():
