--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -171,3 +171,20 @@
     output = program.close()
     assert "settings.yaml:" in output
     assert "grace_s" in output
+
+
+def test_a_killed_host_is_ready_and_serves_when_it_is_started_again(start, stand_in):
+    stub = path_upstream.PathUpstream(path_upstream.answer)
+    try:
+        fill(stand_in, stub)
+        first = start()
+        assert first.wait_ready()
+        first.process.kill()
+        first.process.wait(PATIENCE_S)
+        second = start()
+        assert second.wait_ready()
+        connection = http.client.HTTPConnection("127.0.0.1", second.ports["listen"])
+        path_gateway.send(connection, "/once/x")
+        assert connection.getresponse().status == 200
+    finally:
+        stub.close()
