--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -2,6 +2,7 @@
 
 import http.client
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -15,6 +16,9 @@
 
 pytestmark = pytest.mark.processes
 PATIENCE_S = 20.0
+# Below those that the system gives to outgoing connections.
+PORTS = range(20000, 32000)
+PORT_CHOICE = random.Random(os.getpid())
 CONFIGURATION = {
     "Version": 1,
     "Routes": [
@@ -35,9 +39,15 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Choose a port that no outgoing connection is given by the system."""
+    while True:
+        port = PORT_CHOICE.choice(PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 def wait_until(is_done):
