--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -16,8 +16,11 @@
 
 pytestmark = pytest.mark.processes
 PATIENCE_S = 20.0
-# Below those that the system gives to outgoing connections.
-PORTS = range(20000, 32000)
+# Below those that the system gives to outgoing connections; test runs beside each
+# other choose from other ranges.
+PORTS_A_RUN = 200
+FIRST_PORT = 20000 + os.getpid() % 60 * PORTS_A_RUN
+PORTS = range(FIRST_PORT, FIRST_PORT + PORTS_A_RUN)
 PORT_CHOICE = random.Random(os.getpid())
 CONFIGURATION = {
     "Version": 1,
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -12,6 +12,7 @@
 HOSTS = 3
 UPSTREAMS = 4
 TIMEOUT_MS = 9000
+PORT_TAKEN = "Address already in use"
 
 
 class Host:
@@ -43,6 +44,22 @@
             self.proxy, self.folder, name=f'"{self.name}"', log_level="INFO"
         )
 
+    def wait_ready(self):
+        """Wait until it is ready; return whether it is.
+
+        A process that found a port taken, which another run chose at the same time,
+        is started once more.
+        """
+        if self.program.wait_ready():
+            return True
+        if self.program.process.poll() is None:
+            return False
+        self.end()
+        if PORT_TAKEN not in self.logs[-1]:
+            return False
+        self.start()
+        return self.program.wait_ready()
+
     def signal(self, number):
         """Send a signal to the present process, if it runs."""
         if self.program.process.poll() is None:
@@ -92,7 +109,7 @@
 
     def wait_ready(self):
         """Wait until every host is ready; return whether they are."""
-        return all(host.program.wait_ready() for host in self.hosts)
+        return all(host.wait_ready() for host in self.hosts)
 
     def change_configuration(self):
         """Write the next version of the configuration, which allows the same."""
