A host that reads by itself is content with a reply about the stores alone

Found on reading the diff: with 11 to 16 hosts, some are told what the stores hold while they watch the platform by themselves; such a reply was taken for too little, and its sender passed over for 3 s.

--- a/sycamorespoke/gateway/_shared_source.py
+++ b/sycamorespoke/gateway/_shared_source.py
@@ -116,6 +116,8 @@
             Whether it tells all that is wanted.
         """
         with self._changed:
+            if not self._is_told:
+                return True
             if not pages_by_kind.keys() >= self._wanted_by_kind.keys():
                 return False
             has_news = False
--- a/tests/gateway/test_shared_source.py
+++ b/tests/gateway/test_shared_source.py
@@ -209,6 +209,13 @@
     assert pair.read_by_itself() == before
 
 
+def test_a_host_that_reads_by_itself_wants_nothing_and_is_content_with_it(pair):
+    """With 11 to 16 hosts some are told of the stores of parts alone."""
+    pair.told.set_told(False)
+    assert pair.told.list_wanted() == {}
+    assert pair.told.take({}, pair.clock.now)
+
+
 class TestAsker:
     """Over real sockets on the loopback address."""
 
