Soak: no host ready after the faults breaks the promise of recovery; a reader's rank by enumerate

Found on the last read: check_recovery took an empty list for all served, so a run whose hosts stayed away passed. It is stricter now, with a test. _do_faults returned a list that was always empty; run.py reached signal and subprocess through other modules. The rank of a host among readers was searched in the list for each host: same result, one pass.

--- a/sycamorespoke/decisions/_readers.py
+++ b/sycamorespoke/decisions/_readers.py
@@ -95,9 +95,9 @@
     ranked = _placement.rank_by_key(OCCASION, data_centres_by_host)
     turns_by_data_centre = {}
     order = []
-    for host in ranked:
+    for rank, host in enumerate(ranked):
         data_centre = data_centres_by_host[host]
         turn = turns_by_data_centre.get(data_centre, 0)
         turns_by_data_centre[data_centre] = turn + 1
-        order.append((turn, ranked.index(host), host))
+        order.append((turn, rank, host))
     return {host for _, _, host in sorted(order)[:most]}
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -62,6 +62,8 @@
 
 def check_recovery(outcomes):
     """Check that callers are served once the faults are over."""
+    if not outcomes:
+        return ["after the faults no host got ready"]
     served = [each for each in outcomes if each.status == 200 and each.is_whole]
     if len(served) >= LEAST_SERVED_AFTER * len(outcomes):
         return []
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,6 +1,8 @@
 """Runs the soak: ``python -m tests.soak.run --seed 1 --seconds 10``."""
 
 import argparse
+import signal
+import subprocess
 import sys
 import threading
 import time
@@ -62,13 +64,13 @@
         senders = [callers.Caller(n, made.hosts, seed) for n in range(CALLERS)]
         for sender in senders:
             sender.start()
-        broken = _do_faults(made, planned)
+        _do_faults(made, planned)
         for sender in senders:
             sender.stopped.set()
         for sender in senders:
             sender.join()
         outcomes = [each for sender in senders for each in sender.outcomes]
-        broken += _end_hosts(made)
+        broken = _end_hosts(made)
         time.sleep(SETTLE_S)
         after = _call_after(made, seed)
         # Requests that a host gave up may still reach an upstream.
@@ -94,7 +96,6 @@
         else:
             faults.end(made, each)
             _restart_gone(made)
-    return []
 
 
 def _restart_gone(made):
@@ -109,7 +110,7 @@
     broken = []
     threads = []
     for host in made.hosts:
-        host.signal(faults.signal.SIGCONT)
+        host.signal(signal.SIGCONT)
         thread = threading.Thread(target=_await_stop, args=(host, broken))
         thread.start()
         threads.append(thread)
@@ -120,12 +121,12 @@
 
 def _await_stop(host, broken):
     """Stop a host gracefully and start it again."""
-    host.signal(faults.signal.SIGTERM)
+    host.signal(signal.SIGTERM)
     try:
         status = host.program.process.wait(STOP_S)
-    except world.test_program.subprocess.TimeoutExpired:
+    except subprocess.TimeoutExpired:
         status = None
-    if status not in (0, -faults.signal.SIGTERM, -faults.signal.SIGKILL):
+    if status not in (0, -signal.SIGTERM, -signal.SIGKILL):
         broken.append(f"{host.name} ended with status {status} after SIGTERM")
     host.end()
     host.start()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -77,3 +77,7 @@
     failed = attrs.evolve(OUTCOME, status=None, is_whole=False)
     assert promises.check_recovery([OUTCOME] * 8 + [failed] * 2)
     assert promises.check_recovery([OUTCOME] * 19 + [failed]) == []
+
+
+def test_hosts_that_stay_away_after_the_faults_are_found():
+    assert promises.check_recovery([])
