Gateway: logs and counters show how a response was framed and where a stream ended

The counter of requests by outcome was missing in the collected metrics, since the page is cut after about 4 KB and histograms came first.

Change: framing and last event in 'call answered' and 'attempt broke', a line at INFO when a response ends inside an event (not sampled), a counter of responses by framing and end, histograms last on the page. No decision changes. Tests of gateway, protocol and telemetry pass.

--- a/sycamorespoke/gateway/__init__.py
+++ b/sycamorespoke/gateway/__init__.py
@@ -25,6 +25,7 @@
 from sycamorespoke.gateway._requests import (
     Dispatch,
     Failure,
+    Framing,
     Prompt,
     PromptBlock,
     Request,
@@ -52,6 +53,7 @@
     "EngineReport",
     "EngineSpec",
     "Failure",
+    "Framing",
     "GatewayProgram",
     "HistoryGone",
     "Host",
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -103,13 +103,20 @@
             if refusal is not None:
                 return refusal
 
-    def handle_broken_response(self, failure):
+    def record_whole_response(self):
+        """Count the current response as read to its end."""
+        framing = self.exchange.head.framing
+        self.gateway.request_metrics.record_response_end(framing, is_whole=True)
+
+    def handle_broken_response(self, failure, last_event_id=None):
         """Record that a response broke off and decide on another attempt.
 
         Parameters
         ----------
         failure : Failure
             Failure of the current attempt.
+        last_event_id : int or None, default=None
+            ID of the last complete event of a stream.
 
         Returns
         -------
@@ -117,9 +124,17 @@
             ``None`` if the request may be sent again.
         """
         upstream = self.exchange.upstream
+        framing = self.exchange.head.framing
         self._record_failure(upstream, failure.refusal.kind)
         self._count("broke", upstream)
-        self._log("attempt broke", upstream, reason=failure.refusal.reason)
+        self.gateway.request_metrics.record_response_end(framing, is_whole=False)
+        self._log(
+            "attempt broke",
+            upstream,
+            reason=failure.refusal.reason,
+            framing=framing.value,
+            last_event_id=last_event_id,
+        )
         self.finish()
         self._exclude_reached(upstream)
         self._add_refusal(failure.refusal)
--- a/sycamorespoke/gateway/_events.py
+++ b/sycamorespoke/gateway/_events.py
@@ -28,6 +28,11 @@
         self.last_id = last_id
         self._buffer = b""
 
+    @property
+    def partial_event_bytes(self):
+        """Number of bytes after the last complete event."""
+        return len(self._buffer)
+
     def split_chunk(self, chunk):
         """Add bytes of the stream and return the events that are now complete.
 
--- a/sycamorespoke/gateway/_gateway.py
+++ b/sycamorespoke/gateway/_gateway.py
@@ -109,8 +109,9 @@
                 return self._refuse_attempts(start_response, attempts, head)
             result = attempts.exchange.read_whole()
             if isinstance(result, _requests.Response):
+                attempts.record_whole_response()
                 attempts.finish()
-                self._log_response(attempts, result.head.status)
+                self._log_response(attempts, result.head.status, result.head.framing)
                 return _start_response(
                     start_response, result.head, [result.body], result.body
                 )
@@ -156,15 +157,35 @@
         )
         return [body]
 
-    def log_stream_end(self, attempts, status, reason):
+    def log_partial_event(self, attempts, splitter):
+        """Log that a response ended inside an event.
+
+        Parameters
+        ----------
+        attempts : Attempts
+            Attempts of the request.
+        splitter : EventSplitter
+            Holds the incomplete event.
+        """
+        exchange = attempts.exchange
+        loguru.logger.bind(
+            request_id=attempts.request.id,
+            route=attempts.route.name,
+            upstream=exchange.upstream.id,
+            framing=exchange.head.framing.value,
+            last_event_id=splitter.last_id,
+            partial_event_bytes=splitter.partial_event_bytes,
+        ).info("response ended inside an event")
+
+    def log_stream_end(self, attempts, head, reason):
         """Log and count the end of a stream.
 
         Parameters
         ----------
         attempts : Attempts
             Attempts of the request.
-        status : int or None
-            HTTP status that the caller got.
+        head : ResponseHead
+            Head of the last response.
         reason : str
             Why the stream broke off; empty if it is complete.
         """
@@ -178,9 +199,9 @@
                 duration_ms=round((now - attempts.request.arrived_s) * 1000, 1),
             ).info("stream broken off")
         else:
-            self._log_response(attempts, status)
+            self._log_response(attempts, head.status, head.framing)
 
-    def _log_response(self, attempts, status):
+    def _log_response(self, attempts, status, framing):
         now = self.read_clock()
         duration_s = now - attempts.request.arrived_s
         self.request_metrics.record_answered(attempts.route, attempts.timing, now)
@@ -188,6 +209,7 @@
             request_id=attempts.request.id,
             route=attempts.route.name,
             status=status,
+            framing=framing.value,
             duration_ms=round(duration_s * 1000, 1),
         ).debug("call answered")
 
@@ -208,7 +230,7 @@
         self.attempts = attempts
         self._splitter = _events.EventSplitter(attempts.request.last_event_id)
         self._first_events = b""
-        self._status = None
+        self._head = None
         self._ended = False
 
     def begin(self):
@@ -223,13 +245,13 @@
             head = self.attempts.open()
             if isinstance(head, domain.Refusal):
                 return head
-            self._status = head.status
+            self._head = head
             chunk = self._read()
             if not isinstance(chunk, _requests.Failure):
                 self.attempts.record_first_event()
                 self._first_events = chunk
                 return head
-            refusal = self.attempts.handle_broken_response(chunk)
+            refusal = self._handle_broken_response(chunk)
             if refusal is not None:
                 return refusal
 
@@ -242,8 +264,9 @@
                 self._resume(chunk)
             elif chunk:
                 yield chunk
+        self.attempts.record_whole_response()
         self.attempts.finish()
-        self.gateway.log_stream_end(self.attempts, self._status, "")
+        self.gateway.log_stream_end(self.attempts, self._head, "")
 
     def close(self):
         """End the stream; cancel the request if it still runs."""
@@ -252,7 +275,7 @@
         self._ended = True
         _abandon(self.attempts)
         self.gateway.log_stream_end(
-            self.attempts, self._status, "the caller disconnected"
+            self.attempts, self._head, "the caller disconnected"
         )
 
     def _read(self):
@@ -263,14 +286,19 @@
                 return chunk
             if not chunk:
                 self._ended = True
+                if self._splitter.partial_event_bytes:
+                    self.gateway.log_partial_event(self.attempts, self._splitter)
                 return self._splitter.flush()
             events = self._splitter.split_chunk(chunk)
             if events:
                 return events
 
+    def _handle_broken_response(self, failure):
+        return self.attempts.handle_broken_response(failure, self._splitter.last_id)
+
     def _resume(self, failure):
         """Resume the stream at another upstream, or raise `BrokenStreamError`."""
-        refusal = self.attempts.handle_broken_response(failure)
+        refusal = self._handle_broken_response(failure)
         if refusal is None:
             self._splitter.restart()
             head = self.attempts.open(self._splitter.last_id)
@@ -278,11 +306,12 @@
                 isinstance(head, _requests.ResponseHead)
                 and head.status == RESUMED_STATUS
             ):
+                self._head = head
                 return
             refusal = head if isinstance(head, domain.Refusal) else failure.refusal
         self._ended = True
         _abandon(self.attempts)
-        self.gateway.log_stream_end(self.attempts, self._status, refusal.reason)
+        self.gateway.log_stream_end(self.attempts, self._head, refusal.reason)
         raise serving.BrokenStreamError(refusal.reason)
 
 
--- a/sycamorespoke/gateway/_request_metrics.py
+++ b/sycamorespoke/gateway/_request_metrics.py
@@ -68,5 +68,18 @@
         """
         self.metrics.count("attempts", outcome=outcome, service=service)
 
+    def record_response_end(self, framing, is_whole):
+        """Count a response of an upstream that began.
+
+        Parameters
+        ----------
+        framing : Framing
+            How the response shows where its body ends.
+        is_whole : bool
+            Whether it was read to its end.
+        """
+        end = "whole" if is_whole else "broken"
+        self.metrics.count("responses", framing=framing.value, end=end)
+
     def _count_request(self, outcome, route):
         self.metrics.count("calls", outcome=outcome, route=route.name if route else "")
--- a/sycamorespoke/gateway/_requests.py
+++ b/sycamorespoke/gateway/_requests.py
@@ -1,5 +1,7 @@
 """Requests of callers and the responses of upstreams."""
 
+import enum
+
 import attrs
 
 from sycamorespoke import decisions, domain
@@ -150,6 +152,14 @@
     import_until_ms: int = 0
 
 
+class Framing(enum.Enum):
+    """How a response shows where its body ends."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION_END = "connection_end"
+
+
 @attrs.frozen
 class ResponseHead:
     """Status and headers of an upstream's response.
@@ -162,6 +172,8 @@
         HTTP reason phrase.
     headers : tuple of (str, str)
         Headers that are forwarded to the caller.
+    framing : Framing
+        How the response shows where its body ends.
     request_id : str
         ID of the request to which the response belongs; may be empty.
     is_not_run : bool
@@ -184,6 +196,7 @@
     status: int
     reason: str
     headers: tuple[tuple[str, str], ...]
+    framing: Framing
     request_id: str = ""
     is_not_run: bool = False
     is_wrong_upstream: bool = False
--- a/sycamorespoke/platform/_protocol.py
+++ b/sycamorespoke/platform/_protocol.py
@@ -131,6 +131,7 @@
         status=response.status,
         reason=response.reason or "",
         headers=forwarded,
+        framing=_parse_framing(response),
         request_id=headers.get(_names.REQUEST_ID, ""),
         is_not_run=is_wrong_upstream or _names.NOT_RUN in headers,
         is_wrong_upstream=is_wrong_upstream,
@@ -190,6 +191,14 @@
     )
 
 
+def _parse_framing(response):
+    if response.chunked:
+        return gateway.Framing.CHUNKS
+    if response.length_remaining is None:
+        return gateway.Framing.CONNECTION_END
+    return gateway.Framing.LENGTH
+
+
 def _parse_connection_options(text):
     return {name.strip().lower() for name in text.split(",") if name.strip()}
 
--- a/sycamorespoke/telemetry/_metrics.py
+++ b/sycamorespoke/telemetry/_metrics.py
@@ -25,6 +25,9 @@
         self.constant_labels = constant_labels
         self.refresh = refresh
         self._registry = aioprometheus.Registry()
+        # Rendered last: monitoring that reads only the beginning of a long page still
+        # gets every counter and gauge.
+        self._histograms = aioprometheus.Registry()
         self._lock = threading.Lock()
         self._collectors_by_name = {}
 
@@ -87,8 +90,11 @@
         if self.refresh is not None:
             self.refresh()
         with self._lock:
-            page, _ = aioprometheus.render(self._registry, ["text/plain"])
-        return page
+            pages = [
+                aioprometheus.render(registry, ["text/plain"])[0]
+                for registry in (self._registry, self._histograms)
+            ]
+        return b"".join(pages)
 
     def _get_collector(self, collector_class, name):
         collector = self._collectors_by_name.get(name)
@@ -104,6 +110,7 @@
         }
         if collector_class is aioprometheus.Histogram:
             options["buckets"] = TIME_BUCKETS_S
+            options["registry"] = self._histograms
         documentation = name.replace("_", " ")
         return collector_class(PREFIX + name, documentation, **options)
 
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -1,3 +1,6 @@
+import time
+
+import loguru
 import pytest
 
 from tests.fakes import in_process_gateway, scripted_upstream
@@ -20,3 +23,24 @@
     yield Harness()
     for server in reversed(started):
         server.close()
+
+
+@pytest.fixture
+def log_lines():
+    """Collect the log lines that are written during the test."""
+    records = []
+
+    class LogLines:
+        def wait_for(self, event):
+            """Return the fields of the first line of an event."""
+            deadline_s = time.monotonic() + 5.0
+            while time.monotonic() < deadline_s:
+                for record in list(records):
+                    if record["message"] == event:
+                        return record["extra"]
+                time.sleep(0.01)
+            raise AssertionError(f"no line {event!r}")
+
+    handler = loguru.logger.add(lambda message: records.append(message.record))
+    yield LogLines()
+    loguru.logger.remove(handler)
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -1,5 +1,6 @@
 """Requests through a gateway, as callers and upstreams see them."""
 
+import contextlib
 import http.client
 import threading
 import time
@@ -337,3 +338,21 @@
     assert 'attempts{outcome="sent",service="s"} 1' in metrics
     for phase in ("queue", "first_event", "whole"):
         assert f'call_seconds_count{{phase="{phase}",route="stream"}} 1' in metrics
+    assert 'responses{end="whole",framing="chunks"} 1' in metrics
+
+
+def test_end_of_a_response_inside_an_event_is_logged(harness, log_lines):
+    def end_inside_an_event(request):
+        scripted_upstream.start_stream(request)
+        scripted_upstream.send_events(request, 1, 2)
+        scripted_upstream.send_chunk(request, b"id: 3\nda")
+        scripted_upstream.send_chunk(request, b"")
+
+    gateway = harness.start_gateway([harness.start_upstream(end_inside_an_event)])
+    connection = gateway.connect()
+    in_process_gateway.send_request(connection, "/once/x")
+    with contextlib.suppress(http.client.HTTPException):
+        connection.getresponse().read()
+    fields = log_lines.wait_for("response ended inside an event")
+    assert fields["framing"] == "chunks"
+    assert (fields["last_event_id"], fields["partial_event_bytes"]) == (2, 8)
--- a/tests/telemetry/test_metrics.py
+++ b/tests/telemetry/test_metrics.py
@@ -62,3 +62,14 @@
     metrics.count("calls", route='a "b"\nc\\d')
     labels = frozenset({("route", 'a "b"\nc\\d')})
     assert read(metrics)["sycamorespoke_calls_total", labels] == 1
+
+
+def test_counters_and_gauges_come_before_histograms():
+    metrics = make()
+    metrics.observe("call_seconds", 0.1, route="a")
+    metrics.count("calls", outcome="broken")
+    metrics.gauge("is_ready", 1)
+    page = metrics.render().decode()
+    histogram = page.index("sycamorespoke_call_seconds")
+    assert page.index("sycamorespoke_calls{") < histogram
+    assert page.index("sycamorespoke_is_ready{") < histogram
