Known red: a stream that ended inside an event looks complete to its caller

A response without framing that ends before its first event is a success with an empty body.

The three of complete streams pass; they guard against a fix that is too strict.

--- a/tests/fakes/scripted_upstream.py
+++ b/tests/fakes/scripted_upstream.py
@@ -73,13 +73,30 @@
 
 def start_stream(request, **headers):
     """Send the head of a chunked event stream."""
+    _send_stream_head(request, {"Transfer-Encoding": "chunked", **headers})
+
+
+def send_stream(request, framing, body):
+    """Send a stream whose framing says that it ends after ``body``."""
+    if framing == "chunks":
+        start_stream(request)
+        send_chunk(request, body)
+        send_chunk(request, b"")
+        return
+    is_framed = framing == "length"
+    headers = {"Content-Length": str(len(body))} if is_framed else {}
+    _send_stream_head(request, headers)
+    request.wfile.write(body)
+    request.close_connection = not is_framed
+
+
+def _send_stream_head(request, headers):
     request.send_response(200)
     request.send_header(
         "X-Sycamorespoke-Request-Id", request.headers["X-Sycamorespoke-Request-Id"]
     )
     request.send_header(RESPONSE_STAMP, "stamp")
     request.send_header("Content-Type", "text/event-stream")
-    request.send_header("Transfer-Encoding", "chunked")
     for name, text in headers.items():
         request.send_header(name.replace("_", "-"), text)
     request.end_headers()
@@ -91,10 +108,16 @@
     request.wfile.flush()
 
 
+def encode_events(first, last):
+    """Return the events whose IDs are ``first`` to ``last``, inclusive."""
+    numbers = range(first, last + 1)
+    return b"".join(b"id: %d\ndata: t%d\n\n" % (number, number) for number in numbers)
+
+
 def send_events(request, first, last, pause_s=0.0):
-    """Send events whose IDs are ``first`` to ``last``, inclusive."""
+    """Send events whose IDs are ``first`` to ``last``, inclusive, as chunks."""
     for number in range(first, last + 1):
-        send_chunk(request, b"id: %d\ndata: t%d\n\n" % (number, number))
+        send_chunk(request, encode_events(number, number))
         time.sleep(pause_s)
 
 
--- /dev/null
+++ b/tests/gateway/test_broken_responses.py
@@ -0,0 +1,66 @@
+"""Responses that an upstream broke off, as callers see them."""
+
+import http.client
+
+import pytest
+
+from tests.fakes import scripted_upstream
+
+FRAMINGS = ("connection_end", "chunks", "length")
+PARTIAL_EVENT = b"id: 3\ndata: t"
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_stream_that_ended_inside_an_event_does_not_look_complete(harness, framing):
+    def stop(request):
+        body = scripted_upstream.encode_events(1, 2) + PARTIAL_EVENT
+        scripted_upstream.send_stream(request, framing, body)
+
+    upstream = harness.start_upstream(stop)
+    gateway = harness.start_gateway([upstream])
+    with pytest.raises(http.client.IncompleteRead) as caught:
+        gateway.request("/once/x")
+    assert caught.value.partial == scripted_upstream.encode_events(1, 2)
+    assert len(upstream.requests) == 1
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_stream_that_ended_inside_an_event_is_resumed_elsewhere(harness, framing):
+    last_event_ids = []
+
+    def stop_the_first(request):
+        last_event_ids.append(request.headers.get("Last-Event-Id"))
+        body = scripted_upstream.encode_events(1, 2) + PARTIAL_EVENT
+        if len(last_event_ids) > 1:
+            body = scripted_upstream.encode_events(3, 4)
+        scripted_upstream.send_stream(request, framing, body)
+
+    names = ("i-1", "i-2")
+    upstreams = [harness.start_upstream(stop_the_first, name) for name in names]
+    gateway = harness.start_gateway(upstreams)
+    status, _, body = gateway.request("/stream/x")
+    assert (status, body) == (200, scripted_upstream.encode_events(1, 4))
+    assert last_event_ids == [None, "2"]
+
+
+@pytest.mark.parametrize("body", [b"", b"id: 1\ndata"])
+def test_stream_without_framing_that_ended_before_an_event_is_no_success(harness, body):
+    def stop(request):
+        scripted_upstream.send_stream(request, "connection_end", body)
+
+    gateway = harness.start_gateway([harness.start_upstream(stop)])
+    status, headers, _ = gateway.request("/once/x")
+    assert status == 502
+    assert scripted_upstream.RESPONSE_STAMP not in headers
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_stream_that_ended_after_an_event_is_complete(harness, framing):
+    body = scripted_upstream.encode_events(1, 3)
+    upstream = harness.start_upstream(
+        lambda request: scripted_upstream.send_stream(request, framing, body)
+    )
+    gateway = harness.start_gateway([upstream])
+    status, headers, received = gateway.request("/once/x")
+    assert (status, received) == (200, body)
+    assert headers[scripted_upstream.RESPONSE_STAMP] == "stamp"
