Gateway: a stream that ends inside an event has been broken off

Cause: the end of an upstream's connection counted as the end of the stream. A response without length and chunks ends with its connection, so a crash in the middle looks like a regular end; StreamBody forwarded the rest of the event and the server wrote the last chunk.

Ruled out: a noticed break that is closed as complete (no line 'stream broken off', and test_broken_stream_that_is_not_resumable_ends_incomplete).

Change: a stream's end is judged by its events, whatever the framing. It is broken off if it ends inside an event, or if it has no framing and ends before its first event; then it is resumed, refused or visibly cut like any broken response.

What this cannot see: a stream without framing that is cut exactly between two events.

--- a/sycamorespoke/gateway/_events.py
+++ b/sycamorespoke/gateway/_events.py
@@ -15,6 +15,13 @@
         ID of the last event that the caller has received; events up to it are
         dropped.
 
+    Attributes
+    ----------
+    last_id : int or None
+        ID of the last complete event.
+    has_events : bool
+        Whether the response contained a complete event, returned or dropped.
+
     Examples
     --------
     >>> splitter = EventSplitter()
@@ -26,12 +33,13 @@
 
     def __init__(self, last_id=None):
         self.last_id = last_id
+        self.has_events = False
         self._buffer = b""
 
     @property
     def partial_event_bytes(self):
-        """Number of bytes after the last complete event."""
-        return len(self._buffer)
+        """Number of bytes after the last complete event, without line ends."""
+        return len(self._buffer.strip(b"\r\n"))
 
     def split_chunk(self, chunk):
         """Add bytes of the stream and return the events that are now complete.
@@ -56,7 +64,8 @@
         return b"".join(events)
 
     def restart(self):
-        """Discard the incomplete event at the end of a broken stream."""
+        """Discard the incomplete event at the end of a broken response."""
+        self.has_events = False
         self._buffer = b""
 
     def flush(self):
@@ -65,6 +74,7 @@
         return remainder
 
     def _append_new(self, event, events):
+        self.has_events = True
         match = _EVENT_ID.search(event)
         if match is not None:
             event_id = int(match.group(1))
--- a/sycamorespoke/gateway/_gateway.py
+++ b/sycamorespoke/gateway/_gateway.py
@@ -285,14 +285,28 @@
             if isinstance(chunk, _requests.Failure):
                 return chunk
             if not chunk:
+                failure = self._find_early_end()
+                if failure is not None:
+                    return failure
                 self._ended = True
-                if self._splitter.partial_event_bytes:
-                    self.gateway.log_partial_event(self.attempts, self._splitter)
                 return self._splitter.flush()
             events = self._splitter.split_chunk(chunk)
             if events:
                 return events
 
+    def _find_early_end(self):
+        """Return a failure if the response ended before its stream was complete."""
+        head = self.attempts.exchange.head
+        if not head.is_event_stream:
+            return None
+        if self._splitter.partial_event_bytes:
+            self.gateway.log_partial_event(self.attempts, self._splitter)
+            return _make_lost("the response ended inside an event")
+        is_unframed = head.framing is _requests.Framing.CONNECTION_END
+        if is_unframed and not self._splitter.has_events:
+            return _make_lost("the connection ended before the first event")
+        return None
+
     def _handle_broken_response(self, failure):
         return self.attempts.handle_broken_response(failure, self._splitter.last_id)
 
@@ -315,6 +329,10 @@
         raise serving.BrokenStreamError(refusal.reason)
 
 
+def _make_lost(reason):
+    return _requests.Failure(domain.Refusal(domain.ErrorKind.UPSTREAM_LOST, reason))
+
+
 def _abandon(attempts):
     exchange = attempts.exchange
     if exchange is not None:
--- a/sycamorespoke/gateway/_requests.py
+++ b/sycamorespoke/gateway/_requests.py
@@ -174,6 +174,8 @@
         Headers that are forwarded to the caller.
     framing : Framing
         How the response shows where its body ends.
+    is_event_stream : bool
+        Whether the body is a stream of events.
     request_id : str
         ID of the request to which the response belongs; may be empty.
     is_not_run : bool
@@ -197,6 +199,7 @@
     reason: str
     headers: tuple[tuple[str, str], ...]
     framing: Framing
+    is_event_stream: bool = False
     request_id: str = ""
     is_not_run: bool = False
     is_wrong_upstream: bool = False
--- a/sycamorespoke/platform/_protocol.py
+++ b/sycamorespoke/platform/_protocol.py
@@ -13,6 +13,7 @@
 # the route applies.
 MAX_REMAINING_S = 86400.0
 STATUS_WRONG_UPSTREAM = 421
+EVENT_STREAM_TYPE = "text/event-stream"
 _INTEGER = re.compile(r"[0-9]{1,15}")
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 _HTTP_TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
@@ -132,6 +133,7 @@
         reason=response.reason or "",
         headers=forwarded,
         framing=_parse_framing(response),
+        is_event_stream=_is_event_stream(headers),
         request_id=headers.get(_names.REQUEST_ID, ""),
         is_not_run=is_wrong_upstream or _names.NOT_RUN in headers,
         is_wrong_upstream=is_wrong_upstream,
@@ -191,6 +193,11 @@
     )
 
 
+def _is_event_stream(headers):
+    media_type = headers.get("Content-Type", "").partition(";")[0]
+    return media_type.strip().lower() == EVENT_STREAM_TYPE
+
+
 def _parse_framing(response):
     if response.chunked:
         return gateway.Framing.CHUNKS
