Gateway: part of a first event is not joined to the next response

Callers saw (in the test only): a resumable stream whose first response broke off inside its first event and was sent again begins with the first response's bytes, joined to the event of the second one.

Cause: the bytes after the last complete event were discarded on a resume, but not when the request was sent again before any event had been passed on.

Each broken response now discards its incomplete event in one place.

--- a/sycamorespoke/gateway/_gateway.py
+++ b/sycamorespoke/gateway/_gateway.py
@@ -308,13 +308,15 @@
         return None
 
     def _handle_broken_response(self, failure):
-        return self.attempts.handle_broken_response(failure, self._splitter.last_id)
+        last_event_id = self._splitter.last_id
+        refusal = self.attempts.handle_broken_response(failure, last_event_id)
+        self._splitter.restart()
+        return refusal
 
     def _resume(self, failure):
         """Resume the stream at another upstream, or raise `BrokenStreamError`."""
         refusal = self._handle_broken_response(failure)
         if refusal is None:
-            self._splitter.restart()
             head = self.attempts.open(self._splitter.last_id)
             if (
                 isinstance(head, _requests.ResponseHead)
--- a/tests/gateway/test_broken_responses.py
+++ b/tests/gateway/test_broken_responses.py
@@ -64,3 +64,27 @@
     status, headers, received = gateway.request("/once/x")
     assert (status, received) == (200, body)
     assert headers[scripted_upstream.RESPONSE_STAMP] == "stamp"
+
+
+@pytest.mark.parametrize("framing", [*FRAMINGS, "cut_chunks"])
+def test_partial_first_event_is_not_joined_to_the_next_response(harness, framing):
+    attempts = []
+
+    def stop_the_first(request):
+        attempts.append(request)
+        if len(attempts) > 1:
+            body = scripted_upstream.encode_events(1, 2)
+            scripted_upstream.send_stream(request, "chunks", body)
+        elif framing == "cut_chunks":
+            scripted_upstream.start_stream(request)
+            scripted_upstream.send_chunk(request, b"id: 1\ndata: t")
+            scripted_upstream.abort(request)
+        else:
+            scripted_upstream.send_stream(request, framing, b"id: 1\ndata: t")
+
+    names = ("i-1", "i-2")
+    upstreams = [harness.start_upstream(stop_the_first, name) for name in names]
+    gateway = harness.start_gateway(upstreams)
+    status, _, body = gateway.request("/stream/x")
+    assert (status, body) == (200, scripted_upstream.encode_events(1, 2))
+    assert len(attempts) == 2
