Gateway: events are not appended to an error response that broke off

Callers saw (in the test only): an upstream's 404 whose body broke off on a resumable route went on with the events of another upstream's 200.

Cause: a resume checked the status of the next response, not that of the response it continues.

Evidence: the test did not see the response end before the change; now the caller sees it cut after the error's own bytes.

--- a/sycamorespoke/gateway/_gateway.py
+++ b/sycamorespoke/gateway/_gateway.py
@@ -317,19 +317,26 @@
         """Resume the stream at another upstream, or raise `BrokenStreamError`."""
         refusal = self._handle_broken_response(failure)
         if refusal is None:
-            head = self.attempts.open(self._splitter.last_id)
-            if (
-                isinstance(head, _requests.ResponseHead)
-                and head.status == RESUMED_STATUS
-            ):
-                self._head = head
-                return
-            refusal = head if isinstance(head, domain.Refusal) else failure.refusal
+            refusal = self._open_next(failure)
+        if refusal is None:
+            return
         self._ended = True
         _abandon(self.attempts)
         self.gateway.log_stream_end(self.attempts, self._head, refusal.reason)
         raise serving.BrokenStreamError(refusal.reason)
 
+    def _open_next(self, failure):
+        """Send the request again; return a refusal if no upstream continues it."""
+        if self._head.status != RESUMED_STATUS:
+            return failure.refusal
+        head = self.attempts.open(self._splitter.last_id)
+        if isinstance(head, domain.Refusal):
+            return head
+        if head.status != RESUMED_STATUS:
+            return failure.refusal
+        self._head = head
+        return None
+
 
 def _make_lost(reason):
     return _requests.Failure(domain.Refusal(domain.ErrorKind.UPSTREAM_LOST, reason))
--- a/tests/fakes/scripted_upstream.py
+++ b/tests/fakes/scripted_upstream.py
@@ -60,14 +60,13 @@
 
 def respond(request, status=200, body=b"done", **headers):
     """Send a complete response with the request ID and a response stamp."""
-    request.send_response(status)
     request_id = request.headers.get("X-Sycamorespoke-Request-Id", "")
-    request.send_header("X-Sycamorespoke-Request-Id", headers.pop("id", request_id))
-    request.send_header(RESPONSE_STAMP, "stamp")
-    for name, text in headers.items():
-        request.send_header(name.replace("_", "-"), text)
-    request.send_header("Content-Length", str(len(body)))
-    request.end_headers()
+    own_headers = {
+        "X-Sycamorespoke-Request-Id": headers.pop("id", request_id),
+        RESPONSE_STAMP: "stamp",
+        "Content-Length": str(len(body)),
+    }
+    send_head(request, status, {**own_headers, **headers})
     request.wfile.write(body)
 
 
@@ -90,18 +89,24 @@
     request.close_connection = not is_framed
 
 
-def _send_stream_head(request, headers):
-    request.send_response(200)
-    request.send_header(
-        "X-Sycamorespoke-Request-Id", request.headers["X-Sycamorespoke-Request-Id"]
-    )
-    request.send_header(RESPONSE_STAMP, "stamp")
-    request.send_header("Content-Type", "text/event-stream")
+def send_head(request, status, headers):
+    """Send the status and headers of a response."""
+    request.send_response(status)
     for name, text in headers.items():
         request.send_header(name.replace("_", "-"), text)
     request.end_headers()
 
 
+def _send_stream_head(request, headers):
+    request_id = request.headers["X-Sycamorespoke-Request-Id"]
+    own_headers = {
+        "X-Sycamorespoke-Request-Id": request_id,
+        RESPONSE_STAMP: "stamp",
+        "Content-Type": "text/event-stream",
+    }
+    send_head(request, 200, {**own_headers, **headers})
+
+
 def send_chunk(request, text):
     """Send one chunk; an empty chunk ends the stream."""
     request.wfile.write(b"%x\r\n%s\r\n" % (len(text), text))
--- a/tests/gateway/test_broken_responses.py
+++ b/tests/gateway/test_broken_responses.py
@@ -1,6 +1,7 @@
 """Responses that an upstream broke off, as callers see them."""
 
 import http.client
+import time
 
 import pytest
 
@@ -88,3 +89,26 @@
     status, _, body = gateway.request("/stream/x")
     assert (status, body) == (200, scripted_upstream.encode_events(1, 2))
     assert len(attempts) == 2
+
+
+def test_events_are_not_appended_to_an_error_response_that_broke_off(harness):
+    attempts = []
+
+    def fail_the_first(request):
+        attempts.append(request)
+        if len(attempts) > 1:
+            body = scripted_upstream.encode_events(1, 2)
+            scripted_upstream.send_stream(request, "chunks", body)
+            return
+        headers = {"X-Sycamorespoke-Request-Id": "call-1", "Content-Length": "90"}
+        scripted_upstream.send_head(request, 404, headers)
+        request.wfile.write(b"no such model\n\n")
+        time.sleep(0.1)
+        scripted_upstream.abort(request)
+
+    names = ("i-1", "i-2")
+    upstreams = [harness.start_upstream(fail_the_first, name) for name in names]
+    gateway = harness.start_gateway(upstreams)
+    with pytest.raises(http.client.IncompleteRead) as caught:
+        gateway.request("/stream/x")
+    assert caught.value.partial == b"no such model\n\n"
