Gateway: a response whose head or chunk size is cut off is broken

Callers saw (in the tests only): an upstream that ends its connection inside the head, or inside a chunk's size, produces a complete 200 with an empty or short body; the response stamp may be cut off as well.

Cause: http.client takes the end of the connection for the end of a line.

Change: the connections to upstreams read their responses through a reader that raises when the connection ends inside a line, or before the empty line after the headers.

--- a/sycamorespoke/clients/__init__.py
+++ b/sycamorespoke/clients/__init__.py
@@ -10,6 +10,11 @@
 from sycamorespoke.clients._blocks import (
     BlockClient,
 )
+from sycamorespoke.clients._checked_http import (
+    CheckedConnection,
+    CheckedPool,
+    CheckedPoolManager,
+)
 from sycamorespoke.clients._engine import (
     EngineClient,
     GenerationRequest,
@@ -58,6 +63,9 @@
 __all__ = [
     "TERMINAL_MESSAGES",
     "BlockClient",
+    "CheckedConnection",
+    "CheckedPool",
+    "CheckedPoolManager",
     "Conflict",
     "Done",
     "EngineClient",
--- a/sycamorespoke/gateway/_connections.py
+++ b/sycamorespoke/gateway/_connections.py
@@ -5,7 +5,7 @@
 import socket
 import threading
 
-import urllib3.connection
+from sycamorespoke import clients
 
 CONNECT_TIMEOUT_S = 0.4
 # The kernel closes a connection whose bytes stay unacknowledged for this long.
@@ -42,7 +42,7 @@
 
     def __init__(self, address, connect_timeout_s=CONNECT_TIMEOUT_S):
         host, _, port = address.rpartition(":")
-        self.http = urllib3.connection.HTTPConnection(
+        self.http = clients.CheckedConnection(
             host,
             int(port),
             timeout=connect_timeout_s,
--- a/tests/gateway/test_broken_responses.py
+++ b/tests/gateway/test_broken_responses.py
@@ -112,3 +112,48 @@
     with pytest.raises(http.client.IncompleteRead) as caught:
         gateway.request("/stream/x")
     assert caught.value.partial == b"no such model\n\n"
+
+
+def encode_head(*lines):
+    return b"".join(
+        line + b"\r\n"
+        for line in (
+            b"HTTP/1.1 200 OK",
+            b"X-Sycamorespoke-Request-Id: call-1",
+            b"X-Sycamorespoke-Response-Stamp: stamp",
+            *lines,
+            b"",
+        )
+    )
+
+
+def start_cutting_gateway(harness, response, lengths):
+    """Start a gateway whose upstream sends ever longer beginnings of a response."""
+    remaining = list(lengths)
+
+    def cut(request):
+        request.wfile.write(response[: remaining.pop(0)])
+        request.close_connection = True
+
+    return harness.start_gateway([harness.start_upstream(cut)])
+
+
+@pytest.mark.parametrize("path", ["/unsafe/x", "/once/x"])
+@pytest.mark.parametrize(
+    "framing", [b"Content-Length: 4", b"Transfer-Encoding: chunked"]
+)
+def test_response_with_a_cut_off_head_is_no_success(harness, path, framing):
+    head = encode_head(framing, b"Content-Type: text/plain")
+    lengths = range(len(head))
+    gateway = start_cutting_gateway(harness, head, lengths)
+    statuses = [gateway.request(path)[0] for _ in lengths]
+    assert statuses == [502] * len(head)
+
+
+def test_cut_off_chunk_size_does_not_end_a_response(harness):
+    head = encode_head(b"Transfer-Encoding: chunked")
+    response = head + b"0004\r\ndone\r\n"
+    lengths = range(len(head), len(response) + 1)
+    gateway = start_cutting_gateway(harness, response, lengths)
+    statuses = [gateway.request("/unsafe/x")[0] for _ in lengths]
+    assert statuses == [502] * len(lengths)
