Serving: a broken stream to a caller without chunks ends with a reset

Callers saw (in the test only): over HTTP/1.0, where a response has no chunks, a stream that its host breaks off ends like a complete one.

Cause: the host marks a broken stream by leaving out its last chunk.

Evidence: the test read a regular end before; now it reads a reset. The test beside it, of a caller with chunks, passes before and after.

--- a/sycamorespoke/serving/_server.py
+++ b/sycamorespoke/serving/_server.py
@@ -5,6 +5,8 @@
 
 import contextlib
 import logging
+import socket
+import struct
 import threading
 import time
 
@@ -25,6 +27,8 @@
 IDLE_TIMEOUT_FACTOR = 2.0
 IDLE_TIMEOUT_MARGIN_S = 20.0
 CLEANUP_INTERVAL_S = 5
+# Value of SO_LINGER: on, for 0 seconds.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 @attrs.frozen
@@ -67,6 +71,8 @@
         except BrokenStreamError:
             # The caller detects the error by the missing end of the body.
             self.close_on_finish = True
+            if not self.chunked_response:
+                self.channel.reset_on_close()
 
     def get_environment(self):
         environ = super().get_environment()
@@ -133,6 +139,12 @@
         if not self.connected:
             function()
 
+    def reset_on_close(self):
+        """Make the later close of the connection a reset instead of a regular end."""
+        # The socket is closed already if the caller has disconnected.
+        with contextlib.suppress(OSError):
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
     def service(self):
         """Execute one request."""
         self._on_disconnect = None
