Gateway: a response that the caller cancelled is not counted as complete

On-call engineers saw (in the test only): a request whose caller had disconnected in the middle of a response without framing is logged as 'call answered' and counted as answered.

Cause: cancelling shuts the upstream connection down, and the read that this ends returns no bytes, like the regular end of such a response.

Evidence: two examples were red, now the line is 'attempt broke' with the reason that the caller disconnected. No caller got a wrong answer by it, since its connection was closed already.

--- a/sycamorespoke/gateway/_exchange.py
+++ b/sycamorespoke/gateway/_exchange.py
@@ -92,7 +92,7 @@
                 return failure
         if self._cancelled:
             self.close()
-            return _make_failure(domain.ErrorKind.CANCELLED, "the caller disconnected")
+            return _make_cancelled()
         return self._send(connection)
 
     def read_whole(self):
@@ -137,8 +137,13 @@
             return self._fail_timed_out()
         except CONNECTION_ERRORS as error:
             return self._fail_connection(error)
-        if not chunk:
-            self._finish()
+        if chunk:
+            return chunk
+        if self._cancelled:
+            # Our own shutdown of the connection ends the read.
+            self.close()
+            return _make_cancelled()
+        self._finish()
         return chunk
 
     def close(self):
@@ -216,8 +221,7 @@
     def _finish(self):
         connection = self._connection
         self._connection = None
-        closes = self.head.closes_connection or connection.http.sock is None
-        if closes or self._cancelled:
+        if self.head.closes_connection or connection.http.sock is None:
             self.pool.discard(self.upstream, connection)
             return
         now = self.read_clock()
@@ -239,10 +243,14 @@
     def _fail_connection(self, error):
         self.close()
         if self._cancelled:
-            return _make_failure(domain.ErrorKind.CANCELLED, "the caller disconnected")
+            return _make_cancelled()
         reason = f"the connection to the upstream broke: {type(error).__name__}"
         return _make_failure(domain.ErrorKind.UPSTREAM_LOST, reason)
 
 
+def _make_cancelled():
+    return _make_failure(domain.ErrorKind.CANCELLED, "the caller disconnected")
+
+
 def _make_failure(kind, reason):
     return _requests.Failure(domain.Refusal(kind, reason))
--- a/tests/gateway/test_broken_responses.py
+++ b/tests/gateway/test_broken_responses.py
@@ -1,11 +1,12 @@
 """Responses that an upstream broke off, as callers see them."""
 
 import http.client
+import threading
 import time
 
 import pytest
 
-from tests.fakes import scripted_upstream
+from tests.fakes import in_process_gateway, scripted_upstream
 
 FRAMINGS = ("connection_end", "chunks", "length")
 PARTIAL_EVENT = b"id: 3\ndata: t"
@@ -157,3 +158,29 @@
     gateway = start_cutting_gateway(harness, response, lengths)
     statuses = [gateway.request("/unsafe/x")[0] for _ in lengths]
     assert statuses == [502] * len(lengths)
+
+
+@pytest.mark.parametrize("path", ["/unsafe/x", "/once/x"])
+def test_response_that_a_caller_cancelled_is_not_counted_as_complete(
+    harness, log_lines, path
+):
+    begun = threading.Event()
+
+    def stall(request):
+        headers = {"X-Sycamorespoke-Request-Id": "call-1"}
+        scripted_upstream.send_head(request, 200, headers)
+        request.wfile.write(b"id: 1\ndata: t1\n\n")
+        begun.set()
+        # The socket is readable only once the gateway closes the connection.
+        request.connection.recv(1)
+        request.close_connection = True
+
+    gateway = harness.start_gateway([harness.start_upstream(stall)])
+    connection = gateway.connect()
+    in_process_gateway.send_request(connection, path)
+    assert begun.wait(5.0)
+    time.sleep(0.1)
+    connection.close()
+    fields = log_lines.wait_for("attempt broke")
+    assert fields["reason"] == "the caller disconnected"
+    assert 'outcome="answered"' not in gateway.metrics.render().decode()
