Soak: upstreams that cut heads and unframed streams; a proxy's reset is a reset

They now also answer without framing, cut such streams inside any event, and cut heads.

The proxy's reset ended a connection regularly before it reset it, which no receiver can tell from the end of a response without framing.

--- a/tests/fakes/scripted_upstream.py
+++ b/tests/fakes/scripted_upstream.py
@@ -75,6 +75,12 @@
     _send_stream_head(request, {"Transfer-Encoding": "chunked", **headers})
 
 
+def start_unframed_stream(request):
+    """Send the head of an event stream that ends with its connection."""
+    _send_stream_head(request, {})
+    request.close_connection = True
+
+
 def send_stream(request, framing, body):
     """Send a stream whose framing says that it ends after ``body``."""
     if framing == "chunks":
@@ -82,11 +88,11 @@
         send_chunk(request, body)
         send_chunk(request, b"")
         return
-    is_framed = framing == "length"
-    headers = {"Content-Length": str(len(body))} if is_framed else {}
-    _send_stream_head(request, headers)
+    if framing == "connection_end":
+        start_unframed_stream(request)
+    else:
+        _send_stream_head(request, {"Content-Length": str(len(body))})
     request.wfile.write(body)
-    request.close_connection = not is_framed
 
 
 def send_head(request, status, headers):
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -125,6 +125,7 @@
     with contextlib.suppress(OSError):
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_OPTION)
     with contextlib.suppress(OSError):
-        # Wakes a thread that is blocked in a read from the connection.
-        connection.shutdown(socket.SHUT_RDWR)
+        # Wakes a thread that is blocked in a read. Shutting down the other direction
+        # would end the connection regularly, before the reset.
+        connection.shutdown(socket.SHUT_RD)
     connection.close()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,11 +1,12 @@
 """Short runs of the soak test, and tests of its plans and checks."""
 
 import itertools
+import socket
 
 import attrs
 import pytest
 
-from tests.soak import callers, faults, guarantees, run, upstreams
+from tests.soak import callers, faults, guarantees, proxy, run, upstreams
 
 SECONDS = 5.0
 # Seeds with overlapping faults. A seed that fails is added here with its cause.
@@ -83,3 +84,18 @@
 
 def test_hosts_not_ready_after_faults_are_reported():
     assert guarantees.check_recovery([])
+
+
+def test_reset_by_the_proxy_is_no_regular_end_of_the_connection():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        loopback = proxy.LoopbackProxy(f"127.0.0.1:{listener.getsockname()[1]}")
+        port = int(loopback.address.rpartition(":")[2])
+        with socket.create_connection(("127.0.0.1", port), 5.0) as caller:
+            upstream, _ = listener.accept()
+            upstream.sendall(b"part")
+            assert caller.recv(4) == b"part"
+            loopback.set_mode(proxy.Mode.RESET)
+            with pytest.raises(ConnectionResetError):
+                caller.recv(1)
+        upstream.close()
+        loopback.close()
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -1,6 +1,7 @@
 """Upstreams that log the requests they run and can misbehave."""
 
 import enum
+import random
 import threading
 import time
 
@@ -23,6 +24,12 @@
     FULL = "full"
     CUT = "cut"
     SLOW = "slow"
+    UNFRAMED = "unframed"
+    CUT_UNFRAMED = "cut unframed"
+    CUT_HEAD = "cut head"
+
+
+UNFRAMED_BEHAVIOURS = frozenset({Behaviour.UNFRAMED, Behaviour.CUT_UNFRAMED})
 
 
 @attrs.frozen
@@ -119,13 +126,34 @@
             scripted_upstream.respond(request, 500, b"fault")
             return
         time.sleep(SLOW_S if self.behaviour is Behaviour.SLOW else WORK_S)
-        if request.path.startswith(("/stream/", "/once/")):
-            self._stream(request, request_id)
-        elif self.behaviour is Behaviour.CUT:
+        if self.behaviour is Behaviour.CUT_HEAD:
+            _send_cut_head(request, request_id)
+        elif request.path.startswith(("/stream/", "/once/")):
+            if self.behaviour in UNFRAMED_BEHAVIOURS:
+                self._stream_unframed(request, request_id)
+            else:
+                self._stream(request, request_id)
+        elif self.behaviour is Behaviour.UNFRAMED:
+            _send_cut_head(request, request_id, rest=b"\r\n" + make_body(request_id))
+        elif self.behaviour in (Behaviour.CUT, Behaviour.CUT_UNFRAMED):
             scripted_upstream.abort(request)
         else:
             scripted_upstream.respond(request, body=make_body(request_id))
 
+    def _stream_unframed(self, request, request_id):
+        scripted_upstream.start_unframed_stream(request)
+        first = int(request.headers.get("Last-Event-Id") or 0) + 1
+        # The cut is at any byte of any event, but not between two events.
+        generator = random.Random(request_id)
+        cut_number = generator.randint(first, EVENT_COUNT)
+        for number in range(first, EVENT_COUNT + 1):
+            event = encode_event(request_id, number)
+            if self.behaviour is Behaviour.CUT_UNFRAMED and number == cut_number:
+                request.wfile.write(event[: generator.randrange(1, len(event))])
+                return
+            request.wfile.write(event)
+            time.sleep(EVENT_PAUSE_S)
+
     def _stream(self, request, request_id):
         scripted_upstream.start_stream(request)
         first = int(request.headers.get("Last-Event-Id") or 0) + 1
@@ -138,6 +166,18 @@
         scripted_upstream.send_chunk(request, b"")
 
 
+def _send_cut_head(request, request_id, rest=b""):
+    """Send headers without the empty line after them, then ``rest``, and close."""
+    lines = [
+        "HTTP/1.1 200 OK",
+        f"X-Sycamorespoke-Request-Id: {request_id}",
+        f"{scripted_upstream.RESPONSE_STAMP}: stamp",
+        "",
+    ]
+    request.wfile.write("\r\n".join(lines).encode() + rest)
+    request.close_connection = True
+
+
 def make_body(request_id):
     """Return the complete response body of a request."""
     return f"answer to {request_id}".encode()
