Tests: no port is given to two processes of a run

Cause: choose_free_port drew ports at random and could draw one again before the process it was for had bound it; two runs could share a range, and the scenarios drew from all ranges.

Change: one run at a time owns a range of ports, by listening on its first port, and draws its ports in turn. The scenarios use the same function. Tests: 150 draws of a run are different, and runs at the same time draw from different ranges.

--- a/scenarios/deployment.py
+++ b/scenarios/deployment.py
@@ -3,9 +3,7 @@
 import json
 import os
 import pathlib
-import random
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -15,26 +13,13 @@
 import yaml
 
 from sycamorespoke import clients, domain, standins
+from tests.fakes import free_ports
 
 BIN_DIR = pathlib.Path(sys.executable).parent
 SHARED_KEY = "5c" * 32
 API_KEYS_BY_ACCOUNT = {"clubs": "key-of-clubs", "pickup": "key-of-pickup"}
 START_TIMEOUT_S = 15.0
 POLL_S = 0.05
-PORT_RNG = random.SystemRandom()
-
-
-def find_free_port():
-    # Below the range of ephemeral ports: an outgoing connection could otherwise
-    # take the port before the process listens on it.
-    while True:
-        port = PORT_RNG.randrange(12000, 32000)
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
 
 
 def wait_until(condition, timeout_s, description):
@@ -174,7 +159,7 @@
         return usage.json()["blocks"]
 
     def add_entry(self, name, data_centre, threads=64, drain_s=10.0):
-        ports = [find_free_port() for _ in range(3)]
+        ports = [free_ports.choose_free_port() for _ in range(3)]
         host = domain.Host(
             name=name,
             data_centre=data_centre,
--- a/scenarios/test_membership_processes.py
+++ b/scenarios/test_membership_processes.py
@@ -10,6 +10,7 @@
 
 from scenarios import deployment
 from sycamorespoke import clients, decisions, standins
+from tests.fakes import free_ports
 
 pytestmark = pytest.mark.processes
 
@@ -68,7 +69,7 @@
 
 @contextlib.contextmanager
 def run_steward(cluster, name, data_centre):
-    ports = [deployment.find_free_port() for _ in range(2)]
+    ports = [free_ports.choose_free_port() for _ in range(2)]
     path = cluster.folder / f"{name}.yaml"
     values = {
         "name": name,
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -2,9 +2,7 @@
 
 import http.client
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import threading
@@ -12,15 +10,10 @@
 
 import pytest
 
-from tests.fakes import in_process_gateway, scripted_upstream
+from tests.fakes import free_ports, in_process_gateway, scripted_upstream
 
 pytestmark = pytest.mark.processes
 TIMEOUT_S = 20.0
-# Below the ephemeral ports of the system. Concurrent test runs use other ranges.
-PORTS_PER_RUN = 200
-FIRST_PORT = 20000 + os.getpid() % 60 * PORTS_PER_RUN
-PORTS = range(FIRST_PORT, FIRST_PORT + PORTS_PER_RUN)
-PORT_RANDOM = random.Random(os.getpid())
 CONFIGURATION = {
     "Version": 1,
     "Routes": [
@@ -40,18 +33,6 @@
 }
 
 
-def choose_free_port():
-    """Return a free port outside the range of ephemeral ports."""
-    while True:
-        port = PORT_RANDOM.choice(PORTS)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
-
-
 def wait_until(is_done):
     deadline_s = time.monotonic() + TIMEOUT_S
     while not is_done() and time.monotonic() < deadline_s:
@@ -74,7 +55,8 @@
 
     def __init__(self, store, folder, **settings):
         self.ports = {
-            name: choose_free_port() for name in ("listen", "ready", "operators")
+            name: free_ports.choose_free_port()
+            for name in ("listen", "ready", "operators")
         }
         self.output = None
         path = folder / "settings.yaml"
@@ -86,7 +68,7 @@
             "operators_listen": f'"127.0.0.1:{self.ports["operators"]}"',
             "platform": f'"{store.address}"',
             "peer_ip": '"127.0.0.1"',
-            "peer_port": choose_free_port(),
+            "peer_port": free_ports.choose_free_port(),
             **settings,
         }
         path.write_text(
