Leases: a read without an object confirms no renewal

Cause: handle_lease_read took 'no object' for a deletion and put the process's own record in its place; since a renewal was unresolved, the record counted as that renewal. The next read of the old version was above version 0, so it would have counted as well.

Change: a missing object keeps the last holder's record in force, ends this process's own use of the lease and leaves the write unresolved; only a version above every one received shows that a write took effect.

Looked for the same reading elsewhere: claims, their layout and published objects write with a condition on 'no object', which fails if it exists; the watcher's revision 0 confirms no adopted document; the gateway's view retains what is missing from a list.

--- a/sycamorespoke/decisions/_lease_state.py
+++ b/sycamorespoke/decisions/_lease_state.py
@@ -96,6 +96,9 @@
         Name and boot ID of this process.
     seen : SeenLease or None, default=None
         Latest version received.
+    newest_version : int, default=0
+        Highest version received. It is above that of ``seen`` after a read in which
+        the object was missing.
     held : HeldLease or None, default=None
         Lease of this process, if it holds or has held it.
     unresolved_write_s : float or None, default=None
@@ -111,6 +114,7 @@
 
     holder: str
     seen: SeenLease | None = None
+    newest_version: int = 0
     held: HeldLease | None = None
     unresolved_write_s: float | None = None
     last_read_s: float = float("-inf")
--- a/sycamorespoke/decisions/_leases.py
+++ b/sycamorespoke/decisions/_leases.py
@@ -84,19 +84,23 @@
         Updated state.
     """
     state = attrs.evolve(state, last_read_s=requested_s, must_read=False)
-    if state.seen is not None:
+    if state.seen is not None and version <= state.seen.version:
         if record is None and state.seen.version > 0:
-            # The object was deleted, but the last holder may still act on its lease.
-            record = state.seen.record
-        elif version <= state.seen.version:
-            # The version is unchanged, or the read is stale. A write whose result is
-            # unknown may still take effect.
-            return state
+            return _handle_missing_lease(state, now)
+        # The version is unchanged, or the read is stale. A write whose result is
+        # unknown may still take effect.
+        return state
+    seen = _lease_state.SeenLease(record, version, now)
+    if version <= state.newest_version:
+        # The object was missing in a read before. This version is older than one
+        # that was received, so it does not show that a later write took effect.
+        return attrs.evolve(state, seen=seen, held=None)
     held = None
     if record is not None and record.holder == state.holder:
         held = _make_held_lease(state, record, now)
-    seen = _lease_state.SeenLease(record, version, now)
-    return attrs.evolve(state, seen=seen, held=held, unresolved_write_s=None)
+    return attrs.evolve(
+        state, seen=seen, held=held, newest_version=version, unresolved_write_s=None
+    )
 
 
 def handle_lease_write(state, record, version, sent_s, now):
@@ -126,7 +130,14 @@
             record.fencing_number, sent_s, acquired_s, record.duration_s
         )
     seen = _lease_state.SeenLease(record, version, now)
-    return attrs.evolve(state, seen=seen, held=held, unresolved_write_s=None)
+    newest_version = max(state.newest_version, version)
+    return attrs.evolve(
+        state,
+        seen=seen,
+        held=held,
+        newest_version=newest_version,
+        unresolved_write_s=None,
+    )
 
 
 def handle_lease_write_conflict(state):
@@ -167,6 +178,14 @@
     return attrs.evolve(state, must_read=True, unresolved_write_s=earliest_s)
 
 
+def _handle_missing_lease(state, now):
+    # The object was deleted, or the read is stale. The last holder may still act on
+    # its lease, so its record stays in force. It does not show that a write whose
+    # result is unknown took effect, and this process no longer acts on its own lease.
+    seen = _lease_state.SeenLease(state.seen.record, 0, now)
+    return attrs.evolve(state, seen=seen, held=None)
+
+
 def _make_held_lease(state, record, now):
     # It is unknown which of the writes without a response took effect; the earliest
     # one gives the shortest lease.
