Stand-ins: close() does not write to a pipe that its server has closed

Cause: close() queues a function and then wakes the server's loop through a pipe. If a running request wakes the loop in between, the function ran and closed the pipe before close() wrote to it; the descriptor could have belonged to another file by then.

Change: the function ends the loop but leaves the pipe open; close() closes it when the loop and the tasks have ended.

--- a/sycamorespoke/standins/_server.py
+++ b/sycamorespoke/standins/_server.py
@@ -5,6 +5,7 @@
 
 import attrs
 import waitress.server
+import waitress.wasyncore
 
 THREADS = 200
 CONNECTION_LIMIT = 2000
@@ -100,17 +101,21 @@
         # A second call must not use the trigger, which the first call has closed.
         if not may_close.acquire(blocking=False):
             return
-        server.trigger.pull_trigger(lambda: _close_connections(server))
+        server.trigger.pull_trigger(lambda: _end_loop(server))
         thread.join(SHUTDOWN_TIMEOUT_S)
         server.task_dispatcher.shutdown(timeout=SHUTDOWN_TIMEOUT_S)
+        server.trigger.close()
 
     return Handle(standin, format_address(server), close)
 
 
-def _close_connections(server):
-    # The trigger's pipe is about to close. A task that ends later must not write to
-    # its file descriptor, which may belong to another file by then.
+def _end_loop(server):
+    """Close the listener and all connections, which ends the server's loop."""
+    # A task that ends later must not use the trigger.
     server.pull_trigger = lambda: None
     for channel in list(server.active_channels.values()):
         channel.handle_close()
-    server.close()
+    # The trigger's pipe stays open: the thread that queued this function may not have
+    # written to it yet, and its file descriptor must not belong to another file then.
+    server.trigger.del_channel()
+    waitress.wasyncore.dispatcher.close(server)
