Scenarios: a failed check of a response names its entry host and its end

The play of 'platform outage, a killed entry host and an engine turned cold' that failed once (KNOWN-RED.txt) left no trace: callers did not note which host they were led to. A response now notes it, and the check prints the host, the status, the part received and the error.

--- a/scenarios/callers.py
+++ b/scenarios/callers.py
@@ -19,7 +19,9 @@
 class CompletionResponse:
     """Response to a streamed completion as received by the caller."""
 
-    def __init__(self, prompt, max_tokens, status, data):
+    def __init__(self, entry, prompt, max_tokens, status, data):
+        self.entry = entry
+        self.received_s = time.monotonic()
         self.prompt = prompt
         self.max_tokens = max_tokens
         self.status = status
@@ -46,6 +48,14 @@
             standins.make_token(self.prompt, index) for index in range(count)
         )
 
+    def describe(self):
+        """Return what a failed check needs to know of the response."""
+        return (
+            f"{self.entry} at {self.received_s:.2f} s: status {self.status}, "
+            f"{len(self.text)} of {len(self.expected_text())} characters, "
+            f"error {self.error}, ends with {self.data[-200:]!r}"
+        )
+
     def is_complete(self):
         return self.has_end_marker and self.text == self.expected_text()
 
@@ -135,7 +145,9 @@
             self._record_connection_error(error)
             return
         self.responses.append(
-            CompletionResponse(prompt, max_tokens, response.status, response.data)
+            CompletionResponse(
+                entry, prompt, max_tokens, response.status, response.data
+            )
         )
 
     def _send_bookings_until(self, caller, ends_s):
--- a/scenarios/steps.py
+++ b/scenarios/steps.py
@@ -423,8 +423,8 @@
 def check_refusals(callers, execution):
     for response in callers.wait():
         if not response.is_complete():
-            assert response.status != 200
-            assert response.error["execution"] == execution
+            assert response.status != 200, response.describe()
+            assert response.error["execution"] == execution, response.describe()
 
 
 @pytest_bdd.then("no answer claims to be whole")
--- a/scenarios/test_request_ids.py
+++ b/scenarios/test_request_ids.py
@@ -31,7 +31,9 @@
             "entry-1", "POST", "/v1/completions", body, "clubs", SAME_ID
         )
         responses.append(
-            callers.CompletionResponse("mine", TOKENS, response.status, response.data)
+            callers.CompletionResponse(
+                "entry-1", "mine", TOKENS, response.status, response.data
+            )
         )
 
     other = urllib3.request(
