--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -3,10 +3,13 @@
 ``python -m pytest -p tests.mechanisms_off --mechanism-off block-checks -m blocks``
 """
 
+import http.client
+
 import attrs
 
 from sycamorespoke import clients, domain
 from sycamorespoke.clients import _block_checks
+from sycamorespoke.gateway import _gateway
 from tests import mechanisms_off_run_once
 
 _chain_block_keys = domain.chain_block_keys
@@ -44,6 +47,14 @@
     _block_checks.find_block_error = find_block_error
 
 
+def _skip_cut_off_check():
+    clients.CheckedConnection.response_class = http.client.HTTPResponse
+
+
+def _skip_stream_end_check():
+    _gateway.StreamBody._find_early_end = lambda _: None
+
+
 def _omit_account_from_keys():
     domain.chain_block_keys = lambda account, *rest, **keywords: _chain_block_keys(
         "", *rest, **keywords
@@ -84,6 +95,8 @@
 OFF_BY_NAME = {
     **mechanisms_off_run_once.OFF_BY_NAME,
     "block-checks": _skip_block_checks,
+    "cut-off-check": _skip_cut_off_check,
+    "stream-end-check": _skip_stream_end_check,
     "block-generation": _skip_check_after_read,
     "block-identity": _skip_identity_check,
     "account-in-key": _omit_account_from_keys,
