Gateway: the body of a stream is a module of its own

StreamBody moves to _stream_body.py with the log line that only it writes; ending an attempt is a method of Attempts.

--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -170,6 +170,13 @@
             self._active_upstream = None
         self.exchange = None
 
+    def abandon(self):
+        """End the current attempt, if any, which cancels a request that still runs."""
+        exchange = self.exchange
+        if exchange is not None:
+            exchange.close()
+        self.finish()
+
     def _choose(self):
         now = self.gateway.read_clock()
         if self.cancelled:
--- /dev/null
+++ b/sycamorespoke/gateway/_stream_body.py
@@ -0,0 +1,147 @@
+"""Body of a stream: relays events of an upstream and resumes at another one."""
+
+import loguru
+
+from sycamorespoke import domain, serving
+from sycamorespoke.gateway import _events, _requests
+
+RESUMED_STATUS = 200
+
+
+class StreamBody:
+    """WSGI body of a stream, which may resume at another upstream.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        Gateway that serves the request.
+    attempts : Attempts
+        Attempts of the request.
+    """
+
+    def __init__(self, gateway, attempts):
+        self.gateway = gateway
+        self.attempts = attempts
+        self._splitter = _events.EventSplitter(attempts.request.last_event_id)
+        self._first_events = b""
+        self._head = None
+        self._ended = False
+
+    def begin(self):
+        """Send the request and wait for the first event.
+
+        Returns
+        -------
+        ResponseHead or domain.Refusal
+            Head of the response, or the refusal if no upstream sent an event.
+        """
+        while True:
+            head = self.attempts.open()
+            if isinstance(head, domain.Refusal):
+                return head
+            self._head = head
+            chunk = self._read()
+            if not isinstance(chunk, _requests.Failure):
+                self.attempts.record_first_event()
+                self._first_events = chunk
+                return head
+            refusal = self._handle_broken_response(chunk)
+            if refusal is not None:
+                return refusal
+
+    def __iter__(self):
+        if self._first_events:
+            yield self._first_events
+        while not self._ended:
+            chunk = self._read()
+            if isinstance(chunk, _requests.Failure):
+                self._resume(chunk)
+            elif chunk:
+                yield chunk
+        self.attempts.record_whole_response()
+        self.attempts.finish()
+        self.gateway.log_stream_end(self.attempts, self._head, "")
+
+    def close(self):
+        """End the stream; cancel the request if it still runs."""
+        if self._ended:
+            return
+        self._ended = True
+        self.attempts.abandon()
+        self.gateway.log_stream_end(
+            self.attempts, self._head, "the caller disconnected"
+        )
+
+    def _read(self):
+        """Read until an event is complete; return what is left at the stream's end."""
+        while True:
+            chunk = self.attempts.exchange.read_chunk()
+            if isinstance(chunk, _requests.Failure):
+                return chunk
+            if not chunk:
+                failure = self._find_early_end()
+                if failure is not None:
+                    return failure
+                self._ended = True
+                return self._splitter.flush()
+            events = self._splitter.split_chunk(chunk)
+            if events:
+                return events
+
+    def _find_early_end(self):
+        """Return a failure if the response ended before its stream was complete."""
+        head = self.attempts.exchange.head
+        if not head.is_event_stream:
+            return None
+        if self._splitter.partial_event_bytes:
+            self._log_partial_event()
+            return _make_lost("the response ended inside an event")
+        is_unframed = head.framing is _requests.Framing.CONNECTION_END
+        if is_unframed and not self._splitter.has_events:
+            return _make_lost("the connection ended before the first event")
+        return None
+
+    def _log_partial_event(self):
+        exchange = self.attempts.exchange
+        loguru.logger.bind(
+            request_id=self.attempts.request.id,
+            route=self.attempts.route.name,
+            upstream=exchange.upstream.id,
+            framing=exchange.head.framing.value,
+            last_event_id=self._splitter.last_id,
+            partial_event_bytes=self._splitter.partial_event_bytes,
+        ).info("response ended inside an event")
+
+    def _handle_broken_response(self, failure):
+        last_event_id = self._splitter.last_id
+        refusal = self.attempts.handle_broken_response(failure, last_event_id)
+        self._splitter.restart()
+        return refusal
+
+    def _resume(self, failure):
+        """Resume the stream at another upstream, or raise `BrokenStreamError`."""
+        refusal = self._handle_broken_response(failure)
+        if refusal is None:
+            refusal = self._open_next(failure)
+        if refusal is None:
+            return
+        self._ended = True
+        self.attempts.abandon()
+        self.gateway.log_stream_end(self.attempts, self._head, refusal.reason)
+        raise serving.BrokenStreamError(refusal.reason)
+
+    def _open_next(self, failure):
+        """Send the request again; return a refusal if no upstream continues it."""
+        if self._head.status != RESUMED_STATUS:
+            return failure.refusal
+        head = self.attempts.open(self._splitter.last_id)
+        if isinstance(head, domain.Refusal):
+            return head
+        if head.status != RESUMED_STATUS:
+            return failure.refusal
+        self._head = head
+        return None
+
+
+def _make_lost(reason):
+    return _requests.Failure(domain.Refusal(domain.ErrorKind.UPSTREAM_LOST, reason))
--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -9,7 +9,7 @@
 
 from sycamorespoke import clients, domain
 from sycamorespoke.clients import _block_checks
-from sycamorespoke.gateway import _gateway
+from sycamorespoke.gateway import _stream_body
 from tests import mechanisms_off_run_once
 
 _chain_block_keys = domain.chain_block_keys
@@ -52,7 +52,7 @@
 
 
 def _skip_stream_end_check():
-    _gateway.StreamBody._find_early_end = lambda _: None
+    _stream_body.StreamBody._find_early_end = lambda _: None
 
 
 def _omit_account_from_keys():
