Gateway: lines of failed and broken attempts name the prompt's shared blocks

The last eight shared blocks are logged; no decision changes. The test of the new field fails without it.

--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -24,6 +24,7 @@
 # No attempt begins when less time than this remains, so that the refusal still
 # reaches the caller before its deadline.
 REFUSAL_MARGIN_S = 0.02
+MAX_LOGGED_BLOCKS = 8
 
 
 class Attempts:
@@ -134,6 +135,7 @@
             reason=failure.refusal.reason,
             framing=framing.value,
             last_event_id=last_event_id,
+            blocks=self._list_logged_blocks(),
         )
         self.finish()
         self._exclude_reached(upstream)
@@ -243,7 +245,12 @@
         upstream = choice.upstream
         refusal = failure.refusal
         self._count("failed", upstream)
-        self._log("attempt failed", upstream, reason=refusal.reason)
+        self._log(
+            "attempt failed",
+            upstream,
+            reason=refusal.reason,
+            blocks=self._list_logged_blocks(),
+        )
         self.finish()
         self._add_refusal(refusal)
         if failure.head is not None:
@@ -318,6 +325,11 @@
     def _count(self, outcome, upstream):
         self.gateway.request_metrics.record_attempt(outcome, upstream.service)
 
+    def _list_logged_blocks(self):
+        """Return the last shared blocks of the prompt, which tell prompts apart."""
+        prompt = self.request.prompt
+        return list(prompt.shared_block_ids[-MAX_LOGGED_BLOCKS:]) if prompt else []
+
     def _log(self, event, upstream, level="INFO", **fields):
         now = self.gateway.read_clock()
         view = self.gateway.views.get()
--- a/sycamorespoke/gateway/_requests.py
+++ b/sycamorespoke/gateway/_requests.py
@@ -63,6 +63,11 @@
     input_tokens: int
     output_tokens: int
 
+    @property
+    def shared_block_ids(self):
+        """IDs of the blocks that other requests may share, in order."""
+        return tuple(block.id for block in self.blocks[:-1])
+
 
 @attrs.frozen
 class Request:
--- a/tests/gateway/test_broken_responses.py
+++ b/tests/gateway/test_broken_responses.py
@@ -184,3 +184,15 @@
     fields = log_lines.wait_for("attempt broke")
     assert fields["reason"] == "the caller disconnected"
     assert 'outcome="answered"' not in gateway.metrics.render().decode()
+
+
+def test_line_of_a_broken_response_names_the_shared_blocks_of_the_prompt(
+    harness, log_lines
+):
+    def break_off(request):
+        scripted_upstream.start_stream(request)
+        scripted_upstream.abort(request)
+
+    gateway = harness.start_gateway([harness.start_upstream(break_off)])
+    gateway.request("/once/x", X_Sycamorespoke_Prompt_Prefix="aa:9,bb:5,cc:1")
+    assert log_lines.wait_for("attempt broke")["blocks"] == ["aa", "bb"]
