--- /dev/null
+++ b/tests/fakes/crashing_fleet.py
@@ -0,0 +1,164 @@
+"""Upstreams that a block of a prompt ends, and the platform's store that lists them."""
+
+import threading
+import time
+
+import attrs
+
+from tests.fakes import in_process_gateway, object_store, scripted_upstream
+
+ROUTE = "prompts"
+PROMPT_PREFIX = "X-Sycamorespoke-Prompt-Prefix"
+# Between the first bytes of the response and the end of the process.
+CRASH_DELAY_S = 0.02
+ANSWER_S = 0.05
+
+
+@attrs.frozen
+class Arrival:
+    """A request with a prompt that reached an upstream.
+
+    Parameters
+    ----------
+    upstream : str
+        ID of the upstream.
+    blocks : tuple of str
+        IDs of the blocks of its prompt.
+    at_s : float
+        Monotonic time, seconds.
+    """
+
+    upstream: str
+    blocks: tuple[str, ...]
+    at_s: float
+
+
+@attrs.frozen
+class Crash:
+    """End of an upstream.
+
+    Parameters
+    ----------
+    upstream : str
+        ID of the upstream.
+    at_s : float
+        Monotonic time, seconds.
+    """
+
+    upstream: str
+    at_s: float
+
+
+class CrashingFleet:
+    """Upstreams of one service that end when they begin a response on a block.
+
+    Parameters
+    ----------
+    count : int
+        Number of upstreams.
+    fatal_blocks : frozenset of str
+        Blocks that end each upstream that begins a response.
+    restart_s : float
+        Time after which an upstream is back, under another ID, seconds.
+    """
+
+    def __init__(self, count, fatal_blocks=frozenset(), restart_s=1.0):
+        self.fatal_blocks = fatal_blocks
+        self.restart_s = restart_s
+        self.arrivals = []
+        self.crashes = []
+        self.store = object_store.FakeObjectStore()
+        self.store.put("config", "main", _make_configuration())
+        self._lock = threading.Lock()
+        self._closed = False
+        self._starts = 0
+        self._servers_by_id = {}
+        for _ in range(count):
+            self._start_one()
+
+    def list_ids(self):
+        """Return the IDs of the upstreams that run."""
+        with self._lock:
+            return list(self._servers_by_id)
+
+    def crash(self, upstream_id):
+        """End an upstream; it is back after ``restart_s``."""
+        with self._lock:
+            server = self._servers_by_id.pop(upstream_id, None)
+        if server is None:
+            return
+        self.crashes.append(Crash(upstream_id, time.monotonic()))
+        server.crash()
+        restart = threading.Timer(self.restart_s, self._restart, (upstream_id,))
+        restart.daemon = True
+        restart.start()
+
+    def list_arrivals(self, block, since_s=float("-inf")):
+        """Return the arrivals of requests with a block after a time."""
+        return [
+            each
+            for each in list(self.arrivals)
+            if block in each.blocks and each.at_s > since_s
+        ]
+
+    def close(self):
+        """Close the upstreams and the store."""
+        with self._lock:
+            self._closed = True
+            servers = list(self._servers_by_id.values())
+            self._servers_by_id.clear()
+        for server in servers:
+            server.close()
+        self.store.close()
+
+    def _restart(self, ended_id):
+        self.store.delete("servers", ended_id)
+        self._start_one()
+
+    def _start_one(self):
+        with self._lock:
+            if self._closed:
+                return
+            self._starts += 1
+            upstream_id = f"i-{self._starts}"
+            server = scripted_upstream.ScriptedUpstream(
+                lambda request: self._serve(upstream_id, request), upstream_id
+            )
+            self._servers_by_id[upstream_id] = server
+        spec = {"Service": "s", "Address": server.address, "Zone": "dc-1", "Slots": 8}
+        ready = {"State": "ready", "ColdRemainingMs": 0}
+        self.store.put("servers", upstream_id, {**spec, **ready})
+
+    def _serve(self, upstream_id, request):
+        prefix = request.headers.get(PROMPT_PREFIX, "")
+        blocks = tuple(entry.partition(":")[0] for entry in prefix.split(","))
+        self.arrivals.append(Arrival(upstream_id, blocks, time.monotonic()))
+        scripted_upstream.start_stream(request)
+        if self.fatal_blocks.intersection(blocks[:-1]):
+            time.sleep(CRASH_DELAY_S)
+            self.crash(upstream_id)
+            return
+        time.sleep(ANSWER_S)
+        scripted_upstream.send_events(request, 1, 2)
+        scripted_upstream.send_chunk(request, b"")
+
+
+def _make_configuration():
+    route = {
+        "Name": ROUTE,
+        "Host": in_process_gateway.HOST,
+        "PathPrefix": f"/{ROUTE}/",
+        "Kind": "streaming",
+        "TimeoutMs": 3000,
+        "TargetLatencyMs": 500,
+        "Priority": 0,
+        "Service": "s",
+        "MaxAttempts": 1,
+        "Sticky": True,
+    }
+    return {
+        "Version": 1,
+        "Routes": [route],
+        "Services": [{"Name": "s", "MaxConns": 200}],
+        "Tenants": [{"Name": "t", "ApiKeys": [in_process_gateway.API_KEY]}],
+    }
--- a/tests/fakes/scripted_upstream.py
+++ b/tests/fakes/scripted_upstream.py
@@ -1,9 +1,14 @@
 """An upstream on a free port whose responses the test controls byte by byte."""
 
+import contextlib
 import http.server
+import socket
+import struct
 import threading
 import time
 
+# On, with a timeout of 0 s: a closed connection is reset.
+RESET_LINGER = struct.pack("ii", 1, 0)
 RESPONSE_STAMP = "X-Sycamorespoke-Response-Stamp"
 
 
@@ -18,11 +23,20 @@
         self.handle = handle
         self.requests = []
         self.disconnected = threading.Event()
+        self._connections = set()
         upstream = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
 
+            def setup(self):
+                super().setup()
+                upstream._connections.add(self.connection)
+
+            def finish(self):
+                upstream._connections.discard(self.connection)
+                super().finish()
+
             def _serve(self):
                 length = int(self.headers.get("Content-Length") or 0)
                 self.body = self.rfile.read(length)
@@ -59,6 +73,17 @@
         self._server.server_close()
         self._thread.join()
 
+    def crash(self):
+        """Stop listening and reset all connections, like a process that ends."""
+        self._server.server_close()
+        for connection in list(self._connections):
+            # It may have ended meanwhile.
+            with contextlib.suppress(OSError):
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+                connection.shutdown(socket.SHUT_RDWR)
+        self._server.shutdown()
+        self._thread.join()
+
 
 def respond(request, status=200, body=b"done", **headers):
     """Send a complete response with the request ID and a response stamp."""
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -3,13 +3,14 @@
 import contextlib
 import enum
 import socket
-import struct
 import threading
 
+from tests.fakes import scripted_upstream
+
 READ_BYTES = 65536
 DELAY_S = 0.2
-# With a linger time of 0, close() sends a reset.
-RESET_OPTION = struct.pack("ii", 1, 0)
+# With it, close() sends a reset.
+RESET_OPTION = scripted_upstream.RESET_LINGER
 
 
 class Mode(enum.Enum):
