Gateway: a block of prompts that ends upstreams goes into quarantine on all hosts

Cause: nothing related the end of an upstream to what it was answering. Limits on attempts, retry budgets and ejection look at one request or at one upstream; here every request is new, every upstream is another, and a host sees one or two of the first five losses. Class of fault: a request that kills its server, without memory across requests and hosts.

Ruled out: our own retries (the route allows one upstream, and no request broke at two of the lost engines before its first event); load (the test has none).

Change: hosts write which shared blocks were in a begun response when an upstream's process ended, one object for each host process; a complete response with framing on a block, at any host, clears it. After three upstreams and three different prompts one host writes the verdict, and every attempt with the block is refused at once as not run, on all hosts.

New beside it: blocks of upstreams lost for another cause stay served (processes), the attribution (properties), up to 40 hosts of which none sees two losses, restarts, an outage of the store.

--- a/scenarios/test_not_run.py
+++ b/scenarios/test_not_run.py
@@ -14,12 +14,14 @@
 pytest_bdd.scenarios("not_run.feature")
 
 KEY = "key-1"
-# Error kinds of the HTTP front end and of the stream relay, covered by their tests.
+# Error kinds of the HTTP front end, the stream relay and the gateway, covered by their
+# tests.
 KINDS_TESTED_ELSEWHERE = {
     "too_large",
     "unauthenticated",
     "no_route",
     "not_ready",
+    "prompt_quarantined",
     "cancelled",
     "internal",
     "version_loading",
--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -58,6 +58,11 @@
     ColdShare,
     compute_cold_share,
 )
+from sycamorespoke.decisions._crash_attribution import (
+    BrokenPrompt,
+    discard_sound_blocks,
+    find_fatal_block,
+)
 from sycamorespoke.decisions._ejection import (
     FailureHistory,
     record_failure,
@@ -221,6 +226,7 @@
     "AttemptOutcome",
     "BlockPlan",
     "BlockScope",
+    "BrokenPrompt",
     "ByteBucket",
     "Candidate",
     "ChangeRecord",
@@ -293,10 +299,12 @@
     "count_permitted_requests",
     "count_readers",
     "decide_permit",
+    "discard_sound_blocks",
     "end_transfer",
     "estimate_cost",
     "estimate_transfer_s",
     "estimate_wait_s",
+    "find_fatal_block",
     "format_value",
     "handle_lease_read",
     "handle_lease_write",
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -3,7 +3,14 @@
 import loguru
 
 from sycamorespoke import decisions, domain
-from sycamorespoke.gateway import _chooser, _dispatcher, _exchange, _model, _requests
+from sycamorespoke.gateway import (
+    _chooser,
+    _dispatcher,
+    _exchange,
+    _model,
+    _quarantine,
+    _requests,
+)
 
 # How strongly a failure of each kind indicates a fault of the upstream, 0 to 1.
 FAILURE_WEIGHT_BY_KIND = {
@@ -106,8 +113,13 @@
 
     def record_whole_response(self):
         """Count the current response as read to its end."""
-        framing = self.exchange.head.framing
-        self.gateway.request_metrics.record_response_end(framing, is_whole=True)
+        head = self.exchange.head
+        self.gateway.request_metrics.record_response_end(head.framing, is_whole=True)
+        # Without framing, the end of the upstream may have cut the response.
+        is_proven = head.framing is not _requests.Framing.CONNECTION_END
+        if self.request.prompt and head.is_success and is_proven:
+            now = self.gateway.read_clock()
+            self.gateway.crash_monitor.record_whole(self.request.prompt, now)
 
     def handle_broken_response(self, failure, last_event_id=None):
         """Record that a response broke off and decide on another attempt.
@@ -127,6 +139,12 @@
         upstream = self.exchange.upstream
         framing = self.exchange.head.framing
         self._record_failure(upstream, failure.refusal.kind)
+        if (
+            self.request.prompt
+            and failure.refusal.kind is domain.ErrorKind.UPSTREAM_LOST
+        ):
+            now = self.gateway.read_clock()
+            self.gateway.crash_monitor.record_broken(upstream, self.request.prompt, now)
         self._count("broke", upstream)
         self.gateway.request_metrics.record_response_end(framing, is_whole=False)
         self._log(
@@ -189,10 +207,26 @@
                 "no time is left to send the request",
             )
         view = self.gateway.views.get()
+        refusal = self._find_quarantine(view, now)
+        if refusal is not None:
+            return refusal
         return self.gateway.chooser.choose(
             view, self.route, self.request, self._excluded_boot_ids, now
         )
 
+    def _find_quarantine(self, view, now):
+        """Return a refusal if the prompt has a block that ends upstreams."""
+        if self.request.prompt is None:
+            return None
+        quarantined = view.find_quarantined(self.request.prompt)
+        if quarantined is None:
+            return None
+        return domain.Refusal(
+            domain.ErrorKind.PROMPT_QUARANTINED,
+            "a block of the prompt has ended upstreams",
+            _quarantine.compute_retry_after_s(quarantined, now),
+        )
+
     def _attempt(self, choice, last_event_id):
         upstream = choice.upstream
         self._deposit_to_budget(upstream.service)
--- a/sycamorespoke/gateway/_deployment.py
+++ b/sycamorespoke/gateway/_deployment.py
@@ -24,6 +24,8 @@
         Client that reads reports of engines and sends orders, see `Rollout`.
     block_stores : object
         Client of the block stores, see `BlockPlanner` and `Retirement`.
+    crash_records : object
+        Writes the objects of the kind ``crashes``, see `Quarantine`.
     ready_path : str
         Path that the load balancer polls for readiness.
     """
@@ -35,6 +37,7 @@
     leases: object
     engines: object
     block_stores: object
+    crash_records: object
     ready_path: str
 
 
@@ -60,8 +63,12 @@
 
     Parameters
     ----------
-    configuration, upstreams, data_centres_out, versions, hosts, leases : ObjectKind
-        One kind for each section of the view, and the leases.
+    configuration, upstreams, data_centres_out, versions, hosts : ObjectKind
+        One kind for each section of the view.
+    leases : ObjectKind
+        The leases.
+    crashes : ObjectKind
+        `CrashReport` and `QuarantinedBlock` objects.
     """
 
     configuration: ObjectKind
@@ -70,3 +77,4 @@
     versions: ObjectKind
     hosts: ObjectKind
     leases: ObjectKind
+    crashes: ObjectKind
--- a/sycamorespoke/gateway/_gateway.py
+++ b/sycamorespoke/gateway/_gateway.py
@@ -32,6 +32,8 @@
         Connections to upstreams.
     block_planner : BlockPlanner
         Plans imports and exports of blocks.
+    crash_monitor : CrashMonitor
+        Observes under which prompts upstreams end.
     budgets : RetryBudgets
         Limits the retries of each service.
     request_metrics : RequestMetrics
@@ -46,6 +48,7 @@
     table: object
     pool: object
     block_planner: object
+    crash_monitor: object
     budgets: object
     request_metrics: object
     read_clock: object
@@ -211,6 +214,7 @@
 def _set_retry_after(refusal, request, now):
     if (
         not refusal.error_response().retry_after_s
+        or refusal.retry_after_s is not None
         or request is None
         or request.deadline_s is None
     ):
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -9,10 +9,12 @@
     _blocks,
     _chooser,
     _connections,
+    _crash_monitor,
     _gateway,
     _model,
     _peer_loads,
     _peering,
+    _quarantine,
     _readiness,
     _request_metrics,
     _retirement,
@@ -67,6 +69,15 @@
             frozenset({deployment.kinds.configuration.name}),
             serving.read_clock,
         )
+        self.crash_monitor = _crash_monitor.CrashMonitor(
+            self.views, self._count_upstream_end, _crash_monitor.is_listening
+        )
+        self.quarantine = _quarantine.Quarantine(
+            gateway_settings.name,
+            self.views,
+            self.crash_monitor,
+            deployment.crash_records,
+        )
         self.stop_requested = threading.Event()
         self._limits = serving.CallerLimits()
         self._usable_files = max(gateway_settings.files - RESERVED_FILES, 64)
@@ -103,6 +114,7 @@
         self.view_updater.start()
         self.server.start()
         self.peering.join(self.stop_requested)
+        self.quarantine.start(self.stop_requested)
         loguru.logger.bind(listen=self.settings.listen).info("gateway started")
 
     def is_ready(self):
@@ -190,6 +202,7 @@
                 model: target.version
                 for model, target in (view.targets_by_model or {}).items()
             },
+            "quarantined_blocks": sorted(view.quarantined_by_block),
             "upstreams": self.table.dump(now),
             "connections": self.pool.count_open(),
             "stores": self.block_planner.dump(now),
@@ -200,6 +213,7 @@
         view = self.views.get()
         self.metrics.gauge("caller_connections", self.server.count_connections())
         self.metrics.gauge("is_ready", int(self.is_ready()))
+        self.metrics.gauge("quarantined_blocks", len(view.quarantined_by_block))
         for section, confirmed_s in view.confirmed_s_by_section.items():
             self.metrics.gauge("view_age_seconds", now - confirmed_s, part=section)
         for task_lease in self.task_leases:
@@ -209,6 +223,9 @@
         for (service, state), count in self.table.count_states(view, now).items():
             self.metrics.gauge("upstreams", count, service=service, state=state)
 
+    def _count_upstream_end(self, service):
+        self.metrics.count("upstream_ends", service=service)
+
     def _get_in_force(self):
         configuration = self.views.get().configuration
         return {"configuration": configuration.version if configuration else None}
@@ -232,6 +249,7 @@
             table=self.table,
             pool=self.pool,
             block_planner=self.block_planner,
+            crash_monitor=self.crash_monitor,
             budgets=_retry_budgets.RetryBudgets(
                 settings.retry_ratio, settings.retry_slack
             ),
--- a/sycamorespoke/gateway/_requests.py
+++ b/sycamorespoke/gateway/_requests.py
@@ -214,6 +214,11 @@
     keep_alive_s: float | None = None
     closes_connection: bool = False
 
+    @property
+    def is_success(self):
+        """Whether the status is 2xx."""
+        return 200 <= self.status < 300
+
 
 @attrs.frozen
 class Response:
--- a/sycamorespoke/gateway/_view_updater.py
+++ b/sycamorespoke/gateway/_view_updater.py
@@ -5,7 +5,13 @@
 import loguru
 
 from sycamorespoke import decisions, serving
-from sycamorespoke.gateway import _follower, _orders, _rollout, _views
+from sycamorespoke.gateway import (
+    _crash_records,
+    _follower,
+    _orders,
+    _rollout,
+    _views,
+)
 
 FRESHNESS_BY_SECTION = {
     _views.CONFIGURATION: decisions.Freshness.URGENT,
@@ -15,6 +21,7 @@
     _views.VERSIONS: decisions.Freshness.CONFIRMED,
     "hosts": decisions.Freshness.RELAXED,
     "leases": decisions.Freshness.RELAXED,
+    "crashes": decisions.Freshness.URGENT,
 }
 
 
@@ -73,6 +80,7 @@
             self._make_subscription(_views.VERSIONS, self._handle_versions),
             self._make_subscription("hosts", self._handle_hosts),
             self._make_subscription("leases", self._handle_leases),
+            self._make_subscription("crashes", self._handle_crashes),
         ]
         return [
             _follower.Follower(
@@ -143,6 +151,26 @@
                 _orders.LoadAnnouncement.from_value(announced.value), now
             )
 
+    def _handle_crashes(self, items_by_name, now):
+        reports = tuple(
+            item
+            for item in items_by_name.values()
+            if isinstance(item, _crash_records.CrashReport)
+        )
+        quarantined_by_block = {
+            item.block_id: item
+            for item in items_by_name.values()
+            if isinstance(item, _crash_records.QuarantinedBlock)
+        }
+        previous = self.views.get().quarantined_by_block
+        self.views.replace_fields(
+            crash_reports=reports, quarantined_by_block=quarantined_by_block
+        )
+        for block_id in quarantined_by_block.keys() - previous.keys():
+            loguru.logger.bind(block=block_id).info("quarantine in force")
+        for block_id in previous.keys() - quarantined_by_block.keys():
+            loguru.logger.bind(block=block_id).info("quarantine lifted")
+
     def _handle_announcement(self, announcement, now):
         upstreams = (self.views.get().upstreams_by_id or {}).values()
         # Record versions before the engines stop counting as loading, so that no
--- a/sycamorespoke/gateway/_views.py
+++ b/sycamorespoke/gateway/_views.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from sycamorespoke.gateway import _model
+from sycamorespoke.gateway import _crash_records, _model
 
 CONFIGURATION = "configuration"
 VERSIONS = "versions"
@@ -33,6 +33,10 @@
         When ``loading`` was received, seconds of the boot clock.
     hosts_by_name : dict of str to Host
         Registered entry hosts.
+    crash_reports : tuple of CrashReport, default=()
+        Reports of all hosts on upstreams that ended.
+    quarantined_by_block : dict of str to QuarantinedBlock
+        Blocks of prompts that no host sends to an upstream, by ID.
     confirmed_s_by_section : dict of str to float
         When the source last confirmed each section, seconds of the boot clock.
     """
@@ -44,6 +48,10 @@
     loading: frozenset[str] = frozenset()
     loading_seen_s: float = float("-inf")
     hosts_by_name: dict[str, _model.Host] = attrs.field(factory=dict)
+    crash_reports: tuple[_crash_records.CrashReport, ...] = ()
+    quarantined_by_block: dict[str, _crash_records.QuarantinedBlock] = attrs.field(
+        factory=dict
+    )
     confirmed_s_by_section: dict[str, float] = attrs.field(factory=dict)
 
     @property
@@ -87,6 +95,15 @@
             and upstream.data_centre not in (self.data_centres_out or ())
         ]
 
+    def find_quarantined(self, prompt):
+        """Return a `QuarantinedBlock` of a prompt; ``None`` if it has none."""
+        if not self.quarantined_by_block:
+            return None
+        for block_id in prompt.shared_block_ids:
+            if block_id in self.quarantined_by_block:
+                return self.quarantined_by_block[block_id]
+        return None
+
     def is_loading(self, upstream, now):
         """Return whether an engine is announced to load weights at ``now``."""
         is_recent = now - self.loading_seen_s <= LOADING_TIMEOUT_S
--- a/sycamorespoke/platform/_deployment.py
+++ b/sycamorespoke/platform/_deployment.py
@@ -8,6 +8,7 @@
     _names,
     _objects,
     _protocol,
+    _shared_objects,
     _store,
 )
 
@@ -25,12 +26,7 @@
         self.store = store
 
     def register(self, host):
-        """Register a host, or update its entry.
-
-        Parameters
-        ----------
-        host : gateway.Host
-            Name, data centre and peer address of the host.
+        """Register a `gateway.Host`, or update its entry.
 
         Returns
         -------
@@ -69,20 +65,8 @@
         return stored.spec if isinstance(stored.spec, str) else None
 
     def unregister(self, name):
-        """Remove the entry of a host.
-
-        Parameters
-        ----------
-        name : str
-            Name of the host.
-
-        Returns
-        -------
-        bool
-            Whether the entry is gone, also if there was none.
-        """
-        result = self.store.delete(_names.KIND_HOSTS, name)
-        return result.outcome is _store.WriteOutcome.APPLIED
+        """Remove the entry of a host; return whether it is gone."""
+        return _shared_objects.SharedObjects(self.store, _names.KIND_HOSTS).delete(name)
 
 
 def make_deployment(host, address):
@@ -115,11 +99,13 @@
             versions=_make_kind(_names.KIND_VERSIONS, _objects.parse_target_version),
             hosts=_make_kind(_names.KIND_HOSTS, _objects.parse_host),
             leases=_make_kind(_names.KIND_LEASES, _leases.parse_lease),
+            crashes=_make_kind(_names.KIND_CRASHES, _parse_crash_record),
         ),
         registry=HostRegistry(store),
         leases=_leases.LeaseStore(store),
         engines=_engines.EngineClient(host),
         block_stores=_block_stores.BlockStoreClient(),
+        crash_records=_shared_objects.SharedObjects(store, _names.KIND_CRASHES),
         ready_path=_names.READY_PATH,
     )
 
@@ -129,3 +115,7 @@
         return parse(_objects.parse_object(value), now)
 
     return gateway.ObjectKind(name, parse_value)
+
+
+def _parse_crash_record(stored, now):
+    return gateway.parse_crash_record(stored.name, stored.spec, now)
--- a/sycamorespoke/platform/_leases.py
+++ b/sycamorespoke/platform/_leases.py
@@ -1,7 +1,7 @@
 """Leases as objects of the platform's store."""
 
 from sycamorespoke import clients, gateway
-from sycamorespoke.platform import _names, _store
+from sycamorespoke.platform import _names, _shared_objects, _store
 
 
 class LeaseStore:
@@ -84,10 +84,8 @@
         bool
             Whether the store confirmed the write.
         """
-        result = self.store.replace(_names.KIND_LEASES, name, value)
-        if result.outcome is _store.WriteOutcome.REJECTED:
-            result = self.store.create(_names.KIND_LEASES, name, value)
-        return result.outcome is _store.WriteOutcome.APPLIED
+        objects = _shared_objects.SharedObjects(self.store, _names.KIND_LEASES)
+        return objects.write(name, value)
 
 
 def parse_lease(stored, now):
--- /dev/null
+++ b/sycamorespoke/platform/_shared_objects.py
@@ -0,0 +1,31 @@
+"""Objects of one kind in the platform's store that hosts write for each other."""
+
+from sycamorespoke.platform import _store
+
+
+class SharedObjects:
+    """Writes and deletes objects of one kind, whatever their version.
+
+    Parameters
+    ----------
+    store : ObjectStoreClient
+        Client of the store.
+    kind : str
+        Kind of the objects.
+    """
+
+    def __init__(self, store, kind):
+        self.store = store
+        self.kind = kind
+
+    def write(self, name, value):
+        """Write the JSON value of an object; return whether the store confirmed it."""
+        result = self.store.replace(self.kind, name, value)
+        if result.outcome is _store.WriteOutcome.REJECTED:
+            result = self.store.create(self.kind, name, value)
+        return result.outcome is _store.WriteOutcome.APPLIED
+
+    def delete(self, name):
+        """Delete an object; return whether it is gone, also if there was none."""
+        result = self.store.delete(self.kind, name)
+        return result.outcome is _store.WriteOutcome.APPLIED
--- a/tests/fakes/crashing_fleet.py
+++ b/tests/fakes/crashing_fleet.py
@@ -60,11 +60,16 @@
         Blocks that end each upstream that begins a response.
     restart_s : float
         Time after which an upstream is back, under another ID, seconds.
+    answer_s : float
+        Time from the head of a response to its end, seconds.
     """
 
-    def __init__(self, count, fatal_blocks=frozenset(), restart_s=1.0):
+    def __init__(
+        self, count, fatal_blocks=frozenset(), restart_s=1.0, answer_s=ANSWER_S
+    ):
         self.fatal_blocks = fatal_blocks
         self.restart_s = restart_s
+        self.answer_s = answer_s
         self.arrivals = []
         self.crashes = []
         self.store = object_store.FakeObjectStore()
@@ -138,7 +143,7 @@
             time.sleep(CRASH_DELAY_S)
             self.crash(upstream_id)
             return
-        time.sleep(ANSWER_S)
+        time.sleep(self.answer_s)
         scripted_upstream.send_events(request, 1, 2)
         scripted_upstream.send_chunk(request, b"")
 
--- a/tests/fakes/in_process_gateway.py
+++ b/tests/fakes/in_process_gateway.py
@@ -7,6 +7,7 @@
     _blocks,
     _chooser,
     _connections,
+    _crash_monitor,
     _gateway,
     _model,
     _peer_loads,
@@ -52,6 +53,9 @@
         self.table = _table.UpstreamTable()
         self.pool = _connections.ConnectionPool()
         self.metrics = telemetry.Metrics()
+        self.crash_monitor = _crash_monitor.CrashMonitor(
+            self.views, lambda service: None, _crash_monitor.is_listening
+        )
         limits = _chooser.UpstreamLimits(1.5, 5.0, 6.0)
         self.gateway = _gateway.Gateway(
             protocol=_protocol,
@@ -62,6 +66,7 @@
             table=self.table,
             pool=self.pool,
             block_planner=_blocks.BlockPlanner(None),
+            crash_monitor=self.crash_monitor,
             budgets=_retry_budgets.RetryBudgets(0.2, 100.0),
             request_metrics=_request_metrics.RequestMetrics(self.metrics),
             read_clock=serving.read_clock,
--- /dev/null
+++ b/tests/gateway/test_quarantine.py
@@ -0,0 +1,258 @@
+"""Quarantine of blocks that end upstreams, decided by several hosts together."""
+
+import collections
+
+import pytest
+
+from sycamorespoke import decisions
+from sycamorespoke.gateway import (
+    _crash_monitor,
+    _crash_records,
+    _model,
+    _quarantine,
+    _requests,
+    _views,
+)
+
+STEP_S = _quarantine.MIN_INTERVAL_S
+# Reports, the wait before the verdict and the turns of the hosts that write it.
+VERDICT_S = 4.0
+
+
+def make_prompt(*block_ids):
+    blocks = tuple(_requests.PromptBlock(each, 100) for each in block_ids)
+    return _requests.Prompt("m", blocks, 100 * len(blocks), 3)
+
+
+class SharedRecords:
+    """The source of shared objects; each change reaches all hosts at once."""
+
+    def __init__(self):
+        self.values_by_name = {}
+        self.seen_s_by_name = {}
+        self.writes = 0
+        self.is_available = True
+
+    def write(self, name, value):
+        if not self.is_available:
+            return False
+        self.writes += 1
+        if self.values_by_name.get(name) != value:
+            self.seen_s_by_name[name] = None
+        self.values_by_name[name] = value
+        return True
+
+    def delete(self, name):
+        if self.is_available:
+            self.values_by_name.pop(name, None)
+        return self.is_available
+
+    def deliver(self, views, now):
+        items = []
+        for name, value in self.values_by_name.items():
+            if self.seen_s_by_name[name] is None:
+                self.seen_s_by_name[name] = now
+            seen_s = self.seen_s_by_name[name]
+            items.append(_crash_records.parse_crash_record(name, value, seen_s))
+        by_type = collections.defaultdict(list)
+        for item in items:
+            by_type[type(item)].append(item)
+        quarantined = by_type[_crash_records.QuarantinedBlock]
+        views.replace_fields(
+            crash_reports=tuple(by_type[_crash_records.CrashReport]),
+            quarantined_by_block={each.block_id: each for each in quarantined},
+        )
+
+
+class Hosts:
+    """Hosts that share their records; ``running`` are the upstreams that accept."""
+
+    def __init__(self, count):
+        self.now = 100.0
+        self.records = SharedRecords()
+        self.running = set()
+        self.hosts_by_name = {
+            name: _model.Host(name, "dc-1", "127.0.0.1:1")
+            for name in (f"h{n}" for n in range(count))
+        }
+        self.by_name = {}
+        for name in self.hosts_by_name:
+            self.start(name)
+
+    def start(self, name):
+        """Start a host, or another process of it."""
+        views = _views.Views()
+        views.replace_fields(hosts_by_name=self.hosts_by_name, upstreams_by_id={})
+        monitor = _crash_monitor.CrashMonitor(
+            views, lambda service: None, lambda upstream: upstream.id in self.running
+        )
+        self.by_name[name] = _quarantine.Quarantine(name, views, monitor, self.records)
+
+    def end_upstream(self, upstream_id, broken_by_host):
+        """End an upstream under prompts; one prompt each, by the host that sent it."""
+        upstream = _model.Upstream(upstream_id, 1, "s", "127.0.0.1:1", "dc-1")
+        for name, prompt in broken_by_host.items():
+            self.by_name[name].monitor.record_broken(upstream, prompt, self.now)
+            if upstream_id in self.running:
+                registered = {upstream_id: upstream}
+                self.by_name[name].views.replace_fields(upstreams_by_id=registered)
+
+    def run(self, seconds):
+        ends_s = self.now + seconds
+        while self.now < ends_s:
+            self.now += STEP_S
+            for quarantine in list(self.by_name.values()):
+                self.records.deliver(quarantine.views, self.now)
+                quarantine.step(self.now)
+
+    def list_quarantined(self):
+        self.run(STEP_S)
+        return {
+            frozenset(each.views.get().quarantined_by_block)
+            for each in self.by_name.values()
+        }
+
+
+@pytest.mark.parametrize("count", [3, 9, 40])
+def test_block_is_quarantined_though_no_host_sees_it_end_two_upstreams(count):
+    hosts = Hosts(count)
+    for n in range(3):
+        hosts.end_upstream(f"i-{n}", {f"h{n}": make_prompt("sys", "bad", f"own{n}")})
+    # The other blocks have complete responses at another host.
+    hosts.by_name[f"h{count - 1}"].monitor.record_whole(
+        make_prompt("sys", "x"), hosts.now
+    )
+    hosts.run(VERDICT_S)
+    assert hosts.list_quarantined() == {frozenset({"bad"})}
+
+
+def test_block_is_in_quarantine_within_the_stability_window_of_the_third_end():
+    hosts = Hosts(9)
+    for n in range(3):
+        hosts.end_upstream(f"i-{n}", {f"h{n}": make_prompt("bad", f"own{n}")})
+    hosts.run(3.0)
+    assert hosts.list_quarantined() == {frozenset({"bad"})}
+
+
+def test_sound_blocks_of_requests_in_flight_beside_it_stay_usable():
+    hosts = Hosts(9)
+    for n in range(6):
+        hosts.end_upstream(
+            f"i-{n}",
+            {
+                f"h{n}": make_prompt("sys", "bad", f"own{n}"),
+                f"h{n + 1}": make_prompt("sys", "doc", f"p{n}"),
+                f"h{n + 2}": make_prompt("sys", f"doc{n}", f"q{n}"),
+            },
+        )
+        sound_host = hosts.by_name[f"h{(n + 4) % 9}"]
+        sound_host.monitor.record_whole(make_prompt("sys", "doc", "r"), hosts.now)
+        hosts.run(1.0)
+    hosts.run(VERDICT_S)
+    assert hosts.list_quarantined() == {frozenset({"bad"})}
+
+
+def test_block_that_another_host_completes_after_the_losses_is_not_quarantined():
+    hosts = Hosts(9)
+    for n in range(5):
+        hosts.end_upstream(f"i-{n}", {f"h{n}": make_prompt("doc", f"own{n}")})
+    hosts.run(STEP_S * 2)
+    hosts.by_name["h8"].monitor.record_whole(make_prompt("doc", "x"), hosts.now)
+    hosts.run(VERDICT_S)
+    assert hosts.list_quarantined() == {frozenset()}
+
+
+def test_losses_that_a_complete_response_explained_away_do_not_count_later():
+    hosts = Hosts(9)
+    for n in range(2):
+        hosts.end_upstream(f"i-{n}", {f"h{n}": make_prompt("doc", f"own{n}")})
+    hosts.run(1.0)
+    hosts.by_name["h8"].monitor.record_whole(make_prompt("doc", "x"), hosts.now)
+    hosts.run(60.0)
+    hosts.end_upstream("i-9", {"h3": make_prompt("doc", "own9")})
+    hosts.run(VERDICT_S)
+    assert hosts.list_quarantined() == {frozenset()}
+
+
+def test_broken_responses_of_upstreams_that_still_run_quarantine_nothing():
+    hosts = Hosts(9)
+    hosts.running.update(f"i-{n}" for n in range(9))
+    for n in range(9):
+        hosts.end_upstream(f"i-{n}", {f"h{n}": make_prompt("doc", f"own{n}")})
+    hosts.run(VERDICT_S)
+    assert hosts.list_quarantined() == {frozenset()}
+    assert hosts.records.writes == 0
+
+
+def test_loss_of_one_data_centre_under_different_prompts_quarantines_nothing():
+    hosts = Hosts(9)
+    for n in range(9):
+        hosts.end_upstream(f"i-{n}", {f"h{n}": make_prompt("sys", f"doc{n}", "o")})
+    hosts.by_name["h0"].monitor.record_whole(make_prompt("sys", "o"), hosts.now)
+    hosts.run(VERDICT_S)
+    assert hosts.list_quarantined() == {frozenset()}
+
+
+def test_restarted_host_loses_no_observation():
+    hosts = Hosts(3)
+    for n in range(3):
+        hosts.end_upstream(f"i-{n}", {"h0": make_prompt("bad", f"own{n}")})
+        hosts.run(STEP_S)
+        hosts.start("h0")
+    hosts.run(VERDICT_S)
+    assert hosts.list_quarantined() == {frozenset({"bad"})}
+
+
+def test_observations_survive_an_outage_of_the_source():
+    hosts = Hosts(3)
+    hosts.records.is_available = False
+    for n in range(3):
+        hosts.end_upstream(f"i-{n}", {f"h{n}": make_prompt("bad", f"own{n}")})
+    hosts.run(20.0)
+    assert hosts.list_quarantined() == {frozenset()}
+    hosts.records.is_available = True
+    hosts.run(VERDICT_S)
+    assert hosts.list_quarantined() == {frozenset({"bad"})}
+
+
+def test_quarantine_ends_and_its_reports_are_removed():
+    hosts = Hosts(3)
+    for n in range(3):
+        hosts.end_upstream(f"i-{n}", {f"h{n}": make_prompt("bad", f"own{n}")})
+    hosts.run(VERDICT_S)
+    hosts.start("h0")
+    hosts.run(_quarantine.REPORT_LIFETIME_S + 5.0)
+    assert len(hosts.records.values_by_name) == 1
+    hosts.now += _quarantine.QUARANTINE_S
+    hosts.run(5.0)
+    assert hosts.list_quarantined() == {frozenset()}
+    assert hosts.records.values_by_name == {}
+
+
+def test_unchanged_observations_are_written_once():
+    hosts = Hosts(9)
+    hosts.end_upstream("i-1", {"h0": make_prompt("a", "own")})
+    hosts.run(30.0)
+    assert hosts.records.writes == 1
+
+
+def test_retry_after_of_a_quarantined_prompt_is_when_the_quarantine_ends():
+    block = _crash_records.QuarantinedBlock("n", "bad", seen_s=10.0)
+    ends_s = 10.0 + _quarantine.QUARANTINE_S
+    assert _quarantine.compute_retry_after_s(block, ends_s - 7.5) == 8
+    assert _quarantine.compute_retry_after_s(block, ends_s + 7.5) == 1
+
+
+def test_report_is_read_back_as_it_was_written():
+    broken = decisions.BrokenPrompt("i-1@5", "p", ("a", "b"))
+    report = _crash_records.CrashReport("h0.1", (broken,), ("c",), seen_s=7.0)
+    parsed = _crash_records.parse_crash_record("h0.1", report.to_value(), 7.0)
+    assert parsed == report
+
+
+@pytest.mark.parametrize(
+    "value", [None, [], {}, {"quarantined": None}, {"broken_prompts": 1}]
+)
+def test_malformed_record_is_rejected(value):
+    with pytest.raises(ValueError, match="not a crash record"):
+        _crash_records.parse_crash_record("n", value, 0.0)
--- /dev/null
+++ b/tests/gateway/test_quarantined_prompts.py
@@ -0,0 +1,83 @@
+"""Prompts with blocks in quarantine, and what proves a block sound."""
+
+import attrs
+import pytest
+
+from sycamorespoke import serving
+from sycamorespoke.gateway import _crash_records
+from tests.fakes import scripted_upstream
+
+
+def start_with_quarantined_block(harness, handle):
+    upstream = harness.start_upstream(handle)
+    gateway = harness.start_gateway([upstream])
+    block = _crash_records.make_quarantined_block("bad")
+    block = attrs.evolve(block, seen_s=serving.read_clock())
+    gateway.views.replace_fields(quarantined_by_block={"bad": block})
+    return gateway, upstream
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/once/x", "/stream/x"])
+def test_prompt_with_a_quarantined_block_is_refused_at_once_as_not_run(harness, path):
+    gateway, upstream = start_with_quarantined_block(harness, scripted_upstream.respond)
+    prompt = {"X_Sycamorespoke_Prompt_Prefix": "aa:9,bad:5,cc:1"}
+    status, headers, _ = gateway.request(path, **prompt)
+    assert status == 503
+    assert 3590 <= int(headers["Retry-After"]) <= 3600
+    assert upstream.requests == []
+
+
+def test_prompts_beside_a_quarantined_block_are_served(harness):
+    gateway, _ = start_with_quarantined_block(harness, scripted_upstream.respond)
+    for prefix in ("aa:9,cc:1", "aa:9,bad:1"):
+        prompt = {"X_Sycamorespoke_Prompt_Prefix": prefix}
+        assert gateway.request("/safe/x", **prompt)[0] == 200
+    assert gateway.request("/safe/x")[0] == 200
+
+
+def test_request_is_not_sent_again_once_its_block_is_quarantined(harness):
+    requests = []
+
+    def break_off(request):
+        requests.append(request)
+        block = _crash_records.make_quarantined_block("bad")
+        gateway.views.replace_fields(quarantined_by_block={"bad": block})
+        scripted_upstream.start_stream(request)
+        scripted_upstream.abort(request)
+
+    upstreams = [harness.start_upstream(break_off, name) for name in ("i-1", "i-2")]
+    gateway = harness.start_gateway(upstreams)
+    prompt = {"X_Sycamorespoke_Prompt_Prefix": "bad:5,cc:1"}
+    # It may have run, so the refusal does not say otherwise.
+    assert gateway.request("/stream/x", **prompt)[0] == 502
+    assert len(requests) == 1
+
+
+@pytest.mark.parametrize(
+    ("framing", "is_sound"),
+    [("chunks", True), ("length", True), ("connection_end", False)],
+)
+def test_only_a_response_with_framing_proves_its_blocks_sound(
+    harness, framing, is_sound
+):
+    body = scripted_upstream.encode_events(1, 2)
+    upstream = harness.start_upstream(
+        lambda request: scripted_upstream.send_stream(request, framing, body)
+    )
+    gateway = harness.start_gateway([upstream])
+    prompt = {"X_Sycamorespoke_Prompt_Prefix": "aa:5,cc:1"}
+    assert gateway.request("/once/x", **prompt)[0] == 200
+    now = serving.read_clock()
+    sound = gateway.crash_monitor.sound_blocks.select({"aa"}, now)
+    assert sound == ({"aa"} if is_sound else set())
+
+
+def test_failed_response_does_not_prove_its_blocks_sound(harness):
+    upstream = harness.start_upstream(
+        lambda request: scripted_upstream.respond(request, 500, b"fault")
+    )
+    gateway = harness.start_gateway([upstream])
+    prompt = {"X_Sycamorespoke_Prompt_Prefix": "aa:5,cc:1"}
+    assert gateway.request("/once/x", **prompt)[0] == 500
+    now = serving.read_clock()
+    assert gateway.crash_monitor.sound_blocks.select({"aa"}, now) == set()
--- a/tests/gateway/test_view_updater.py
+++ b/tests/gateway/test_view_updater.py
@@ -43,6 +43,7 @@
                     "versions",
                     "hosts",
                     "leases",
+                    "crashes",
                 )
             )
         )
--- a/tests/platform/test_crashing_blocks.py
+++ b/tests/platform/test_crashing_blocks.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import itertools
+import threading
 import time
 
 import pytest
@@ -106,3 +107,33 @@
     assert len(fleet.list_arrivals(FATAL_BLOCK, bound_s)) <= MAX_ARRIVALS
     assert {fatal for fatal, _ in statuses} == {503}
     assert {sound for _, sound in statuses} == {200}
+
+
+def lose_all_upstreams(fleet, caller, *shared_blocks):
+    """Lose every upstream while a request for each host is being answered."""
+    arrived = len(fleet.arrivals)
+    threads = [
+        threading.Thread(target=caller.send, args=shared_blocks) for _ in range(HOSTS)
+    ]
+    for thread in threads:
+        thread.start()
+    assert test_program.wait_until(lambda: len(fleet.arrivals) >= arrived + HOSTS)
+    for upstream_id in fleet.list_ids():
+        fleet.crash(upstream_id)
+    for thread in threads:
+        thread.join()
+
+
+def test_requests_on_upstreams_that_were_lost_for_another_cause_stay_served(
+    start_fleet, start_hosts
+):
+    fleet = start_fleet(answer_s=0.4, restart_s=0.5)
+    caller = Caller(start_hosts(fleet))
+    for _ in range(COUNTED_CRASHES):
+        lose_all_upstreams(fleet, caller, SHARED_BLOCK, "dd")
+        # A single host sees that the block is sound.
+        assert test_program.wait_until(lambda: caller.send(SHARED_BLOCK, "dd") == 200)
+    time.sleep(STABILITY_WINDOW_S)
+    statuses = [caller.send(SHARED_BLOCK, "dd") for _ in range(2 * HOSTS)]
+    assert statuses == [200] * (2 * HOSTS)
+    assert len(fleet.crashes) == COUNTED_CRASHES * UPSTREAMS
