Gateway: the log lines of attempts are a module of its own

Attempts had grown to 385 lines, of which about 70 format and count what the rest decides. They move to AttemptLog, with one method for each line; no line, field or counter changes.

--- /dev/null
+++ b/sycamorespoke/gateway/_attempt_log.py
@@ -0,0 +1,105 @@
+"""Log lines and counters of the attempts of one request."""
+
+import loguru
+
+MAX_LOGGED_BLOCKS = 8
+
+
+class AttemptLog:
+    """Logs and counts the attempts of one request.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        Gateway that serves the request.
+    request : Request
+        The request.
+    route : Route
+        Route of the request.
+    deadline_s : float
+        Deadline of the request, seconds of the boot clock.
+    reached_boot_ids : set of str
+        Upstreams that have received the request; changes during the request.
+    dispatcher : Dispatcher
+        Holds the priority of the last attempt.
+    """
+
+    def __init__(
+        self, gateway, request, route, deadline_s, reached_boot_ids, dispatcher
+    ):
+        self.gateway = gateway
+        self.request = request
+        self.route = route
+        self.deadline_s = deadline_s
+        self.reached_boot_ids = reached_boot_ids
+        self.dispatcher = dispatcher
+
+    def record_sent(self, dispatch):
+        """Record that an attempt begins."""
+        self._count("sent", dispatch.upstream)
+        plan = dispatch.block_plan
+        self._log(
+            "call sent",
+            dispatch.upstream,
+            level="DEBUG",
+            urgency=dispatch.priority,
+            weight_version=dispatch.weight_version,
+            fetched=sum(address is not None for address in plan.import_from),
+            saved=sum(address is not None for address in plan.export_to),
+            resumed_after=dispatch.last_event_id,
+        )
+
+    def record_failed(self, upstream, reason):
+        """Record that an attempt got no response, or a refusal."""
+        self._count("failed", upstream)
+        blocks = self._list_last_blocks()
+        self._log("attempt failed", upstream, reason=reason, blocks=blocks)
+
+    def record_broken(self, upstream, reason, framing, last_event_id):
+        """Record that a response broke off."""
+        self._count("broke", upstream)
+        self._log(
+            "attempt broke",
+            upstream,
+            reason=reason,
+            framing=framing.value,
+            last_event_id=last_event_id,
+            blocks=self._list_last_blocks(),
+        )
+
+    def record_server_error(self, upstream, status):
+        """Record that an upstream responded with a server error."""
+        self._count("upstream_error", upstream)
+        self._log("upstream error", upstream, status=status)
+
+    def record_ejection(self, upstream, kind):
+        """Record that a failure of a kind ejected an upstream."""
+        self._log("upstream left out", upstream, cause=kind.value)
+
+    def _count(self, outcome, upstream):
+        self.gateway.request_metrics.record_attempt(outcome, upstream.service)
+
+    def _list_last_blocks(self):
+        """Return the last shared blocks of the prompt, which tell prompts apart."""
+        prompt = self.request.prompt
+        return list(prompt.shared_block_ids[-MAX_LOGGED_BLOCKS:]) if prompt else []
+
+    def _log(self, event, upstream, level="INFO", **fields):
+        now = self.gateway.read_clock()
+        view = self.gateway.views.get()
+        loguru.logger.bind(
+            request_id=self.request.id,
+            route=self.route.name,
+            upstream=upstream.id,
+            reached=len(self.reached_boot_ids),
+            left_ms=int((self.deadline_s - now) * 1000),
+            urgent=self.dispatcher.has_full_priority,
+            configuration=view.configuration.version,
+            upstreams_age_ms=_age_ms(view, "upstreams", now),
+            **fields,
+        ).log(level, event)
+
+
+def _age_ms(view, section, now):
+    confirmed_s = view.confirmed_s_by_section.get(section)
+    return None if confirmed_s is None else int((now - confirmed_s) * 1000)
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -1,9 +1,8 @@
 """Sequential attempts of one request at different upstreams."""
 
-import loguru
-
 from sycamorespoke import decisions, domain
 from sycamorespoke.gateway import (
+    _attempt_log,
     _chooser,
     _dispatcher,
     _exchange,
@@ -31,7 +30,6 @@
 # No attempt begins when less time than this remains, so that the refusal still
 # reaches the caller before its deadline.
 REFUSAL_MARGIN_S = 0.02
-MAX_LOGGED_BLOCKS = 8
 
 
 class Attempts:
@@ -70,6 +68,14 @@
             gateway, request, route, account, deadline_s
         )
         self.timing = _requests.RequestTiming(request.arrived_s)
+        self.log = _attempt_log.AttemptLog(
+            gateway,
+            request,
+            route,
+            deadline_s,
+            self._reached_boot_ids,
+            self._dispatcher,
+        )
 
     def cancel(self):
         """Stop because the caller has disconnected; safe to call from any thread."""
@@ -145,16 +151,8 @@
         ):
             now = self.gateway.read_clock()
             self.gateway.crash_monitor.record_broken(upstream, self.request.prompt, now)
-        self._count("broke", upstream)
         self.gateway.request_metrics.record_response_end(framing, is_whole=False)
-        self._log(
-            "attempt broke",
-            upstream,
-            reason=failure.refusal.reason,
-            framing=framing.value,
-            last_event_id=last_event_id,
-            blocks=self._list_logged_blocks(),
-        )
+        self.log.record_broken(upstream, failure.refusal.reason, framing, last_event_id)
         self.finish()
         self._exclude_reached(upstream)
         self._add_refusal(failure.refusal)
@@ -167,8 +165,7 @@
         upstream = self.exchange.upstream
         now = self.gateway.read_clock()
         self.gateway.table.record_failure(upstream, SERVER_ERROR_WEIGHT, now)
-        self._count("upstream_error", upstream)
-        self._log("upstream error", upstream, status=head.status)
+        self.log.record_server_error(upstream, head.status)
 
     def _exclude_reached(self, upstream):
         """Exclude an upstream that received the request from further attempts."""
@@ -244,7 +241,7 @@
             exchange.cancel()
         if self.timing.sent_s is None:
             self.timing.sent_s = self.gateway.read_clock()
-        self._log_sent(dispatch)
+        self.log.record_sent(dispatch)
         self.gateway.table.begin_request(upstream, self._work)
         self._active_upstream = upstream
         if self._dispatcher.has_full_priority:
@@ -253,21 +250,6 @@
         fresh = self.route.kind is _model.RouteKind.UNSAFE
         return exchange.open(choice.connections, fresh)
 
-    def _log_sent(self, dispatch):
-        self._count("sent", dispatch.upstream)
-        self._log(
-            "call sent",
-            dispatch.upstream,
-            level="DEBUG",
-            urgency=dispatch.priority,
-            weight_version=dispatch.weight_version,
-            fetched=sum(
-                address is not None for address in dispatch.block_plan.import_from
-            ),
-            saved=sum(address is not None for address in dispatch.block_plan.export_to),
-            resumed_after=dispatch.last_event_id,
-        )
-
     def record_first_event(self):
         """Record the time at which the first event of the stream arrived."""
         now = self.gateway.read_clock()
@@ -278,13 +260,7 @@
         """Handle a failed attempt; return a refusal if no other attempt follows."""
         upstream = choice.upstream
         refusal = failure.refusal
-        self._count("failed", upstream)
-        self._log(
-            "attempt failed",
-            upstream,
-            reason=refusal.reason,
-            blocks=self._list_logged_blocks(),
-        )
+        self.log.record_failed(upstream, refusal.reason)
         self.finish()
         self._add_refusal(refusal)
         if failure.head is not None:
@@ -340,7 +316,7 @@
             return
         now = self.gateway.read_clock()
         if self.gateway.table.record_failure(upstream, weight, now):
-            self._log("upstream left out", upstream, cause=kind.value)
+            self.log.record_ejection(upstream, kind)
 
     def _add_refusal(self, refusal):
         if self._refusal is None:
@@ -355,31 +331,3 @@
 
     def _is_server_error(self, head):
         return head.status >= SERVER_ERROR_STATUS
-
-    def _count(self, outcome, upstream):
-        self.gateway.request_metrics.record_attempt(outcome, upstream.service)
-
-    def _list_logged_blocks(self):
-        """Return the last shared blocks of the prompt, which tell prompts apart."""
-        prompt = self.request.prompt
-        return list(prompt.shared_block_ids[-MAX_LOGGED_BLOCKS:]) if prompt else []
-
-    def _log(self, event, upstream, level="INFO", **fields):
-        now = self.gateway.read_clock()
-        view = self.gateway.views.get()
-        loguru.logger.bind(
-            request_id=self.request.id,
-            route=self.route.name,
-            upstream=upstream.id,
-            reached=len(self._reached_boot_ids),
-            left_ms=int((self.deadline_s - now) * 1000),
-            urgent=self._dispatcher.has_full_priority,
-            configuration=view.configuration.version,
-            upstreams_age_ms=_age_ms(view, "upstreams", now),
-            **fields,
-        ).log(level, event)
-
-
-def _age_ms(view, section, now):
-    confirmed_s = view.confirmed_s_by_section.get(section)
-    return None if confirmed_s is None else int((now - confirmed_s) * 1000)
