Gateway: the rate limit that an upstream states is logged

The adapter parses the header into a field of the response's head; a host logs each limit that it learns, changes or loses and shows it in its dump. No decision changes.

--- a/sycamorespoke/gateway/_attempt_log.py
+++ b/sycamorespoke/gateway/_attempt_log.py
@@ -76,6 +76,10 @@
         """Record that a failure of a kind ejected an upstream."""
         self._log("upstream left out", upstream, cause=kind.value)
 
+    def record_rate_limit(self, upstream, limit_per_s):
+        """Record that an upstream stated another rate limit, or none any more."""
+        self._log("upstream rate limit", upstream, limit_per_s=limit_per_s)
+
     def _count(self, outcome, upstream):
         self.gateway.request_metrics.record_attempt(outcome, upstream.service)
 
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -248,7 +248,18 @@
             expected_s = self._dispatcher.sent_s + self._dispatcher.prefill_s
             self.gateway.table.expect_first_event(upstream, self, expected_s)
         fresh = self.route.kind is _model.RouteKind.UNSAFE
-        return exchange.open(choice.connections, fresh)
+        result = exchange.open(choice.connections, fresh)
+        self._record_rate_limit(upstream, result)
+        return result
+
+    def _record_rate_limit(self, upstream, result):
+        """Record the rate limit that a response states, or that it states none."""
+        head = result if isinstance(result, _requests.ResponseHead) else result.head
+        if head is None:
+            return
+        limit_per_s = head.rate_limit_per_s
+        if self.gateway.table.record_rate_limit(upstream, limit_per_s):
+            self.log.record_rate_limit(upstream, limit_per_s)
 
     def record_first_event(self):
         """Record the time at which the first event of the stream arrived."""
--- a/sycamorespoke/gateway/_requests.py
+++ b/sycamorespoke/gateway/_requests.py
@@ -192,6 +192,9 @@
         ID of the upstream that responded; empty if not stated.
     weight_version : int or None
         Weight version that the upstream holds, if stated.
+    rate_limit_per_s : float or None
+        Requests per second that the upstream accepts from all hosts together, if it
+        states a limit.
     retry_after_s : float or None
         Time after which to retry, seconds.
     keep_alive_s : float or None
@@ -210,6 +213,7 @@
     is_wrong_upstream: bool = False
     upstream_id: str = ""
     weight_version: int | None = None
+    rate_limit_per_s: float | None = None
     retry_after_s: float | None = None
     keep_alive_s: float | None = None
     closes_connection: bool = False
--- a/sycamorespoke/gateway/_table.py
+++ b/sycamorespoke/gateway/_table.py
@@ -41,6 +41,9 @@
     full_until_s : float, default=-inf
         Time until which other upstreams are preferred because this one refused a
         request as full, seconds of the boot clock.
+    rate_limit_per_s : float or None, default=None
+        Requests per second that the upstream accepts from all hosts together, as its
+        last response stated.
     """
 
     requests: int = 0
@@ -51,6 +54,7 @@
     wait_estimate: decisions.WaitEstimate = attrs.field(factory=decisions.WaitEstimate)
     expected_s_by_request: dict[object, float] = attrs.field(factory=dict)
     full_until_s: float = float("-inf")
+    rate_limit_per_s: float | None = None
 
 
 class UpstreamTable:
@@ -217,6 +221,27 @@
             versions_by_model[model] = version
             return True
 
+    def record_rate_limit(self, upstream, rate_limit_per_s):
+        """Record the rate limit that a response of an upstream stated, or its absence.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            The upstream.
+        rate_limit_per_s : float or None
+            Requests per second; ``None`` without a limit.
+
+        Returns
+        -------
+        bool
+            Whether the limit differs from the one known before.
+        """
+        with self._lock:
+            state = self._get_state(upstream.boot_id)
+            has_changed = state.rate_limit_per_s != rate_limit_per_s
+            state.rate_limit_per_s = rate_limit_per_s
+            return has_changed
+
     def acquire_cold_token(self, upstream, share, now):
         """Take a token from this host's share of a cold upstream's request rate.
 
@@ -296,6 +321,7 @@
                     "work": round(state.work, 1),
                     "failure_rate": round(state.failures.failure_rate, 3),
                     "ejected": state.failures.is_ejected(now),
+                    "rate_limit_per_s": state.rate_limit_per_s,
                     "versions": dict(state.versions_by_model),
                 }
                 for boot_id, state in self._states_by_boot.items()
--- a/sycamorespoke/platform/_names.py
+++ b/sycamorespoke/platform/_names.py
@@ -38,6 +38,8 @@
 KV_UNTIL = HEADER_PREFIX + "Kv-Until"
 COLD_MS = HEADER_PREFIX + "Cold-Ms"
 LAST_EVENT_ID = "Last-Event-Id"
+# Requests per second that the upstream accepts from all hosts together.
+SERVER_LIMIT = "Server-Limit"
 
 # Set only by the system or consumed by it; never forwarded from a caller.
 SYSTEM_HEADERS = frozenset(
--- a/sycamorespoke/platform/_protocol.py
+++ b/sycamorespoke/platform/_protocol.py
@@ -139,6 +139,7 @@
         is_wrong_upstream=is_wrong_upstream,
         upstream_id=headers.get(_names.INSTANCE_ID, ""),
         weight_version=_parse_int(headers.get(_names.WEIGHT_VERSIONS)),
+        rate_limit_per_s=_parse_decimal(headers.get(_names.SERVER_LIMIT)),
         retry_after_s=_parse_decimal(headers.get("Retry-After")),
         keep_alive_s=_parse_keep_alive(headers.get("Keep-Alive", "")),
         closes_connection="close" in connection_options,
