Tests: an upstream gets more than the rate limit that it states (failing, listed)

The hosts and the caller of the test of blocks that end upstreams, and the fleet of upstreams (CrashingFleet is UpstreamFleet now), serve both tests.

--- a/tests/fakes/crashing_fleet.py
+++ b/tests/fakes/upstream_fleet.py
@@ -1,4 +1,4 @@
-"""Upstreams that a block of a prompt ends, and the platform's store that lists them."""
+"""Upstreams of one service, with troubles, and the platform's store that lists them."""
 
 import threading
 import time
@@ -49,8 +49,8 @@
     at_s: float
 
 
-class CrashingFleet:
-    """Upstreams of one service that end when they begin a response on a block.
+class UpstreamFleet:
+    """Upstreams of one service, which may end and state rate limits.
 
     Parameters
     ----------
@@ -62,6 +62,11 @@
         Time after which an upstream is back, under another ID, seconds.
     answer_s : float
         Time from the head of a response to its end, seconds.
+
+    Attributes
+    ----------
+    rate_limits_by_id : dict of str to str
+        Rate limits that upstreams state in their responses, requests per second.
     """
 
     def __init__(
@@ -70,6 +75,7 @@
         self.fatal_blocks = fatal_blocks
         self.restart_s = restart_s
         self.answer_s = answer_s
+        self.rate_limits_by_id = {}
         self.arrivals = []
         self.crashes = []
         self.store = object_store.FakeObjectStore()
@@ -106,6 +112,14 @@
             if block in each.blocks and each.at_s > since_s
         ]
 
+    def list_arrival_times(self, upstream_id, since_s):
+        """Return when requests reached an upstream after a time."""
+        return [
+            each.at_s
+            for each in list(self.arrivals)
+            if each.upstream == upstream_id and each.at_s > since_s
+        ]
+
     def close(self):
         """Close the upstreams and the store."""
         with self._lock:
@@ -138,7 +152,10 @@
         prefix = request.headers.get(PROMPT_PREFIX, "")
         blocks = tuple(entry.partition(":")[0] for entry in prefix.split(","))
         self.arrivals.append(Arrival(upstream_id, blocks, time.monotonic()))
-        scripted_upstream.start_stream(request)
+        headers = {}
+        if upstream_id in self.rate_limits_by_id:
+            headers["Server-Limit"] = self.rate_limits_by_id[upstream_id]
+        scripted_upstream.start_stream(request, **headers)
         if self.fatal_blocks.intersection(blocks[:-1]):
             time.sleep(CRASH_DELAY_S)
             self.crash(upstream_id)
--- a/tests/platform/test_crashing_blocks.py
+++ b/tests/platform/test_crashing_blocks.py
@@ -1,19 +1,13 @@
 """Several gateway processes and a block of prompts that ends upstreams."""
 
-import contextlib
-import http.client
-import itertools
 import threading
 import time
 
 import pytest
 
-from tests.fakes import crashing_fleet, in_process_gateway
-from tests.platform import test_program
+from tests.platform import fleet_hosts, test_program
 
 pytestmark = pytest.mark.processes
-HOSTS = 4
-UPSTREAMS = 5
 # Bounds of the users' platform.
 STABILITY_WINDOW_S = 3.0
 COUNTED_CRASHES = 5
@@ -24,67 +18,6 @@
 FATAL_BLOCK = "bad0"
 
 
-@pytest.fixture
-def start_fleet():
-    with contextlib.ExitStack() as stack:
-
-        def start(**options):
-            fleet = crashing_fleet.CrashingFleet(UPSTREAMS, **options)
-            stack.callback(fleet.close)
-            return fleet
-
-        yield start
-
-
-@pytest.fixture
-def start_hosts(tmp_path):
-    gateways = []
-
-    def start(fleet):
-        for number in range(HOSTS):
-            folder = tmp_path / f"h{number}"
-            folder.mkdir()
-            name = f'"h{number}"'
-            gateways.append(test_program.GatewayProcess(fleet.store, folder, name=name))
-        assert all(gateway.wait_ready() for gateway in gateways)
-        return gateways
-
-    yield start
-    for gateway in gateways:
-        gateway.close()
-
-
-class Caller:
-    """Sends requests to the hosts in turn; no two prompts are alike."""
-
-    def __init__(self, gateways):
-        self.gateways = itertools.cycle(gateways)
-        self.count = 0
-
-    def send(self, *shared_blocks):
-        """Send a request; return the status, ``None`` without a whole response."""
-        self.count += 1
-        blocks = [*shared_blocks, f"f{self.count:04x}"]
-        port = next(self.gateways).ports["listen"]
-        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5.0)
-        try:
-            in_process_gateway.send_request(
-                connection,
-                f"/{crashing_fleet.ROUTE}/x",
-                X_Sycamorespoke_Request_Id=f"call-{self.count}",
-                X_Sycamorespoke_Model="m",
-                X_Sycamorespoke_Token_Count="300,3",
-                X_Sycamorespoke_Prompt_Prefix=",".join(f"{b}:100" for b in blocks),
-            )
-            response = connection.getresponse()
-            response.read()
-            return response.status
-        except (OSError, http.client.HTTPException):
-            return None
-        finally:
-            connection.close()
-
-
 def send_both(caller):
     """Send a request with the fatal block and a sound one; return both statuses."""
     statuses = caller.send(SHARED_BLOCK, FATAL_BLOCK), caller.send(SHARED_BLOCK, "cc")
@@ -96,14 +29,14 @@
     start_fleet, start_hosts
 ):
     fleet = start_fleet(fatal_blocks=frozenset({FATAL_BLOCK}))
-    caller = Caller(start_hosts(fleet))
+    caller = fleet_hosts.Caller(start_hosts(fleet))
     deadline_s = time.monotonic() + MAX_CRASHING_S
     while len(fleet.crashes) < COUNTED_CRASHES and time.monotonic() < deadline_s:
         send_both(caller)
     bound_s = fleet.crashes[:COUNTED_CRASHES][-1].at_s + STABILITY_WINDOW_S
     while time.monotonic() < bound_s + STABILITY_WINDOW_S:
         send_both(caller)
-    statuses = [send_both(caller) for _ in range(2 * HOSTS)]
+    statuses = [send_both(caller) for _ in range(2 * fleet_hosts.HOSTS)]
     assert len(fleet.list_arrivals(FATAL_BLOCK, bound_s)) <= MAX_ARRIVALS
     assert {fatal for fatal, _ in statuses} == {503}
     assert {sound for _, sound in statuses} == {200}
@@ -113,11 +46,14 @@
     """Lose every upstream while a request for each host is being answered."""
     arrived = len(fleet.arrivals)
     threads = [
-        threading.Thread(target=caller.send, args=shared_blocks) for _ in range(HOSTS)
+        threading.Thread(target=caller.send, args=shared_blocks)
+        for _ in range(fleet_hosts.HOSTS)
     ]
     for thread in threads:
         thread.start()
-    assert test_program.wait_until(lambda: len(fleet.arrivals) >= arrived + HOSTS)
+    assert test_program.wait_until(
+        lambda: len(fleet.arrivals) >= arrived + fleet_hosts.HOSTS
+    )
     for upstream_id in fleet.list_ids():
         fleet.crash(upstream_id)
     for thread in threads:
@@ -128,12 +64,12 @@
     start_fleet, start_hosts
 ):
     fleet = start_fleet(answer_s=0.4, restart_s=0.5)
-    caller = Caller(start_hosts(fleet))
+    caller = fleet_hosts.Caller(start_hosts(fleet))
     for _ in range(COUNTED_CRASHES):
         lose_all_upstreams(fleet, caller, SHARED_BLOCK, "dd")
         # A single host sees that the block is sound.
         assert test_program.wait_until(lambda: caller.send(SHARED_BLOCK, "dd") == 200)
     time.sleep(STABILITY_WINDOW_S)
-    statuses = [caller.send(SHARED_BLOCK, "dd") for _ in range(2 * HOSTS)]
-    assert statuses == [200] * (2 * HOSTS)
-    assert len(fleet.crashes) == COUNTED_CRASHES * UPSTREAMS
+    statuses = [caller.send(SHARED_BLOCK, "dd") for _ in range(2 * fleet_hosts.HOSTS)]
+    assert statuses == [200] * (2 * fleet_hosts.HOSTS)
+    assert len(fleet.crashes) == COUNTED_CRASHES * fleet_hosts.UPSTREAMS
