Gateway: keeping to an upstream's rate is a module of its own

The chooser computed the share of a cold upstream's rate and the table of upstreams kept its token bucket. Both move to RateLimiter; ColdShare is RateShare in its own module, since a share does not depend on why an upstream has a rate.

--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -55,7 +55,6 @@
 )
 from sycamorespoke.decisions._cold_share import (
     ColdRateLimit,
-    ColdShare,
     compute_cold_share,
 )
 from sycamorespoke.decisions._crash_attribution import (
@@ -163,6 +162,7 @@
     apply_change,
     classify_read_back,
 )
+from sycamorespoke.decisions._rate_share import RateShare
 from sycamorespoke.decisions._readers import ReaderPlan, count_readers, plan_readers
 from sycamorespoke.decisions._revisions import (
     choose_newer_revision,
@@ -234,7 +234,6 @@
     "ClaimToken",
     "Claimed",
     "ColdRateLimit",
-    "ColdShare",
     "Cost",
     "EngineVersion",
     "EventEstimates",
@@ -256,6 +255,7 @@
     "Preparation",
     "PreparationKind",
     "PublishRules",
+    "RateShare",
     "ReadBackResult",
     "ReadMode",
     "ReaderPlan",
--- a/sycamorespoke/decisions/_cold_share.py
+++ b/sycamorespoke/decisions/_cold_share.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from sycamorespoke.decisions import _placement
+from sycamorespoke.decisions import _placement, _rate_share
 
 
 @attrs.frozen
@@ -31,22 +31,6 @@
     slack: float
 
 
-@attrs.frozen
-class ColdShare:
-    """The rate and burst that one host may send to a cold upstream.
-
-    Parameters
-    ----------
-    requests_per_s : float
-        Sustained rate of the host; 0 if it may not send to the upstream.
-    burst : float
-        Requests that the host may send at once.
-    """
-
-    requests_per_s: float
-    burst: float
-
-
 def compute_cold_share(rate, host, hosts, upstream):
     """Compute one host's share of a cold upstream's rate limit.
 
@@ -63,7 +47,7 @@
 
     Returns
     -------
-    ColdShare
+    RateShare
         All hosts may send their burst of one request at the same moment.
         Therefore only as many hosts get a share as bursts fit within the
         tolerated excess over the rate.
@@ -81,5 +65,5 @@
     max_senders = max(math.floor(max_requests - shared_per_s) - 1, 1)
     senders = _placement.rank_by_key(upstream, set(hosts) | {host})[:max_senders]
     if host not in senders:
-        return ColdShare(0.0, 0.0)
-    return ColdShare(shared_per_s / len(senders), 1.0)
+        return _rate_share.RateShare(0.0, 0.0)
+    return _rate_share.RateShare(shared_per_s / len(senders), 1.0)
--- a/sycamorespoke/gateway/_chooser.py
+++ b/sycamorespoke/gateway/_chooser.py
@@ -5,6 +5,7 @@
 import attrs
 
 from sycamorespoke import decisions, domain
+from sycamorespoke.gateway import _rate_limiter
 
 # Prompt tokens that cost an engine as much as one generated token.
 PROMPT_TOKENS_PER_OUTPUT_TOKEN = 10.0
@@ -89,6 +90,7 @@
         self.data_centre = data_centre
         self.table = table
         self.limits = limits
+        self.rate_limiter = _rate_limiter.RateLimiter(host, limits)
         self.loads = loads
         self.generator = generator or random.Random()
 
@@ -157,7 +159,7 @@
         upstreams = _filter_eligible(not_loading or upstreams, states_by_boot, now)
         while upstreams:
             upstream = self._place(view, upstreams, states_by_boot, request, now)
-            if self._acquire_cold_token(view, upstream, now):
+            if self.rate_limiter.acquire(view, upstream, now):
                 return self._build_choice(view, upstream, states_by_boot, request)
             upstreams = [other for other in upstreams if other is not upstream]
         return None
@@ -218,23 +220,6 @@
             for upstream in upstreams
         ]
 
-    def _acquire_cold_token(self, view, upstream, now):
-        """Take a token if the upstream is cold; return whether it may get a request."""
-        service = view.configuration.services_by_name.get(upstream.service)
-        if service is None or not upstream.is_cold(now):
-            return True
-        if service.cold_requests_per_s <= 0:
-            return True
-        rate = decisions.ColdRateLimit(
-            service.cold_requests_per_s,
-            self.limits.cold_burst_factor,
-            self.limits.cold_slack,
-        )
-        share = decisions.compute_cold_share(
-            rate, self.host, view.hosts, upstream.boot_id
-        )
-        return self.table.acquire_cold_token(upstream, share, now)
-
     def _build_choice(self, view, upstream, states_by_boot, request):
         version = None
         if request.prompt is not None:
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -154,6 +154,7 @@
         boot_ids = view.list_boot_ids()
         self.pool.retain(boot_ids, now)
         self.table.retain(boot_ids)
+        self.gateway.chooser.rate_limiter.retain(boot_ids)
         self.peering.update_plan(view)
         self.block_planner.forget_old_exports(now)
         if view.configuration and view.configuration.limits != self._limits:
--- a/sycamorespoke/gateway/_table.py
+++ b/sycamorespoke/gateway/_table.py
@@ -30,8 +30,6 @@
     versions_by_model : dict of str to int
         Weight versions learned from responses and load reports, where newer than the
         registered ones.
-    cold_bucket : decisions.TokenBucket or None, default=None
-        Limits this host's share of the requests while the upstream is cold.
     wait_estimate : decisions.WaitEstimate
         Estimated time for which requests with full priority wait for their first
         event.
@@ -50,7 +48,6 @@
     work: float = 0.0
     failures: decisions.FailureHistory = attrs.field(factory=decisions.FailureHistory)
     versions_by_model: dict[str, int] = attrs.field(factory=dict)
-    cold_bucket: decisions.TokenBucket | None = None
     wait_estimate: decisions.WaitEstimate = attrs.field(factory=decisions.WaitEstimate)
     expected_s_by_request: dict[object, float] = attrs.field(factory=dict)
     full_until_s: float = float("-inf")
@@ -242,35 +239,6 @@
             state.rate_limit_per_s = rate_limit_per_s
             return has_changed
 
-    def acquire_cold_token(self, upstream, share, now):
-        """Take a token from this host's share of a cold upstream's request rate.
-
-        Parameters
-        ----------
-        upstream : Upstream
-            The cold upstream.
-        share : decisions.ColdShare
-            Share of this host.
-        now : float
-            Current time, seconds of the boot clock.
-
-        Returns
-        -------
-        bool
-            Whether a request may be sent.
-        """
-        if share.requests_per_s <= 0:
-            return False
-        with self._lock:
-            state = self._get_state(upstream.boot_id)
-            bucket = state.cold_bucket or decisions.TokenBucket(
-                share.requests_per_s, share.burst, share.burst, now
-            )
-            bucket = attrs.evolve(bucket.refill(now), rate=share.requests_per_s)
-            has_token = bucket.wait_s() == 0
-            state.cold_bucket = bucket.take() if has_token else bucket
-            return has_token
-
     def count_states(self, view, now):
         """Count the registered upstreams by service and state.
 
