Gateway: all hosts together keep to the rate limit that an upstream states

What was seen: an engine that stated 2 requests a second got 24 in four seconds, 17 are allowed; its load did not differ from that of the others.

Cause: no code referred to the limit. Class of fault: a limit for all hosts together that no host divides. Ruled out: repeats and resumed streams (no attempt failed in that time).

Change: a host that knows a limit keeps to its share of it, computed from the list of hosts without messages. Only as many hosts have a share as may each send a request at once within what is tolerated; the others have turns, one after the other, in which a single request shows whether the limit still holds.

Looked for elsewhere: the rate of cold upstreams, the retry budget and the connections to an upstream are divided by the hosts already; loads of weights go by one holder.

--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -173,6 +173,11 @@
     choose_upstream,
     estimate_cost,
 )
+from sycamorespoke.decisions._stated_rate import (
+    TurnShare,
+    compute_stated_share,
+    find_turn,
+)
 from sycamorespoke.decisions._stored_objects import (
     ChangeRecord,
     Malformed,
@@ -273,6 +278,7 @@
     "StoredRules",
     "StoredServiceState",
     "TokenBucket",
+    "TurnShare",
     "UpstreamLimit",
     "WaitEstimate",
     "WatchTiming",
@@ -296,6 +302,7 @@
     "compute_max_loads",
     "compute_observed_speed",
     "compute_peers_confirmed_s",
+    "compute_stated_share",
     "count_permitted_requests",
     "count_readers",
     "decide_permit",
@@ -305,6 +312,7 @@
     "estimate_transfer_s",
     "estimate_wait_s",
     "find_fatal_block",
+    "find_turn",
     "format_value",
     "handle_lease_read",
     "handle_lease_write",
--- a/sycamorespoke/gateway/_chooser.py
+++ b/sycamorespoke/gateway/_chooser.py
@@ -159,7 +159,8 @@
         upstreams = _filter_eligible(not_loading or upstreams, states_by_boot, now)
         while upstreams:
             upstream = self._place(view, upstreams, states_by_boot, request, now)
-            if self.rate_limiter.acquire(view, upstream, now):
+            limit_per_s = states_by_boot[upstream.boot_id].rate_limit_per_s
+            if self.rate_limiter.acquire(view, upstream, limit_per_s, now):
                 return self._build_choice(view, upstream, states_by_boot, request)
             upstreams = [other for other in upstreams if other is not upstream]
         return None
--- a/sycamorespoke/gateway/_rate_limiter.py
+++ b/sycamorespoke/gateway/_rate_limiter.py
@@ -1,5 +1,7 @@
 """Keeps to this host's shares of the request rates of upstreams."""
 
+import enum
+import functools
 import threading
 
 import attrs
@@ -7,6 +9,21 @@
 from sycamorespoke import decisions
 
 
+class _Reason(enum.Enum):
+    """Why the rate of an upstream is limited."""
+
+    COLD = "cold"
+    STATED = "stated"
+
+
+@attrs.frozen
+class _TurnState:
+    """When the turns of this host began to count, and the last one that was used."""
+
+    begun_s: float
+    last_turn: int | None = None
+
+
 class RateLimiter:
     """Limits the requests of this host to upstreams with a rate; thread-safe.
 
@@ -22,9 +39,10 @@
         self.host = host
         self.limits = limits
         self._lock = threading.Lock()
-        self._buckets_by_boot = {}
+        # By boot ID and reason; a token bucket or the state of turns.
+        self._states_by_key = {}
 
-    def acquire(self, view, upstream, now):
+    def acquire(self, view, upstream, stated_limit_per_s, now):
         """Count one request to an upstream if it may be sent.
 
         Parameters
@@ -33,6 +51,8 @@
             Current view of the deployment.
         upstream : Upstream
             The upstream.
+        stated_limit_per_s : float or None
+            Rate limit that the upstream states, requests per second.
         now : float
             Current time, seconds of the boot clock.
 
@@ -41,22 +61,44 @@
         bool
             Whether the request may be sent.
         """
-        share = self._compute_cold_share(view, upstream, now)
-        return share is None or self._take(upstream, share, now)
+        shares_by_reason = self._compute_shares(view, upstream, stated_limit_per_s, now)
+        if not shares_by_reason:
+            return True
+        with self._lock:
+            states_by_key = {
+                (upstream.boot_id, reason): self._use(
+                    share, (upstream.boot_id, reason), now
+                )
+                for reason, share in shares_by_reason.items()
+            }
+            # A request that one limit forbids does not count for the other.
+            if None in states_by_key.values():
+                return False
+            self._states_by_key.update(states_by_key)
+            return True
 
     def retain(self, boot_ids):
         """Drop the state of upstreams whose boot IDs are not in a set."""
         with self._lock:
-            for boot_id in self._buckets_by_boot.keys() - boot_ids:
-                del self._buckets_by_boot[boot_id]
+            for key in list(self._states_by_key):
+                if key[0] not in boot_ids:
+                    del self._states_by_key[key]
 
-    def _compute_cold_share(self, view, upstream, now):
-        """Return the share of a cold upstream; ``None`` if it is not limited."""
+    def _compute_shares(self, view, upstream, stated_limit_per_s, now):
+        shares_by_reason = {}
+        if stated_limit_per_s is not None:
+            shares_by_reason[_Reason.STATED] = decisions.compute_stated_share(
+                stated_limit_per_s, self.host, view.hosts, upstream.boot_id
+            )
         service = view.configuration.services_by_name.get(upstream.service)
-        if service is None or not upstream.is_cold(now):
-            return None
-        if service.cold_requests_per_s <= 0:
-            return None
+        is_limited = service is not None and service.cold_requests_per_s > 0
+        if is_limited and upstream.is_cold(now):
+            shares_by_reason[_Reason.COLD] = self._compute_cold_share(
+                view, upstream, service
+            )
+        return shares_by_reason
+
+    def _compute_cold_share(self, view, upstream, service):
         rate = decisions.ColdRateLimit(
             service.cold_requests_per_s,
             self.limits.cold_burst_factor,
@@ -66,18 +108,32 @@
             rate, self.host, view.hosts, upstream.boot_id
         )
 
-    def _take(self, upstream, share, now):
+    @functools.singledispatchmethod
+    def _use(self, share, key, now):
+        """Return the state after one more request, ``None`` if it may not be sent."""
+        raise TypeError(f"unknown share {share!r}")
+
+    @_use.register
+    def _(self, share: decisions.RateShare, key, now):
         if share.requests_per_s <= 0:
-            return False
-        with self._lock:
-            bucket = self._buckets_by_boot.get(upstream.boot_id)
-            if bucket is None:
-                bucket = decisions.TokenBucket(
-                    share.requests_per_s, share.burst, share.burst, now
-                )
-            bucket = attrs.evolve(bucket.refill(now), rate=share.requests_per_s)
-            has_token = bucket.wait_s() == 0
-            self._buckets_by_boot[upstream.boot_id] = (
-                bucket.take() if has_token else bucket
+            return None
+        bucket = self._states_by_key.get(key)
+        if not isinstance(bucket, decisions.TokenBucket):
+            bucket = decisions.TokenBucket(
+                share.requests_per_s, share.burst, share.burst, now
             )
-            return has_token
+        bucket = attrs.evolve(bucket.refill(now), rate=share.requests_per_s)
+        if bucket.wait_s() > 0:
+            self._states_by_key[key] = bucket
+            return None
+        return bucket.take()
+
+    @_use.register
+    def _(self, share: decisions.TurnShare, key, now):
+        state = self._states_by_key.get(key)
+        if not isinstance(state, _TurnState):
+            state = self._states_by_key[key] = _TurnState(now)
+        turn = decisions.find_turn(share, now - state.begun_s)
+        if turn is None or turn == state.last_turn:
+            return None
+        return attrs.evolve(state, last_turn=turn)
--- a/tests/platform/test_rate_limits.py
+++ b/tests/platform/test_rate_limits.py
@@ -2,6 +2,7 @@
 
 import bisect
 import concurrent.futures
+import itertools
 import time
 
 import pytest
@@ -17,6 +18,7 @@
 TOLERANCE = 1.5
 SLACK = 5
 REQUEST_INTERVAL_S = 0.02
+BLOCK_NUMBERS = itertools.count()
 
 
 def send_for(caller, seconds):
@@ -25,7 +27,7 @@
     futures = []
     with concurrent.futures.ThreadPoolExecutor(16) as executor:
         while time.monotonic() < ends_s:
-            block = f"d{len(futures):04x}"
+            block = f"d{next(BLOCK_NUMBERS):04x}"
             futures.append(executor.submit(caller.send, "aa", block))
             time.sleep(REQUEST_INTERVAL_S)
     return [future.result() for future in futures]
