Clients, gateway: bytes of an upstream that go on without end are given up

Cause: timeouts applied to each read of a socket, and nothing limited how much is read. http.client skips interim responses and trailers without limit; headers and trailers that trickle in never exceed the timeout of a read; a body was kept until the deadline, however long; an event without an end was kept too, and searched again from its beginning with each chunk; the body of a refusal or error that nobody needs was read to its end, also when there is none, before the next attempt.

Change: lines of a head, or between two parts of a body, have 64 KiB and the time of one read together; a body read at once has 64 MiB and 30 s; a response that the gateway holds 16 MiB, an event 1 MiB; a body that is not needed 64 KiB and 0.2 s. Whoever reads through the checked connections (store, engines, block stores, services) has the first two.

Trial on the way: urllib3 ignores a pool's ResponseCls, so the limit of whole bodies is in http.client's response.

--- a/sycamorespoke/clients/_checked_http.py
+++ b/sycamorespoke/clients/_checked_http.py
@@ -1,45 +1,144 @@
-"""HTTP connections that reject responses whose head or chunk sizes are cut off.
+"""HTTP connections that reject responses which are cut off or do not end.
 
 `http.client` accepts the end of the connection as the end of a line: a cut-off list
 of headers counts as complete, without the length of the body, and a cut-off chunk
-size may be read as 0, which ends the body.
+size may be read as 0, which ends the body. It also limits each read of a socket but
+not all of them together, so that a head or a list of trailers may go on without end.
 """
 
+import contextlib
 import http.client
 import io
+import time
 
 import urllib3
 import urllib3.connection
 
-
-class _WholeLineReader(io.BufferedReader):
-    """Reader that raises if the connection ends inside a line."""
+# Lines of a head, or lines between two parts of a body.
+MAX_LINES_BYTES = 65_536
+MAX_BODY_BYTES = 64 * 1024 * 1024
+MAX_BODY_S = 30.0
+READ_BYTES = 65_536
+MIN_TIMEOUT_S = 0.001
+
+
+class _TimedReader(io.RawIOBase):
+    """Reader of a socket that may have to end by a point in time."""
+
+    def __init__(self, raw, sock):
+        self.raw = raw
+        self.sock = sock
+        self._ends_s = None
+
+    @contextlib.contextmanager
+    def limit_time(self, ends_s):
+        """Limit all reads in the context together, to a time of the monotonic clock."""
+        timeout_s = self.sock.gettimeout()
+        remaining_s = ends_s - time.monotonic()
+        if remaining_s <= 0:
+            raise TimeoutError("the lines of a response took too long")
+        self._ends_s = ends_s
+        try:
+            yield
+        finally:
+            self._ends_s = None
+            self.sock.settimeout(timeout_s)
+
+    def readinto(self, buffer):
+        if self._ends_s is not None:
+            remaining_s = max(self._ends_s - time.monotonic(), MIN_TIMEOUT_S)
+            self.sock.settimeout(remaining_s)
+        return self.raw.readinto(buffer)
+
+    def readable(self):
+        return True
+
+    def close(self):
+        self.raw.close()
+        super().close()
+
+
+class _LineReader(io.BufferedReader):
+    """Reader that raises if lines are cut off, or together too long or too slow.
+
+    Lines count together until a part of a body is read. They have the time that the
+    timeout of the socket allows for a single read.
+    """
 
     has_ended = False
+    _lines_bytes = 0
+    _lines_end_s = None
 
     def readline(self, size=-1):
-        line = super().readline(size)
+        if self._lines_end_s is None:
+            timeout_s = self.raw.sock.gettimeout()
+            self._lines_end_s = time.monotonic() + (timeout_s or MAX_BODY_S)
+        with self.raw.limit_time(self._lines_end_s):
+            line = super().readline(size)
         self.has_ended = not line
+        self._lines_bytes += len(line)
+        if self._lines_bytes > MAX_LINES_BYTES:
+            raise http.client.LineTooLong("head or chunk")
         if line and len(line) != size and not line.endswith(b"\n"):
             raise http.client.IncompleteRead(line)
         return line
 
+    def read(self, size=-1):
+        self._begin_body()
+        return super().read(size)
+
+    def read1(self, size=-1):
+        self._begin_body()
+        return super().read1(size)
+
+    def readinto(self, buffer):
+        self._begin_body()
+        return super().readinto(buffer)
+
+    def _begin_body(self):
+        self._lines_bytes = 0
+        self._lines_end_s = None
+
 
 class _CheckedResponse(http.client.HTTPResponse):
-    """Response whose head ends with an empty line."""
+    """Response whose head is whole and of limited size, as is a body read at once."""
 
     def __init__(self, sock, *args, **kwargs):
         super().__init__(sock, *args, **kwargs)
-        self.fp = _WholeLineReader(self.fp.detach())
+        self.fp = _LineReader(_TimedReader(self.fp.detach(), sock))
 
     def begin(self):
         super().begin()
-        if self.fp.has_ended:
+        if self.fp is not None and self.fp.has_ended:
             raise http.client.IncompleteRead(b"")
 
+    def read(self, amt=None):
+        """Read up to ``amt`` bytes of the body, or all of it.
+
+        Raises
+        ------
+        http.client.HTTPException
+            If all of the body has more than `MAX_BODY_BYTES`, takes longer than
+            `MAX_BODY_S` or is cut off.
+        """
+        if amt is not None:
+            return super().read(amt)
+        body = bytearray()
+        ends_s = time.monotonic() + MAX_BODY_S
+        while chunk := self.read1(READ_BYTES):
+            body += chunk
+            if len(body) > MAX_BODY_BYTES or time.monotonic() > ends_s:
+                raise http.client.HTTPException("the body is too long")
+        if self.length:
+            raise http.client.IncompleteRead(bytes(body), self.length)
+        if not self.isclosed():
+            # Mark a response as read whose length has been read exactly.
+            super().read()
+        return bytes(body)
+
 
 class CheckedConnection(urllib3.connection.HTTPConnection):
-    """Connection that raises `http.client.IncompleteRead` for a cut-off response."""
+    """Connection that raises for a response whose lines are cut off or endless."""
 
     response_class = _CheckedResponse
 
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -173,8 +173,7 @@
         self._excluded_boot_ids.add(upstream.boot_id)
 
     def _discard_error_response(self):
-        # Read to the end so that the connection can carry another request.
-        self.exchange.read_whole()
+        self.exchange.discard_body()
         reason = "the upstream responded with a server error"
         self._add_refusal(domain.Refusal(domain.ErrorKind.UPSTREAM_LOST, reason))
         self.finish()
--- a/sycamorespoke/gateway/_events.py
+++ b/sycamorespoke/gateway/_events.py
@@ -2,6 +2,8 @@
 
 import re
 
+MAX_EVENT_BYTES = 1024 * 1024
+MAX_END_BYTES = 4
 _END_OF_EVENT = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _EVENT_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([0-9]{1,15})(?=[\r\n])")
 
@@ -41,6 +43,11 @@
         """Number of bytes after the last complete event, without line ends."""
         return len(self._buffer.strip(b"\r\n"))
 
+    @property
+    def is_event_too_long(self):
+        """Whether the bytes after the last complete event are more than any event."""
+        return len(self._buffer) > MAX_EVENT_BYTES
+
     def split_chunk(self, chunk):
         """Add bytes of the stream and return the events that are now complete.
 
@@ -54,10 +61,12 @@
         bytes
             Complete events that were not returned before; may be empty.
         """
+        # The end of an event may begin in the last bytes of the buffer.
+        searched = max(len(self._buffer) - MAX_END_BYTES, 0)
         data = self._buffer + chunk
         events = []
         start = 0
-        for match in _END_OF_EVENT.finditer(data):
+        for match in _END_OF_EVENT.finditer(data, searched):
             self._append_new(data[start : match.end()], events)
             start = match.end()
         self._buffer = data[start:]
--- a/sycamorespoke/gateway/_exchange.py
+++ b/sycamorespoke/gateway/_exchange.py
@@ -11,6 +11,11 @@
 # An upstream gets this long beyond the deadline to respond that it has passed.
 DEADLINE_GRACE_S = 0.05
 MIN_TIMEOUT_S = 0.001
+MAX_BODY_BYTES = 16 * 1024 * 1024
+# A body that is not needed is read to its end within these limits, so that its
+# connection can carry another request; otherwise the connection is closed.
+MAX_DISCARDED_BYTES = 65_536
+MAX_DISCARD_S = 0.2
 
 CONNECTION_ERRORS = (
     urllib3.exceptions.HTTPError,
@@ -111,6 +116,26 @@
             if not chunk:
                 return _requests.Response(self.head, bytes(body))
             body += chunk
+            if len(body) > MAX_BODY_BYTES:
+                return self.fail_too_long()
+
+    def discard_body(self):
+        """Read the rest of a response that is not needed, or close the connection."""
+        ends_s = self.read_clock() + MAX_DISCARD_S
+        discarded_bytes = 0
+        while discarded_bytes <= MAX_DISCARDED_BYTES:
+            chunk = self.read_chunk(ends_s - self.read_clock())
+            if not chunk or isinstance(chunk, _requests.Failure):
+                return
+            discarded_bytes += len(chunk)
+        self.close()
+
+    def fail_too_long(self):
+        """Close the connection because the response is longer than any real one."""
+        self.close()
+        return _make_failure(
+            domain.ErrorKind.UPSTREAM_LOST, "the response of the upstream is too long"
+        )
 
     def read_chunk(self, timeout_s=None):
         """Read the next bytes of the body.
@@ -200,7 +225,7 @@
         has_our_id = self.head.request_id == self.request.id
         # An upstream may refuse a request before it has read the request ID.
         if self.head.is_not_run and (has_our_id or not self.head.request_id):
-            self._drain_refusal()
+            self.discard_body()
             kind = domain.ErrorKind.UPSTREAM_REFUSED
             return _requests.Failure(
                 domain.Refusal(kind, "the upstream refused the request"), self.head
@@ -213,11 +238,6 @@
             )
         return self.head
 
-    def _drain_refusal(self):
-        # Read to the end so that the connection can carry another request.
-        if isinstance(self.read_whole(), _requests.Failure):
-            self.close()
-
     def _finish(self):
         connection = self._connection
         self._connection = None
--- a/sycamorespoke/gateway/_stream_body.py
+++ b/sycamorespoke/gateway/_stream_body.py
@@ -87,6 +87,8 @@
             events = self._splitter.split_chunk(chunk)
             if events:
                 return events
+            if self._splitter.is_event_too_long:
+                return self.attempts.exchange.fail_too_long()
 
     def _find_early_end(self):
         """Return a failure if the response ended before its stream was complete."""
--- a/tests/clients/test_checked_http.py
+++ b/tests/clients/test_checked_http.py
@@ -1,13 +1,16 @@
-"""Responses that are cut off, read through checked connections."""
+"""Responses that are cut off or do not end, read through checked connections."""
 
 import contextlib
 import socket
 import threading
+import time
 
 import pytest
 import urllib3
 
 from sycamorespoke import clients
+from sycamorespoke.clients import _checked_http
+from tests.fakes import scripted_upstream
 
 WHOLE = b'HTTP/1.1 200 OK\r\nETag: "123"\r\nContent-Length: 4\r\n\r\ndone'
 CHUNKED = (
@@ -54,3 +57,39 @@
 def test_chunked_response_that_is_cut_off_raises(length):
     with pytest.raises(urllib3.exceptions.HTTPError):
         read(CHUNKED[:length])
+
+
+@pytest.mark.parametrize("limit", ["MAX_BODY_BYTES", "MAX_BODY_S"])
+def test_whole_body_without_end_is_given_up(monkeypatch, limit):
+    monkeypatch.setattr(_checked_http, limit, 0.1 if limit == "MAX_BODY_S" else 9000)
+
+    def send(request):
+        request.close_connection = True
+        request.wfile.write(b"HTTP/1.1 200 OK\r\n\r\n")
+        while True:
+            request.wfile.write(b"x" * 100)
+            time.sleep(0.002)
+
+    upstream = scripted_upstream.ScriptedUpstream(send)
+    host, _, port = upstream.address.rpartition(":")
+    try:
+        pool = clients.CheckedPool(host, int(port), retries=False, timeout=5.0)
+        with pytest.raises(urllib3.exceptions.ProtocolError, match="too long"):
+            pool.request("GET", "/")
+        assert upstream.disconnected.wait(5.0)
+    finally:
+        upstream.close()
+
+
+def test_whole_body_that_is_read_as_a_whole_is_unchanged():
+    body = bytes(range(256)) * 1000
+    upstream = scripted_upstream.ScriptedUpstream(
+        lambda request: scripted_upstream.respond(request, body=body)
+    )
+    host, _, port = upstream.address.rpartition(":")
+    try:
+        pool = clients.CheckedPool(host, int(port), retries=False, timeout=5.0)
+        assert [pool.request("GET", "/").data for _ in range(3)] == [body] * 3
+        assert pool.num_connections == 1
+    finally:
+        upstream.close()
