Soak: upstreams that send without end, and that state a rate limit

Three more behaviours: an endless head, an endless body, a rate limit of 3.5 requests a second in every response. Blocks that end upstreams are not in the soak, whose callers send no prompts; tests/platform/test_crashing_blocks.py plays them with processes.

--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -27,8 +27,14 @@
     UNFRAMED = "unframed"
     CUT_UNFRAMED = "cut unframed"
     CUT_HEAD = "cut head"
+    ENDLESS_HEAD = "endless head"
+    ENDLESS_BODY = "endless body"
+    RATE_LIMIT = "rate limit"
 
 
+ENDLESS_BEHAVIOURS = frozenset({Behaviour.ENDLESS_HEAD, Behaviour.ENDLESS_BODY})
+ENDLESS_PAUSE_S = 0.005
+RATE_LIMIT_PER_S = "3.5"
 UNFRAMED_BEHAVIOURS = frozenset({Behaviour.UNFRAMED, Behaviour.CUT_UNFRAMED})
 
 
@@ -128,6 +134,8 @@
         time.sleep(SLOW_S if self.behaviour is Behaviour.SLOW else WORK_S)
         if self.behaviour is Behaviour.CUT_HEAD:
             _send_cut_head(request, request_id)
+        elif self.behaviour in ENDLESS_BEHAVIOURS:
+            self._send_endless(request, request_id)
         elif request.path.startswith(("/stream/", "/once/")):
             if self.behaviour in UNFRAMED_BEHAVIOURS:
                 self._stream_unframed(request, request_id)
@@ -138,7 +146,21 @@
         elif self.behaviour in (Behaviour.CUT, Behaviour.CUT_UNFRAMED):
             scripted_upstream.abort(request)
         else:
-            scripted_upstream.respond(request, body=make_body(request_id))
+            body = make_body(request_id)
+            scripted_upstream.respond(request, body=body, **self._make_headers())
+
+    def _make_headers(self):
+        if self.behaviour is Behaviour.RATE_LIMIT:
+            return {"Server-Limit": RATE_LIMIT_PER_S}
+        return {}
+
+    def _send_endless(self, request, request_id):
+        """Send bytes that are no response until the gateway closes the connection."""
+        is_body = self.behaviour is Behaviour.ENDLESS_BODY
+        _send_cut_head(request, request_id, rest=b"\r\n" if is_body else b"")
+        while True:
+            request.wfile.write(b"x" * 512)
+            time.sleep(ENDLESS_PAUSE_S)
 
     def _stream_unframed(self, request, request_id):
         scripted_upstream.start_unframed_stream(request)
@@ -155,7 +177,7 @@
             time.sleep(EVENT_PAUSE_S)
 
     def _stream(self, request, request_id):
-        scripted_upstream.start_stream(request)
+        scripted_upstream.start_stream(request, **self._make_headers())
         first = int(request.headers.get("Last-Event-Id") or 0) + 1
         for number in range(first, EVENT_COUNT + 1):
             if self.behaviour is Behaviour.CUT and number == EVENT_COUNT:
