Quarantine: a block that an operator lifted needs new losses to come back

Change: when a quarantine ends, each host drops what it had seen of the block and ignores reports of others that are older than the end. The loops over the reports of others are one function now; discard_sound_blocks is discard_blocks, since it serves both.

The test (simulated hosts, one of them restarted before the lifting) was red before.

--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -59,7 +59,7 @@
 )
 from sycamorespoke.decisions._crash_attribution import (
     BrokenPrompt,
-    discard_sound_blocks,
+    discard_blocks,
     find_fatal_block,
 )
 from sycamorespoke.decisions._ejection import (
@@ -306,7 +306,7 @@
     "count_permitted_requests",
     "count_readers",
     "decide_permit",
-    "discard_sound_blocks",
+    "discard_blocks",
     "end_transfer",
     "estimate_cost",
     "estimate_transfer_s",
--- a/sycamorespoke/decisions/_crash_attribution.py
+++ b/sycamorespoke/decisions/_crash_attribution.py
@@ -99,15 +99,15 @@
     )
 
 
-def discard_sound_blocks(broken_prompts, sound_blocks):
-    """Remove sound blocks, and prompts of which no block is left.
+def discard_blocks(broken_prompts, blocks):
+    """Remove blocks that are not suspected, and prompts of which none is left.
 
     Parameters
     ----------
     broken_prompts : iterable of BrokenPrompt
-        Observations of one host.
-    sound_blocks : collection of str
-        Blocks on which a response was completed.
+        The observations.
+    blocks : collection of str
+        Blocks to remove.
 
     Returns
     -------
@@ -117,7 +117,7 @@
     remaining = (
         attrs.evolve(
             broken,
-            blocks=tuple(each for each in broken.blocks if each not in sound_blocks),
+            blocks=tuple(each for each in broken.blocks if each not in blocks),
         )
         for broken in broken_prompts
     )
--- a/sycamorespoke/gateway/_crash_monitor.py
+++ b/sycamorespoke/gateway/_crash_monitor.py
@@ -109,7 +109,7 @@
         broken_prompts = [_make_broken_prompt(each) for each in ended]
         blocks = {block for broken in broken_prompts for block in broken.blocks}
         sound = self.sound_blocks.select(blocks, now)
-        return decisions.discard_sound_blocks(broken_prompts, sound)
+        return decisions.discard_blocks(broken_prompts, sound)
 
     def _check(self, pending):
         """Return whether upstreams run, by boot ID; those unknown are left out."""
--- a/sycamorespoke/gateway/_quarantine.py
+++ b/sycamorespoke/gateway/_quarantine.py
@@ -54,6 +54,8 @@
         self._broken = collections.deque(maxlen=MAX_REPORTED_PROMPTS)
         self._written = None
         self._suspected_since_s_by_block = {}
+        self._quarantined_blocks = frozenset()
+        self._lifted_s_by_block = {}
 
     def start(self, stop_requested):
         """Run `step` in a background thread until ``stop_requested`` is set."""
@@ -64,10 +66,12 @@
     def step(self, now):
         """Collect, report and decide once, at ``now``, seconds of the boot clock."""
         view = self.views.get()
+        self._handle_lifted(view, now)
         for broken in self.monitor.collect(now):
             self._broken.append((now, broken))
         sound_blocks = self._find_sound_blocks(view, now)
-        self._discard_old(sound_blocks, now)
+        self._discard_old(now)
+        self._discard_blocks(sound_blocks)
         self._report(view, now)
         self._decide(view, sound_blocks, now)
         self._remove_expired(view, now)
@@ -82,47 +86,57 @@
     def _interval_s(self):
         return max(MIN_INTERVAL_S, len(self.views.get().hosts) / MAX_REPORTS_PER_S)
 
+    def _handle_lifted(self, view, now):
+        """Forget what spoke against blocks whose quarantine has ended."""
+        blocks = frozenset(view.quarantined_by_block)
+        lifted = self._quarantined_blocks - blocks
+        self._quarantined_blocks = blocks
+        self._lifted_s_by_block.update(dict.fromkeys(lifted, now))
+        self._discard_blocks(lifted)
+
+    def _list_reported_by_others(self, view):
+        """Return the observations of other processes, without lifted blocks."""
+        reported = []
+        for report in view.crash_reports:
+            if report.name == self.report_name:
+                continue
+            lifted = {
+                block
+                for block, lifted_s in self._lifted_s_by_block.items()
+                if report.seen_s <= lifted_s
+            }
+            reported += decisions.discard_blocks(report.broken_prompts, lifted)
+        return reported
+
     def _list_broken_prompts(self, view):
         """Return the observations of all hosts, including new ones of this host."""
-        others = [
-            broken
-            for report in view.crash_reports
-            if report.name != self.report_name
-            for broken in report.broken_prompts
-        ]
-        return others + [broken for _, broken in self._broken]
+        own = [broken for _, broken in self._broken]
+        return self._list_reported_by_others(view) + own
 
     def _find_sound_blocks(self, view, now):
         """Return the suspected blocks that this or another host knows as sound."""
-        suspected = {
-            block
-            for broken in self._list_broken_prompts(view)
-            for block in broken.blocks
-        }
+        suspected = _list_blocks(self._list_broken_prompts(view))
         sound_blocks = self.monitor.sound_blocks.select(suspected, now)
         for report in view.crash_reports:
             if report.name != self.report_name:
                 sound_blocks.update(report.sound_blocks)
         return sound_blocks
 
-    def _discard_old(self, sound_blocks, now):
+    def _discard_old(self, now):
+        while self._broken and now - self._broken[0][0] > REPORT_LIFETIME_S:
+            self._broken.popleft()
+
+    def _discard_blocks(self, blocks):
         remaining = [
             (seen_s, each)
             for seen_s, broken in self._broken
-            if now - seen_s <= REPORT_LIFETIME_S
-            for each in decisions.discard_sound_blocks([broken], sound_blocks)
+            for each in decisions.discard_blocks([broken], blocks)
         ]
         self._broken.clear()
         self._broken.extend(remaining)
 
     def _report(self, view, now):
-        suspected_by_others = {
-            block
-            for report in view.crash_reports
-            if report.name != self.report_name
-            for broken in report.broken_prompts
-            for block in broken.blocks
-        }
+        suspected_by_others = _list_blocks(self._list_reported_by_others(view))
         report = _crash_records.CrashReport(
             self.report_name,
             tuple(broken for _, broken in self._broken),
@@ -180,6 +194,10 @@
         return decisions.compute_acquire_delay_s(self.host, view.hosts, "", key)
 
 
+def _list_blocks(broken_prompts):
+    return {block for broken in broken_prompts for block in broken.blocks}
+
+
 def compute_retry_after_s(quarantined, now):
     """Return after how many seconds a quarantine ends, 1 or more.
 
--- a/tests/decisions/test_crash_attribution.py
+++ b/tests/decisions/test_crash_attribution.py
@@ -37,7 +37,7 @@
 
 def test_discarding_sound_blocks_keeps_the_others_in_order():
     broken = [make_broken("i-1", "p", "a", "b", "c"), make_broken("i-1", "q", "b")]
-    assert decisions.discard_sound_blocks(broken, {"b"}) == [
+    assert decisions.discard_blocks(broken, {"b"}) == [
         make_broken("i-1", "p", "a", "c")
     ]
 
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -256,3 +256,23 @@
 def test_malformed_record_is_rejected(value):
     with pytest.raises(ValueError, match="not a crash record"):
         _crash_records.parse_crash_record("n", value, 0.0)
+
+
+def test_block_whose_quarantine_an_operator_ended_needs_new_losses():
+    hosts = Hosts(3)
+    for n in range(3):
+        hosts.end_upstream(f"i-{n}", {f"h{n}": make_prompt("bad", f"own{n}")})
+    hosts.run(VERDICT_S)
+    # The report of the process before stays in the store.
+    hosts.start("h0")
+    hosts.run(STEP_S)
+    hosts.records.delete(_crash_records.make_quarantined_block("bad").name)
+    hosts.run(VERDICT_S)
+    assert hosts.list_quarantined() == {frozenset()}
+    for n in range(2):
+        hosts.end_upstream(f"j-{n}", {f"h{n}": make_prompt("bad", f"new{n}")})
+    hosts.run(VERDICT_S)
+    assert hosts.list_quarantined() == {frozenset()}
+    hosts.end_upstream("j-2", {"h2": make_prompt("bad", "new2")})
+    hosts.run(VERDICT_S)
+    assert hosts.list_quarantined() == {frozenset({"bad"})}
