Gateway: that an upstream states that it leaves is logged

No line showed whether a response had carried the statement, nor what the list of upstreams said at that time. The adapter parses the header into a field of the response's head; a host logs the first such response of each start of an upstream, with what the list says, and shows it in its dump. Also a response that belongs to another request counts, since it comes from the same upstream. No decision changes. What responses state is recorded by a module of its own.

--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -9,6 +9,7 @@
     _model,
     _quarantine,
     _requests,
+    _statements,
 )
 
 # How strongly a failure of each kind indicates a fault of the upstream, 0 to 1.
@@ -248,17 +249,20 @@
             self.gateway.table.expect_first_event(upstream, self, expected_s)
         fresh = self.route.kind is _model.RouteKind.UNSAFE
         result = exchange.open(choice.connections, fresh)
-        self._record_rate_limit(upstream, result)
+        self._record_statements(exchange, result)
         return result
 
-    def _record_rate_limit(self, upstream, result):
-        """Record the rate limit that a response states, or that it states none."""
+    def _record_statements(self, exchange, result):
+        """Record what the upstream states about itself in its response."""
+        table, upstream = self.gateway.table, exchange.upstream
         head = result if isinstance(result, _requests.ResponseHead) else result.head
-        if head is None:
-            return
-        limit_per_s = head.rate_limit_per_s
-        if self.gateway.table.record_rate_limit(upstream, limit_per_s):
-            self.log.record_rate_limit(upstream, limit_per_s)
+        if head is not None:
+            _statements.record_rate_limit(table, self.log, upstream, head)
+        # The head of a response that belongs to another request comes from the same
+        # upstream.
+        if exchange.head is not None:
+            now = self.gateway.read_clock()
+            _statements.record_leaving(table, self.log, upstream, exchange.head, now)
 
     def record_first_event(self):
         """Record the time at which the first event of the stream arrived."""
--- a/sycamorespoke/gateway/_requests.py
+++ b/sycamorespoke/gateway/_requests.py
@@ -195,6 +195,8 @@
     rate_limit_per_s : float or None
         Requests per second that the upstream accepts from all hosts together, if it
         states a limit.
+    is_leaving : bool
+        Whether the upstream states that it is about to stop.
     retry_after_s : float or None
         Time after which to retry, seconds.
     keep_alive_s : float or None
@@ -214,6 +216,7 @@
     upstream_id: str = ""
     weight_version: int | None = None
     rate_limit_per_s: float | None = None
+    is_leaving: bool = False
     retry_after_s: float | None = None
     keep_alive_s: float | None = None
     closes_connection: bool = False
--- a/sycamorespoke/gateway/_table.py
+++ b/sycamorespoke/gateway/_table.py
@@ -42,6 +42,8 @@
     rate_limit_per_s : float or None, default=None
         Requests per second that the upstream accepts from all hosts together, as its
         last response stated.
+    leaving_since_s : float or None, default=None
+        When it was first known to be about to stop, seconds of the boot clock.
     """
 
     requests: int = 0
@@ -52,6 +54,12 @@
     expected_s_by_request: dict[object, float] = attrs.field(factory=dict)
     full_until_s: float = float("-inf")
     rate_limit_per_s: float | None = None
+    leaving_since_s: float | None = None
+
+    @property
+    def is_leaving(self):
+        """Whether the upstream is about to stop."""
+        return self.leaving_since_s is not None
 
 
 class UpstreamTable:
@@ -239,6 +247,28 @@
             state.rate_limit_per_s = rate_limit_per_s
             return has_changed
 
+    def record_leaving(self, upstream, now):
+        """Record that this boot of an upstream is about to stop.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            The upstream.
+        now : float
+            Current time, seconds of the boot clock.
+
+        Returns
+        -------
+        bool
+            Whether this was not known before.
+        """
+        with self._lock:
+            state = self._get_state(upstream.boot_id)
+            if state.is_leaving:
+                return False
+            state.leaving_since_s = now
+            return True
+
     def count_states(self, view, now):
         """Count the registered upstreams by service and state.
 
@@ -290,6 +320,7 @@
                     "failure_rate": round(state.failures.failure_rate, 3),
                     "ejected": state.failures.is_ejected(now),
                     "rate_limit_per_s": state.rate_limit_per_s,
+                    "leaving": state.is_leaving,
                     "versions": dict(state.versions_by_model),
                 }
                 for boot_id, state in self._states_by_boot.items()
--- a/sycamorespoke/platform/_names.py
+++ b/sycamorespoke/platform/_names.py
@@ -40,6 +40,8 @@
 LAST_EVENT_ID = "Last-Event-Id"
 # Requests per second that the upstream accepts from all hosts together.
 SERVER_LIMIT = "Server-Limit"
+# "1" in all responses of an upstream that is about to stop.
+SERVER_LEAVING = "Server-Leaving"
 
 # Set only by the system or consumed by it; never forwarded from a caller.
 SYSTEM_HEADERS = frozenset(
--- a/sycamorespoke/platform/_protocol.py
+++ b/sycamorespoke/platform/_protocol.py
@@ -140,12 +140,18 @@
         upstream_id=headers.get(_names.INSTANCE_ID, ""),
         weight_version=_parse_int(headers.get(_names.WEIGHT_VERSIONS)),
         rate_limit_per_s=_parse_decimal(headers.get(_names.SERVER_LIMIT)),
+        is_leaving=is_leaving(headers),
         retry_after_s=_parse_decimal(headers.get("Retry-After")),
         keep_alive_s=_parse_keep_alive(headers.get("Keep-Alive", "")),
         closes_connection="close" in connection_options,
     )
 
 
+def is_leaving(headers):
+    """Return whether the headers of a response say that its upstream is leaving."""
+    return headers.get(_names.SERVER_LEAVING, "").strip() == "1"
+
+
 def build_refusal_headers(refusal, request_id):
     """Return the headers of an error response that the gateway itself sends.
 
