Tests: an upstream that said it leaves still gets requests (failing, listed)

Arrivals at the fleet of upstreams have the ID of the request, so that a test knows which host sent it.

--- a/tests/fakes/upstream_fleet.py
+++ b/tests/fakes/upstream_fleet.py
@@ -9,6 +9,7 @@
 
 ROUTE = "prompts"
 PROMPT_PREFIX = "X-Sycamorespoke-Prompt-Prefix"
+REQUEST_ID = "X-Sycamorespoke-Request-Id"
 # Between the first bytes of the response and the end of the process.
 CRASH_DELAY_S = 0.02
 ANSWER_S = 0.05
@@ -26,11 +27,14 @@
         IDs of the blocks of its prompt.
     at_s : float
         Monotonic time, seconds.
+    request_id : str
+        ID that the caller chose.
     """
 
     upstream: str
     blocks: tuple[str, ...]
     at_s: float
+    request_id: str
 
 
 @attrs.frozen
@@ -50,7 +54,7 @@
 
 
 class UpstreamFleet:
-    """Upstreams of one service, which may end and state rate limits.
+    """Upstreams of one service, which may end, leave and state rate limits.
 
     Parameters
     ----------
@@ -67,6 +71,9 @@
     ----------
     rate_limits_by_id : dict of str to str
         Rate limits that upstreams state in their responses, requests per second.
+    leaving_ids : set of str
+        Upstreams that state in their responses that they are leaving; the store lists
+        them as ready.
     """
 
     def __init__(
@@ -76,6 +83,7 @@
         self.restart_s = restart_s
         self.answer_s = answer_s
         self.rate_limits_by_id = {}
+        self.leaving_ids = set()
         self.arrivals = []
         self.crashes = []
         self.store = object_store.FakeObjectStore()
@@ -151,10 +159,14 @@
     def _serve(self, upstream_id, request):
         prefix = request.headers.get(PROMPT_PREFIX, "")
         blocks = tuple(entry.partition(":")[0] for entry in prefix.split(","))
-        self.arrivals.append(Arrival(upstream_id, blocks, time.monotonic()))
+        request_id = request.headers[REQUEST_ID]
+        arrival = Arrival(upstream_id, blocks, time.monotonic(), request_id)
+        self.arrivals.append(arrival)
         headers = {}
         if upstream_id in self.rate_limits_by_id:
             headers["Server-Limit"] = self.rate_limits_by_id[upstream_id]
+        if upstream_id in self.leaving_ids:
+            headers["Server-Leaving"] = "1"
         scripted_upstream.start_stream(request, **headers)
         if self.fatal_blocks.intersection(blocks[:-1]):
             time.sleep(CRASH_DELAY_S)
--- a/tests/platform/fleet_hosts.py
+++ b/tests/platform/fleet_hosts.py
@@ -21,9 +21,16 @@
 
 
 class Caller:
-    """Sends requests to the hosts in turn; no two prompts are alike."""
+    """Sends requests to the hosts in turn; no two prompts are alike.
+
+    Attributes
+    ----------
+    ports_by_request : dict of str to int
+        Port of the host to which each request was sent, by request ID.
+    """
 
     def __init__(self, gateways):
+        self.ports_by_request = {}
         self.gateways = itertools.cycle(gateways)
         self.numbers = itertools.count(1)
 
@@ -31,13 +38,15 @@
         """Send a request; return the status, ``None`` without a whole response."""
         number = next(self.numbers)
         blocks = [*shared_blocks, f"f{number:04x}"]
+        request_id = f"call-{number}"
         port = next(self.gateways).ports["listen"]
+        self.ports_by_request[request_id] = port
         connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5.0)
         try:
             in_process_gateway.send_request(
                 connection,
                 f"/{upstream_fleet.ROUTE}/x",
-                X_Sycamorespoke_Request_Id=f"call-{number}",
+                X_Sycamorespoke_Request_Id=request_id,
                 X_Sycamorespoke_Model="m",
                 X_Sycamorespoke_Token_Count="300,3",
                 X_Sycamorespoke_Prompt_Prefix=",".join(f"{b}:100" for b in blocks),
