Gateway: no request goes to an upstream that said in a response that it leaves

What was seen: an upstream got requests from a host later than 2 s after that host had passed on a response in which the upstream says that it leaves.

Cause: no code referred to the statement; hosts believed the list of upstreams alone. Ruled out as needed for it: repeats and fallbacks, since the failing test has neither, and a list that takes a draining upstream back.

Change: the table of upstreams records the statement per start, from the head of every response and from the reports of engines; it is final for that start and outlives the upstream's removal from the list, so that an older copy of the list changes nothing. The chooser leaves such upstreams out before any of its fallbacks; first attempts, repeats and resumed streams all ask it.

The state of an upstream is a module of its own.

--- a/sycamorespoke/gateway/_chooser.py
+++ b/sycamorespoke/gateway/_chooser.py
@@ -147,6 +147,10 @@
             if upstream.boot_id not in excluded
         ]
         states_by_boot = self.table.read(upstreams)
+        # No fallback below may return an upstream that is about to stop.
+        upstreams = [
+            each for each in upstreams if not states_by_boot[each.boot_id].is_leaving
+        ]
         upstreams = self._filter_by_target_version(
             view, upstreams, states_by_boot, request, now
         )
--- a/sycamorespoke/gateway/_orders.py
+++ b/sycamorespoke/gateway/_orders.py
@@ -62,11 +62,14 @@
         Whether the engine is executing an order.
     versions_by_model : dict of str to int
         Weight versions that it has loaded.
+    is_leaving : bool, default=False
+        Whether the engine is about to stop.
     """
 
     orders: int
     is_loading: bool
     versions_by_model: dict[str, int]
+    is_leaving: bool = False
 
 
 @attrs.frozen
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -153,7 +153,7 @@
         self.retirement.tell(_rollout.Tick(now))
         boot_ids = view.list_boot_ids()
         self.pool.retain(boot_ids, now)
-        self.table.retain(boot_ids)
+        self.table.retain(boot_ids, now)
         self.gateway.chooser.rate_limiter.retain(boot_ids)
         self.peering.update_plan(view)
         self.block_planner.forget_old_exports(now)
--- a/sycamorespoke/gateway/_rollout.py
+++ b/sycamorespoke/gateway/_rollout.py
@@ -121,6 +121,9 @@
             if upstream.versions_by_model and not upstream.is_draining
         ]
         states_by_boot = self.table.read(upstreams)
+        upstreams = [
+            each for each in upstreams if not states_by_boot[each.boot_id].is_leaving
+        ]
         return [
             decisions.EngineVersion(
                 upstream.boot_id,
@@ -240,6 +243,10 @@
             if isinstance(report, _source.Unavailable):
                 self._log("engine does not report", reason=report.reason)
                 return False
+            if report.is_leaving:
+                self.rollout.table.record_leaving(self.upstream, serving.read_clock())
+                self._log("engine leaving")
+                return False
             target_version = self._get_target_version()
             loaded_version = report.versions_by_model.get(self.model, 0)
             if loaded_version >= target_version:
--- a/sycamorespoke/gateway/_table.py
+++ b/sycamorespoke/gateway/_table.py
@@ -5,6 +5,7 @@
 import attrs
 
 from sycamorespoke import decisions
+from sycamorespoke.gateway import _upstream_state
 
 DRAINING = "draining"
 EJECTED = "left_out"
@@ -15,53 +16,6 @@
 STATES = (DRAINING, EJECTED, LOADING, COLD, FULL, READY)
 
 
-@attrs.define
-class UpstreamState:
-    """Observed state of one boot of an upstream.
-
-    Parameters
-    ----------
-    requests : int, default=0
-        Requests of this host in flight at the upstream.
-    work : float, default=0.0
-        Estimated work of these requests, see `Chooser`.
-    failures : decisions.FailureHistory
-        Recent failures.
-    versions_by_model : dict of str to int
-        Weight versions learned from responses and load reports, where newer than the
-        registered ones.
-    wait_estimate : decisions.WaitEstimate
-        Estimated time for which requests with full priority wait for their first
-        event.
-    expected_s_by_request : dict of object to float
-        When the first events of requests with full priority in flight are expected,
-        seconds of the boot clock.
-    full_until_s : float, default=-inf
-        Time until which other upstreams are preferred because this one refused a
-        request as full, seconds of the boot clock.
-    rate_limit_per_s : float or None, default=None
-        Requests per second that the upstream accepts from all hosts together, as its
-        last response stated.
-    leaving_since_s : float or None, default=None
-        When it was first known to be about to stop, seconds of the boot clock.
-    """
-
-    requests: int = 0
-    work: float = 0.0
-    failures: decisions.FailureHistory = attrs.field(factory=decisions.FailureHistory)
-    versions_by_model: dict[str, int] = attrs.field(factory=dict)
-    wait_estimate: decisions.WaitEstimate = attrs.field(factory=decisions.WaitEstimate)
-    expected_s_by_request: dict[object, float] = attrs.field(factory=dict)
-    full_until_s: float = float("-inf")
-    rate_limit_per_s: float | None = None
-    leaving_since_s: float | None = None
-
-    @property
-    def is_leaving(self):
-        """Whether the upstream is about to stop."""
-        return self.leaving_since_s is not None
-
-
 class UpstreamTable:
     """States of upstreams by boot ID; safe to share among threads."""
 
@@ -294,20 +248,23 @@
             counts[upstream.service, state] += 1
         return counts
 
-    def retain(self, boot_ids):
+    def retain(self, boot_ids, now):
         """Drop the states of boots that are not listed and have no request in flight.
 
+        An upstream that is about to stop is remembered for `LEAVING_MEMORY_S`, since
+        an older copy of the list may still have it.
+
         Parameters
         ----------
         boot_ids : set of str
             Boot IDs of the registered upstreams.
+        now : float
+            Current time, seconds of the boot clock.
         """
         with self._lock:
-            for boot_id in list(self._states_by_boot):
-                if (
-                    boot_id not in boot_ids
-                    and not self._states_by_boot[boot_id].requests
-                ):
+            for boot_id, state in list(self._states_by_boot.items()):
+                is_used = boot_id in boot_ids or state.requests
+                if not is_used and not state.has_left_recently(now):
                     del self._states_by_boot[boot_id]
 
     def dump(self, now):
@@ -329,13 +286,13 @@
     def _get_state(self, boot_id):
         state = self._states_by_boot.get(boot_id)
         if state is None:
-            state = self._states_by_boot[boot_id] = UpstreamState()
+            state = self._states_by_boot[boot_id] = _upstream_state.UpstreamState()
         return state
 
 
 def _classify(upstream, state, view, now):
     """Return the state that most restricts the use of an upstream."""
-    if upstream.is_draining:
+    if upstream.is_draining or state.is_leaving:
         return DRAINING
     if state.failures.is_ejected(now):
         return EJECTED
--- /dev/null
+++ b/sycamorespoke/gateway/_upstream_state.py
@@ -0,0 +1,59 @@
+"""State of one boot of an upstream as this host observes it."""
+
+import attrs
+
+from sycamorespoke import decisions
+
+# Far longer than an upstream takes to stop, and than any copy of the list is old.
+LEAVING_MEMORY_S = 600.0
+
+
+@attrs.define
+class UpstreamState:
+    """Observed state of one boot of an upstream.
+
+    Parameters
+    ----------
+    requests : int, default=0
+        Requests of this host in flight at the upstream.
+    work : float, default=0.0
+        Estimated work of these requests, see `Chooser`.
+    failures : decisions.FailureHistory
+        Recent failures.
+    versions_by_model : dict of str to int
+        Weight versions learned from responses and load reports, where newer than the
+        registered ones.
+    wait_estimate : decisions.WaitEstimate
+        Estimated time for which requests with full priority wait for their first
+        event.
+    expected_s_by_request : dict of object to float
+        When the first events of requests with full priority in flight are expected,
+        seconds of the boot clock.
+    full_until_s : float, default=-inf
+        Time until which other upstreams are preferred because this one refused a
+        request as full, seconds of the boot clock.
+    rate_limit_per_s : float or None, default=None
+        Requests per second that the upstream accepts from all hosts together, as its
+        last response stated.
+    leaving_since_s : float or None, default=None
+        When it was first known to be about to stop, seconds of the boot clock.
+    """
+
+    requests: int = 0
+    work: float = 0.0
+    failures: decisions.FailureHistory = attrs.field(factory=decisions.FailureHistory)
+    versions_by_model: dict[str, int] = attrs.field(factory=dict)
+    wait_estimate: decisions.WaitEstimate = attrs.field(factory=decisions.WaitEstimate)
+    expected_s_by_request: dict[object, float] = attrs.field(factory=dict)
+    full_until_s: float = float("-inf")
+    rate_limit_per_s: float | None = None
+    leaving_since_s: float | None = None
+
+    @property
+    def is_leaving(self):
+        """Whether the upstream is about to stop."""
+        return self.leaving_since_s is not None
+
+    def has_left_recently(self, now):
+        """Return whether the upstream began to stop `LEAVING_MEMORY_S` ago or later."""
+        return self.is_leaving and now - self.leaving_since_s < LEAVING_MEMORY_S
--- a/sycamorespoke/platform/_engines.py
+++ b/sycamorespoke/platform/_engines.py
@@ -4,7 +4,7 @@
 import urllib3
 
 from sycamorespoke import clients, gateway
-from sycamorespoke.platform import _names
+from sycamorespoke.platform import _names, _protocol
 
 CONNECT_TIMEOUT_S = 0.3
 READ_TIMEOUT_S = 0.6
@@ -65,6 +65,7 @@
                 versions_by_model={
                     model["Name"]: model["Version"] for model in value["Models"]
                 },
+                is_leaving=_protocol.is_leaving(response.headers),
             )
         except (msgspec.DecodeError, KeyError, TypeError) as error:
             return gateway.Unavailable(f"malformed report: {error!r}")
--- a/tests/gateway/test_rollout.py
+++ b/tests/gateway/test_rollout.py
@@ -27,6 +27,7 @@
     lost_orders: int = 0
     is_unreachable: bool = False
     is_fenced: bool = False
+    is_leaving: bool = False
     received_orders: list = attrs.field(factory=list)
 
 
@@ -38,7 +39,10 @@
         engine = self.by_id[upstream.id]
         if engine.is_unreachable:
             return _source.Unavailable("unreachable")
-        return _orders.EngineReport(engine.orders, False, {MODEL: engine.version})
+        versions_by_model = {MODEL: engine.version}
+        return _orders.EngineReport(
+            engine.orders, False, versions_by_model, engine.is_leaving
+        )
 
     def order_version(self, upstream, order):
         engine = self.by_id[upstream.id]
@@ -176,3 +180,12 @@
     leases = lease_objects.FakeLeaseStore()
     actor = start(engines, leases, target_version=1)
     assert not run_until(actor, lambda: leases.objects, timeout_s=0.5)
+
+
+def test_engine_that_reports_that_it_leaves_gets_no_order(start):
+    engines = FakeEngines(i1=FakeEngine(is_leaving=True), i2=FakeEngine())
+    actor = start(engines, lease_objects.FakeLeaseStore())
+    assert run_until(actor, lambda: engines.by_id["i2"].version == 2)
+    table = actor.proxy().table.get()
+    assert run_until(actor, lambda: table.dump(0.0).get("i1@1", {}).get("leaving"))
+    assert engines.by_id["i1"].received_orders == []
