Gateway: an older copy of the list does not bring a draining upstream back

Looked for beside the incident of upstreams that leave: an upstream that the list had as draining got requests again once an older copy of the list, read after an outage or relayed, had it as ready. Cause: the view holds the latest list only; nothing remembered what an entry had said of this start.

Change: a draining entry is recorded in the table of upstreams like a response that says so; it is final for that start. A new start is not affected.

Evidence: the new test of the view updater fails without the change (ready again), passes with it. No run showed it in service.

The line "upstream leaving" is written only if the list had not said so, so it has no field for that any more.

--- a/sycamorespoke/gateway/_attempt_log.py
+++ b/sycamorespoke/gateway/_attempt_log.py
@@ -81,14 +81,9 @@
         self._log("upstream rate limit", upstream, limit_per_s=limit_per_s)
 
     def record_leaving(self, upstream):
-        """Record that an upstream stated for the first time that it is leaving."""
-        listed = self.gateway.views.get().find_upstream(upstream.boot_id)
-        self._log(
-            "upstream leaving",
-            upstream,
-            listed=listed is not None,
-            draining=listed is not None and listed.is_draining,
-        )
+        """Record that an upstream stated that it is leaving, which was not known."""
+        boot_ids = self.gateway.views.get().list_boot_ids()
+        self._log("upstream leaving", upstream, listed=upstream.boot_id in boot_ids)
 
     def _count(self, outcome, upstream):
         self.gateway.request_metrics.record_attempt(outcome, upstream.service)
--- a/sycamorespoke/gateway/_view_updater.py
+++ b/sycamorespoke/gateway/_view_updater.py
@@ -39,7 +39,8 @@
     actors_by_lease : dict of str to pykka.ActorRef
         Actors that receive the updates of their lease.
     table : UpstreamTable
-        Records the weight versions that engines are announced to have loaded.
+        Records the weight versions that engines are announced to have loaded, and the
+        upstreams that are draining.
     choose_timing : callable
         Takes the `decisions.Freshness` of a section and returns its
         `decisions.WatchTiming`.
@@ -111,6 +112,10 @@
 
     def _handle_upstreams(self, items_by_name, now):
         previous = self.views.get().upstreams_by_id or {}
+        # Recorded, so that an older copy of the list does not take it back.
+        for upstream in items_by_name.values():
+            if upstream.is_draining:
+                self.table.record_leaving(upstream, now)
         self.views.replace_fields(upstreams_by_id=items_by_name)
         for name in previous.keys() - items_by_name.keys():
             loguru.logger.bind(upstream=name).info("upstream gone")
--- a/sycamorespoke/gateway/_views.py
+++ b/sycamorespoke/gateway/_views.py
@@ -95,13 +95,6 @@
             and upstream.data_centre not in (self.data_centres_out or ())
         ]
 
-    def find_upstream(self, boot_id):
-        """Return the registered `Upstream` with a boot ID; ``None`` without one."""
-        for upstream in (self.upstreams_by_id or {}).values():
-            if upstream.boot_id == boot_id:
-                return upstream
-        return None
-
     def find_quarantined(self, prompt):
         """Return a `QuarantinedBlock` of a prompt; ``None`` if it has none."""
         if not self.quarantined_by_block:
--- a/tests/gateway/test_view_updater.py
+++ b/tests/gateway/test_view_updater.py
@@ -1,5 +1,6 @@
 """View of a host after changes of the objects at the source."""
 
+import attrs
 import pytest
 
 from sycamorespoke import decisions
@@ -131,3 +132,16 @@
     harness.announce(announcement.to_value())
     harness.list_all_kinds()
     assert loaded_versions(harness) == {"m": 2}
+
+
+def test_upstream_that_was_listed_as_draining_stays_so_after_an_older_list(harness):
+    draining = attrs.evolve(UPSTREAM, is_draining=True)
+    harness.items_by_kind["upstreams"] = {UPSTREAM.id: draining}
+    harness.list_all_kinds()
+    harness.items_by_kind["upstreams"] = {UPSTREAM.id: UPSTREAM}
+    harness.list_all_kinds()
+    assert harness.table.read([UPSTREAM])[UPSTREAM.boot_id].is_leaving
+    restarted = attrs.evolve(UPSTREAM, started_ms=8)
+    harness.items_by_kind["upstreams"] = {UPSTREAM.id: restarted}
+    harness.list_all_kinds()
+    assert not harness.table.read([restarted])[restarted.boot_id].is_leaving
