--- a/sycamorespoke/gateway/_attempt_log.py
+++ b/sycamorespoke/gateway/_attempt_log.py
@@ -2,6 +2,8 @@
 
 import loguru
 
+from sycamorespoke.gateway import _fingerprint
+
 MAX_LOGGED_BLOCKS = 8
 
 
@@ -14,6 +16,8 @@
         Gateway that serves the request.
     request : Request
         The request.
+    account : Account or None
+        Client account of the caller.
     route : Route
         Route of the request.
     deadline_s : float
@@ -25,10 +29,18 @@
     """
 
     def __init__(
-        self, gateway, request, route, deadline_s, reached_boot_ids, dispatcher
+        self,
+        gateway,
+        request,
+        account,
+        route,
+        deadline_s,
+        reached_boot_ids,
+        dispatcher,
     ):
         self.gateway = gateway
         self.request = request
+        self.account = account
         self.route = route
         self.deadline_s = deadline_s
         self.reached_boot_ids = reached_boot_ids
@@ -52,8 +64,7 @@
     def record_failed(self, upstream, reason):
         """Record that an attempt got no response, or a refusal."""
         self._count("failed", upstream)
-        blocks = self._list_last_blocks()
-        self._log("attempt failed", upstream, reason=reason, blocks=blocks)
+        self._log("attempt failed", upstream, reason=reason, **self._describe())
 
     def record_broken(self, upstream, reason, framing, last_event_id):
         """Record that a response broke off."""
@@ -64,7 +75,7 @@
             reason=reason,
             framing=framing.value,
             last_event_id=last_event_id,
-            blocks=self._list_last_blocks(),
+            **self._describe(),
         )
 
     def record_server_error(self, upstream, status):
@@ -88,10 +99,16 @@
     def _count(self, outcome, upstream):
         self.gateway.request_metrics.record_attempt(outcome, upstream.service)
 
-    def _list_last_blocks(self):
-        """Return the last shared blocks of the prompt, which tell prompts apart."""
+    def _describe(self):
+        """Return what tells the contents of the request from those of others."""
         prompt = self.request.prompt
-        return list(prompt.shared_block_ids[-MAX_LOGGED_BLOCKS:]) if prompt else []
+        return {
+            "fingerprint": _fingerprint.compute_fingerprint(self.request, self.account),
+            # The last blocks tell prompts apart.
+            "blocks": list(prompt.shared_block_ids[-MAX_LOGGED_BLOCKS:])
+            if prompt
+            else [],
+        }
 
     def _log(self, event, upstream, level="INFO", **fields):
         now = self.gateway.read_clock()
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -72,6 +72,7 @@
         self.log = _attempt_log.AttemptLog(
             gateway,
             request,
+            account,
             route,
             deadline_s,
             self._reached_boot_ids,
