Tests: a request that ends upstreams keeps reaching them (failing, listed)

The request comes again under a new ID at the next host, beside sound requests of the same account and route.

The fleet of upstreams has routes of plain services.

--- a/tests/fakes/upstream_fleet.py
+++ b/tests/fakes/upstream_fleet.py
@@ -8,6 +8,9 @@
 from tests.fakes import in_process_gateway, object_store, scripted_upstream
 
 ROUTE = "prompts"
+# Routes of plain services, whose requests have no prompt.
+SAFE_ROUTE = "lookups"
+UNSAFE_ROUTE = "bookings"
 PROMPT_PREFIX = "X-Sycamorespoke-Prompt-Prefix"
 REQUEST_ID = "X-Sycamorespoke-Request-Id"
 # Between the first bytes of the response and the end of the process.
@@ -17,24 +20,27 @@
 
 @attrs.frozen
 class Arrival:
-    """A request with a prompt that reached an upstream.
+    """A request that reached an upstream.
 
     Parameters
     ----------
     upstream : str
         ID of the upstream.
     blocks : tuple of str
-        IDs of the blocks of its prompt.
+        IDs of the blocks of its prompt, if it has one.
     at_s : float
         Monotonic time, seconds.
     request_id : str
         ID that the caller chose.
+    body : bytes
+        Body of the request.
     """
 
     upstream: str
     blocks: tuple[str, ...]
     at_s: float
     request_id: str
+    body: bytes
 
 
 @attrs.frozen
@@ -62,6 +68,9 @@
         Number of upstreams.
     fatal_blocks : frozenset of str
         Blocks that end each upstream that begins a response.
+    fatal_bodies : frozenset of bytes
+        Bodies of requests that end each upstream that begins to run them, before it
+        responds.
     restart_s : float
         Time after which an upstream is back, under another ID, seconds.
     answer_s : float
@@ -77,9 +86,15 @@
     """
 
     def __init__(
-        self, count, fatal_blocks=frozenset(), restart_s=1.0, answer_s=ANSWER_S
+        self,
+        count,
+        fatal_blocks=frozenset(),
+        fatal_bodies=frozenset(),
+        restart_s=1.0,
+        answer_s=ANSWER_S,
     ):
         self.fatal_blocks = fatal_blocks
+        self.fatal_bodies = fatal_bodies
         self.restart_s = restart_s
         self.answer_s = answer_s
         self.rate_limits_by_id = {}
@@ -112,6 +127,14 @@
         restart.daemon = True
         restart.start()
 
+    def list_body_arrivals(self, body, since_s=float("-inf")):
+        """Return the arrivals of requests with a body after a time."""
+        return [
+            each
+            for each in list(self.arrivals)
+            if each.body == body and each.at_s > since_s
+        ]
+
     def list_arrivals(self, block, since_s=float("-inf")):
         """Return the arrivals of requests with a block after a time."""
         return [
@@ -160,8 +183,18 @@
         prefix = request.headers.get(PROMPT_PREFIX, "")
         blocks = tuple(entry.partition(":")[0] for entry in prefix.split(","))
         request_id = request.headers[REQUEST_ID]
-        arrival = Arrival(upstream_id, blocks, time.monotonic(), request_id)
-        self.arrivals.append(arrival)
+        at_s = time.monotonic()
+        self.arrivals.append(
+            Arrival(upstream_id, blocks, at_s, request_id, request.body)
+        )
+        if request.body in self.fatal_bodies:
+            time.sleep(CRASH_DELAY_S)
+            self.crash(upstream_id)
+            return
+        if not prefix:
+            time.sleep(self.answer_s)
+            scripted_upstream.respond(request)
+            return
         headers = {}
         if upstream_id in self.rate_limits_by_id:
             headers["Server-Limit"] = self.rate_limits_by_id[upstream_id]
@@ -177,22 +210,29 @@
         scripted_upstream.send_chunk(request, b"")
 
 
-def _make_configuration():
-    route = {
-        "Name": ROUTE,
+def _make_route(name, kind, **changes):
+    return {
+        "Name": name,
         "Host": in_process_gateway.HOST,
-        "PathPrefix": f"/{ROUTE}/",
-        "Kind": "streaming",
+        "PathPrefix": f"/{name}/",
+        "Kind": kind,
         "TimeoutMs": 3000,
         "TargetLatencyMs": 500,
         "Priority": 0,
         "Service": "s",
         "MaxAttempts": 1,
-        "Sticky": True,
+        **changes,
     }
+
+
+def _make_configuration():
     return {
         "Version": 1,
-        "Routes": [route],
+        "Routes": [
+            _make_route(ROUTE, "streaming", Sticky=True),
+            _make_route(SAFE_ROUTE, "safe", MaxAttempts=2),
+            _make_route(UNSAFE_ROUTE, "unsafe"),
+        ],
         "Services": [{"Name": "s", "MaxConns": 200}],
         "Tenants": [{"Name": "t", "ApiKeys": [in_process_gateway.API_KEY]}],
     }
--- a/tests/platform/fleet_hosts.py
+++ b/tests/platform/fleet_hosts.py
@@ -35,9 +35,29 @@
         self.numbers = itertools.count(1)
 
     def send(self, *shared_blocks):
-        """Send a request; return the status, ``None`` without a whole response."""
+        """Send a request with a prompt of its own.
+
+        Returns
+        -------
+        int or None
+            Status; ``None`` without a whole response.
+        """
         number = next(self.numbers)
         blocks = [*shared_blocks, f"f{number:04x}"]
+        return self._send(
+            number,
+            f"/{upstream_fleet.ROUTE}/x",
+            b"ask",
+            X_Sycamorespoke_Model="m",
+            X_Sycamorespoke_Token_Count="300,3",
+            X_Sycamorespoke_Prompt_Prefix=",".join(f"{b}:100" for b in blocks),
+        )
+
+    def send_plain(self, route, body):
+        """Send a request without a prompt; return the status as `send`."""
+        return self._send(next(self.numbers), f"/{route}/x", body)
+
+    def _send(self, number, path, body, **headers):
         request_id = f"call-{number}"
         port = next(self.gateways).ports["listen"]
         self.ports_by_request[request_id] = port
@@ -45,11 +65,10 @@
         try:
             in_process_gateway.send_request(
                 connection,
-                f"/{upstream_fleet.ROUTE}/x",
+                path,
+                body=body,
                 X_Sycamorespoke_Request_Id=request_id,
-                X_Sycamorespoke_Model="m",
-                X_Sycamorespoke_Token_Count="300,3",
-                X_Sycamorespoke_Prompt_Prefix=",".join(f"{b}:100" for b in blocks),
+                **headers,
             )
             response = connection.getresponse()
             response.read()
