--- a/scenarios/test_not_run.py
+++ b/scenarios/test_not_run.py
@@ -22,6 +22,7 @@
     "no_route",
     "not_ready",
     "prompt_quarantined",
+    "request_quarantined",
     "cancelled",
     "internal",
     "version_loading",
--- a/sycamorespoke/decisions/_crash_attribution.py
+++ b/sycamorespoke/decisions/_crash_attribution.py
@@ -1,139 +1,198 @@
-"""Finds the block of prompts that ends the upstreams which begin a response on it.
+"""Finds the contents that end the upstreams which process them.
 
-An upstream that ends takes all its requests with it. Among their blocks, the one
+An upstream that ends takes all its requests with it. Among their contents, the one
 that ended it is the only one on which no response is ever completed.
 """
 
+import enum
+
 import attrs
 
-# One upstream that ends under a prompt, or two, may be chance.
+# One upstream that ends under the same contents, or two, may be chance.
 MIN_ENDED_UPSTREAMS = 3
-# Different prompts, so that a request that was sent again does not count anew.
-MIN_BROKEN_PROMPTS = 3
+# Different requests with a block, so that one that is sent again does not count anew.
+MIN_BROKEN_REQUESTS = 3
+
+
+class ContentKind(enum.Enum):
+    """What part of a request its contents are."""
+
+    BLOCK = "block"
+    REQUEST = "request"
 
 
 @attrs.frozen
-class BrokenPrompt:
-    """A prompt whose response had begun when its upstream ended.
+class Content:
+    """Contents that several requests may have.
+
+    Parameters
+    ----------
+    kind : ContentKind
+        A block of a prompt, which different requests share, or a whole request, which
+        is sent again.
+    id : str
+        ID of the block, or fingerprint of the request.
+    """
+
+    kind: ContentKind
+    id: str
+
+
+@attrs.frozen
+class BrokenRequest:
+    """A request that was at an upstream when the upstream ended.
 
     Parameters
     ----------
     upstream : str
         Boot ID of the upstream that ended.
-    prompt : str
-        Hash of all blocks of the prompt, equal for a request that is sent again.
-    blocks : tuple of str
-        IDs of its shared blocks that are not known to be sound, in order.
+    request : str
+        Fingerprint of the request, equal for one that is sent again.
+    contents : tuple of Content
+        Its contents that may have ended the upstream and are not known to be sound:
+        blocks in order, the request itself last.
     """
 
     upstream: str
-    prompt: str
-    blocks: tuple[str, ...]
+    request: str
+    contents: tuple[Content, ...]
+
+
+@attrs.frozen
+class Suspicion:
+    """The contents that most likely ended several upstreams.
+
+    Parameters
+    ----------
+    content : Content
+        The contents.
+    is_contested : bool, default=False
+        Whether another request was at as many of the upstreams, so that one more
+        observation may decide between them.
+    """
+
+    content: Content
+    is_contested: bool = False
 
 
 @attrs.define
 class _Evidence:
-    """What speaks against one block; ``position`` is its last one in a prompt."""
+    """What speaks against contents; ``position`` is their last one in a request."""
 
+    content: Content
     upstreams: set = attrs.field(factory=set)
-    prompts: set = attrs.field(factory=set)
+    requests: set = attrs.field(factory=set)
     position: int = 0
 
+    @property
+    def is_request(self):
+        return self.content.kind is ContentKind.REQUEST
+
     @property
     def is_sufficient(self):
+        has_upstreams = len(self.upstreams) >= MIN_ENDED_UPSTREAMS
+        has_requests = self.is_request or len(self.requests) >= MIN_BROKEN_REQUESTS
+        return has_upstreams and has_requests
+
+    @property
+    def rank(self):
+        # With equal evidence, the contents that fewer requests have. The ID makes all
+        # hosts choose the same ones.
         return (
-            len(self.upstreams) >= MIN_ENDED_UPSTREAMS
-            and len(self.prompts) >= MIN_BROKEN_PROMPTS
+            len(self.upstreams),
+            self.is_request,
+            len(self.requests),
+            self.position,
+            self.content.id,
         )
 
 
-def find_fatal_block(broken_prompts, sound_blocks, quarantined_blocks):
-    """Find the block that most likely ended several upstreams.
+def find_fatal_content(broken_requests, sound_contents, quarantined_contents):
+    """Find the contents that most likely ended several upstreams.
 
     Parameters
     ----------
-    broken_prompts : iterable of BrokenPrompt
+    broken_requests : iterable of BrokenRequest
         Observations of all hosts.
-    sound_blocks : collection of str
-        Blocks on which some host has recently seen a complete response.
-    quarantined_blocks : collection of str
-        Blocks that are known to end upstreams. They explain the end of every
-        upstream that had begun a response on one of them.
+    sound_contents : collection of Content
+        Contents on which some host has recently seen a complete response.
+    quarantined_contents : collection of Content
+        Contents that are known to end upstreams. They explain the end of every
+        upstream at which a request with them was.
 
     Returns
     -------
-    str or None
-        ``None`` unless several upstreams ended under different prompts with the
-        block. Among blocks with the same evidence it is the last one of a prompt,
-        which fewer requests share.
+    Suspicion or None
+        ``None`` unless several upstreams ended under one request, or under different
+        requests with one block.
 
     Examples
     --------
-    >>> broken = [
-    ...     BrokenPrompt(f"i-{n}", f"p{n}", ("system", "bad")) for n in range(3)
-    ... ]
-    >>> find_fatal_block(broken, {"system"}, set())
-    'bad'
-    >>> find_fatal_block(broken[:2], {"system"}, set()) is None
+    >>> bad = Content(ContentKind.REQUEST, "a1")
+    >>> broken = [BrokenRequest(f"i-{n}", "a1", (bad,)) for n in range(3)]
+    >>> find_fatal_content(broken, set(), set()).content.id
+    'a1'
+    >>> find_fatal_content(broken[:2], set(), set()) is None
     True
-    >>> find_fatal_block(broken, set(), {"bad"}) is None
+    >>> find_fatal_content(broken, set(), {bad}) is None
     True
     """
-    broken_prompts = list(broken_prompts)
+    broken_requests = list(broken_requests)
     explained = {
         each.upstream
-        for each in broken_prompts
-        if not set(quarantined_blocks).isdisjoint(each.blocks)
+        for each in broken_requests
+        if not set(quarantined_contents).isdisjoint(each.contents)
     }
-    evidence_by_block = {}
-    for broken in broken_prompts:
+    evidence_by_content = {}
+    for broken in broken_requests:
         if broken.upstream not in explained:
-            _add_evidence(evidence_by_block, broken, sound_blocks)
-    candidates = [
-        block for block, each in evidence_by_block.items() if each.is_sufficient
-    ]
-    return max(
-        candidates,
-        key=lambda block: _rank(block, evidence_by_block[block]),
-        default=None,
-    )
+            _add_evidence(evidence_by_content, broken, sound_contents)
+    candidates = [each for each in evidence_by_content.values() if each.is_sufficient]
+    if not candidates:
+        return None
+    strongest = max(candidates, key=lambda each: each.rank)
+    return Suspicion(strongest.content, _is_contested(strongest, candidates))
 
 
-def discard_blocks(broken_prompts, blocks):
-    """Remove blocks that are not suspected, and prompts of which none is left.
+def discard_contents(broken_requests, contents):
+    """Remove contents that are not suspected, and requests that have no others.
 
     Parameters
     ----------
-    broken_prompts : iterable of BrokenPrompt
+    broken_requests : iterable of BrokenRequest
         The observations.
-    blocks : collection of str
-        Blocks to remove.
+    contents : collection of Content
+        Contents to remove.
 
     Returns
     -------
-    list of BrokenPrompt
+    list of BrokenRequest
         Observations that remain.
     """
     remaining = (
         attrs.evolve(
             broken,
-            blocks=tuple(each for each in broken.blocks if each not in blocks),
+            contents=tuple(each for each in broken.contents if each not in contents),
         )
-        for broken in broken_prompts
+        for broken in broken_requests
     )
-    return [broken for broken in remaining if broken.blocks]
+    return [broken for broken in remaining if broken.contents]
 
 
-def _add_evidence(evidence_by_block, broken, sound_blocks):
-    for position, block in enumerate(broken.blocks):
-        if block in sound_blocks:
+def _add_evidence(evidence_by_content, broken, sound_contents):
+    for position, content in enumerate(broken.contents):
+        if content in sound_contents:
             continue
-        evidence = evidence_by_block.setdefault(block, _Evidence())
+        evidence = evidence_by_content.setdefault(content, _Evidence(content))
         evidence.upstreams.add(broken.upstream)
-        evidence.prompts.add(broken.prompt)
+        evidence.requests.add(broken.request)
         evidence.position = max(evidence.position, position)
 
 
-def _rank(block, evidence):
-    # The ID makes all hosts choose the same one of several equal blocks.
-    return len(evidence.upstreams), len(evidence.prompts), evidence.position, block
+def _is_contested(strongest, candidates):
+    return strongest.is_request and any(
+        each.is_request
+        and each is not strongest
+        and len(each.upstreams) == len(strongest.upstreams)
+        for each in candidates
+    )
--- a/sycamorespoke/domain/_errors.py
+++ b/sycamorespoke/domain/_errors.py
@@ -26,6 +26,7 @@
     OVERLOADED = "overloaded"
     NO_UPSTREAM = "no_upstream"
     PROMPT_QUARANTINED = "prompt_quarantined"
+    REQUEST_QUARANTINED = "request_quarantined"
     VERSION_LOADING = "version_loading"
     NOT_READY = "not_ready"
     DRAINING = "draining"
@@ -73,6 +74,7 @@
     ErrorKind.OVERLOADED: ErrorResponse(503, Execution.NOT_RUN, 2),
     ErrorKind.NO_UPSTREAM: ErrorResponse(503, Execution.NOT_RUN, 2),
     ErrorKind.PROMPT_QUARANTINED: ErrorResponse(503, Execution.NOT_RUN, 3600),
+    ErrorKind.REQUEST_QUARANTINED: ErrorResponse(503, Execution.NOT_RUN, 3600),
     ErrorKind.VERSION_LOADING: ErrorResponse(503, Execution.NOT_RUN, 1),
     ErrorKind.NOT_READY: ErrorResponse(503, Execution.NOT_RUN, 1),
     ErrorKind.DRAINING: ErrorResponse(503, Execution.NOT_RUN, 1),
--- a/sycamorespoke/gateway/_attempt_log.py
+++ b/sycamorespoke/gateway/_attempt_log.py
@@ -2,8 +2,6 @@
 
 import loguru
 
-from sycamorespoke.gateway import _fingerprint
-
 MAX_LOGGED_BLOCKS = 8
 
 
@@ -16,8 +14,8 @@
         Gateway that serves the request.
     request : Request
         The request.
-    account : Account or None
-        Client account of the caller.
+    crash_watch : CrashWatch
+        Has the fingerprint of the request.
     route : Route
         Route of the request.
     deadline_s : float
@@ -32,7 +30,7 @@
         self,
         gateway,
         request,
-        account,
+        crash_watch,
         route,
         deadline_s,
         reached_boot_ids,
@@ -40,7 +38,7 @@
     ):
         self.gateway = gateway
         self.request = request
-        self.account = account
+        self.crash_watch = crash_watch
         self.route = route
         self.deadline_s = deadline_s
         self.reached_boot_ids = reached_boot_ids
@@ -103,7 +101,7 @@
         """Return what tells the contents of the request from those of others."""
         prompt = self.request.prompt
         return {
-            "fingerprint": _fingerprint.compute_fingerprint(self.request, self.account),
+            "fingerprint": self.crash_watch.fingerprint,
             # The last blocks tell prompts apart.
             "blocks": list(prompt.shared_block_ids[-MAX_LOGGED_BLOCKS:])
             if prompt
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -4,10 +4,10 @@
 from sycamorespoke.gateway import (
     _attempt_log,
     _chooser,
+    _crash_watch,
     _dispatcher,
     _exchange,
     _model,
-    _quarantine,
     _requests,
     _statements,
 )
@@ -69,10 +69,11 @@
             gateway, request, route, account, deadline_s
         )
         self.timing = _requests.RequestTiming(request.arrived_s)
+        self.crash_watch = _crash_watch.CrashWatch(gateway, request, account)
         self.log = _attempt_log.AttemptLog(
             gateway,
             request,
-            account,
+            self.crash_watch,
             route,
             deadline_s,
             self._reached_boot_ids,
@@ -123,11 +124,7 @@
         """Count the current response as read to its end."""
         head = self.exchange.head
         self.gateway.request_metrics.record_response_end(head.framing, is_whole=True)
-        # Without framing, the end of the upstream may have cut the response.
-        is_proven = head.framing is not _requests.Framing.CONNECTION_END
-        if self.request.prompt and head.is_success and is_proven:
-            now = self.gateway.read_clock()
-            self.gateway.crash_monitor.record_whole(self.request.prompt, now)
+        self.crash_watch.record_whole(head, self.gateway.read_clock())
 
     def handle_broken_response(self, failure, last_event_id=None):
         """Record that a response broke off and decide on another attempt.
@@ -147,12 +144,8 @@
         upstream = self.exchange.upstream
         framing = self.exchange.head.framing
         self._record_failure(upstream, failure.refusal.kind)
-        if (
-            self.request.prompt
-            and failure.refusal.kind is domain.ErrorKind.UPSTREAM_LOST
-        ):
-            now = self.gateway.read_clock()
-            self.gateway.crash_monitor.record_broken(upstream, self.request.prompt, now)
+        now = self.gateway.read_clock()
+        self.crash_watch.record_lost(upstream, failure.refusal.kind, True, now)
         self.gateway.request_metrics.record_response_end(framing, is_whole=False)
         self.log.record_broken(upstream, failure.refusal.reason, framing, last_event_id)
         self.finish()
@@ -205,26 +198,13 @@
                 "no time is left to send the request",
             )
         view = self.gateway.views.get()
-        refusal = self._find_quarantine(view, now)
+        refusal = self.crash_watch.find_refusal(view, now)
         if refusal is not None:
             return refusal
         return self.gateway.chooser.choose(
             view, self.route, self.request, self._excluded_boot_ids, now
         )
 
-    def _find_quarantine(self, view, now):
-        """Return a refusal if the prompt has a block that ends upstreams."""
-        if self.request.prompt is None:
-            return None
-        quarantined = view.find_quarantined(self.request.prompt)
-        if quarantined is None:
-            return None
-        return domain.Refusal(
-            domain.ErrorKind.PROMPT_QUARANTINED,
-            "a block of the prompt has ended upstreams",
-            _quarantine.compute_retry_after_s(quarantined, now),
-        )
-
     def _attempt(self, choice, last_event_id):
         upstream = choice.upstream
         self._deposit_to_budget(upstream.service)
@@ -283,6 +263,8 @@
             return None if self._may_send_again(upstream.service) else self._refusal
         self._excluded_boot_ids.add(upstream.boot_id)
         self._record_failure(upstream, refusal.kind)
+        now = self.gateway.read_clock()
+        self.crash_watch.record_lost(upstream, refusal.kind, False, now)
         if refusal.kind in NOT_SENT_KINDS:
             return None
         self._reached_boot_ids.add(upstream.boot_id)
--- a/sycamorespoke/gateway/_crash_monitor.py
+++ b/sycamorespoke/gateway/_crash_monitor.py
@@ -1,6 +1,5 @@
-"""Observes under which prompts upstreams end."""
+"""Observes under which requests upstreams end."""
 
-import hashlib
 import socket
 import threading
 
@@ -8,7 +7,7 @@
 import loguru
 
 from sycamorespoke import decisions
-from sycamorespoke.gateway import _connections, _sound_blocks
+from sycamorespoke.gateway import _connections, _sound_contents
 
 MAX_PENDING = 200
 # Without a verdict by then the upstream counts as running.
@@ -18,16 +17,17 @@
 
 
 @attrs.frozen
-class _BrokenResponse:
-    """A response that broke off, of an upstream that may have ended."""
+class _LostRequest:
+    """A request whose connection broke, at an upstream that may have ended."""
 
     upstream: object
-    prompt: object
+    fingerprint: str
+    contents: tuple[decisions.Content, ...]
     broke_s: float
 
 
 class CrashMonitor:
-    """Collects responses that broke off because their upstream ended; thread-safe.
+    """Collects requests that were lost because their upstream ended; thread-safe.
 
     Parameters
     ----------
@@ -41,42 +41,42 @@
 
     Attributes
     ----------
-    sound_blocks : SoundBlocks
-        Blocks on which a response was completed.
+    sound_contents : SoundContents
+        Contents on which a response was completed.
     """
 
     def __init__(self, views, count_end, is_listening):
         self.views = views
         self.count_end = count_end
         self.is_listening = is_listening
-        self.sound_blocks = _sound_blocks.SoundBlocks()
+        self.sound_contents = _sound_contents.SoundContents()
         self._lock = threading.Lock()
         self._pending = []
 
-    def record_whole(self, prompt, now):
-        """Record a complete response to a prompt at ``now``."""
-        self.sound_blocks.record(prompt.shared_block_ids, now)
+    def record_whole(self, contents, now):
+        """Record a complete response to a request with some contents at ``now``."""
+        self.sound_contents.record(contents, now)
 
-    def record_broken(self, upstream, prompt, now):
-        """Record that a response to a prompt broke off.
+    def record_lost(self, upstream, fingerprint, contents, now):
+        """Record that the connection broke on which a request had been sent.
 
         Parameters
         ----------
         upstream : Upstream
-            Upstream that had begun the response.
-        prompt : Prompt
-            The prompt.
+            Upstream to which it had been sent.
+        fingerprint : str
+            Fingerprint of the request.
+        contents : tuple of decisions.Content
+            Contents of the request that the upstream may have begun to process.
         now : float
             Current time, seconds of the boot clock.
         """
-        if not prompt.shared_block_ids:
-            return
         with self._lock:
-            self._pending.append(_BrokenResponse(upstream, prompt, now))
+            self._pending.append(_LostRequest(upstream, fingerprint, contents, now))
             del self._pending[:-MAX_PENDING]
 
     def collect(self, now):
-        """Return the prompts whose upstream has been found to have ended.
+        """Return the requests whose upstream has been found to have ended.
 
         Parameters
         ----------
@@ -85,9 +85,9 @@
 
         Returns
         -------
-        list of decisions.BrokenPrompt
-            Each is returned once. Responses of upstreams that still run broke off
-            for another reason and are dropped.
+        list of decisions.BrokenRequest
+            Each is returned once. Requests at upstreams that still run were lost for
+            another reason and are dropped.
         """
         with self._lock:
             pending, self._pending = self._pending, []
@@ -106,10 +106,15 @@
             if is_running_by_boot.get(each.upstream.boot_id) is False
         ]
         self._log_ends(ended)
-        broken_prompts = [_make_broken_prompt(each) for each in ended]
-        blocks = {block for broken in broken_prompts for block in broken.blocks}
-        sound = self.sound_blocks.select(blocks, now)
-        return decisions.discard_blocks(broken_prompts, sound)
+        broken_requests = [
+            decisions.BrokenRequest(
+                each.upstream.boot_id, each.fingerprint, each.contents
+            )
+            for each in ended
+        ]
+        contents = {each for broken in broken_requests for each in broken.contents}
+        sound = self.sound_contents.select(contents, now)
+        return decisions.discard_contents(broken_requests, sound)
 
     def _check(self, pending):
         """Return whether upstreams run, by boot ID; those unknown are left out."""
@@ -129,17 +134,17 @@
         return upstream.boot_id in self.views.get().list_boot_ids()
 
     def _log_ends(self, ended):
-        prompts_by_boot = {}
+        requests_by_boot = {}
         for each in ended:
-            prompts_by_boot.setdefault(each.upstream.boot_id, []).append(each)
-        for responses in prompts_by_boot.values():
-            upstream = responses[0].upstream
+            requests_by_boot.setdefault(each.upstream.boot_id, []).append(each)
+        for requests in requests_by_boot.values():
+            upstream = requests[0].upstream
             self.count_end(upstream.service)
             loguru.logger.bind(
                 upstream=upstream.id,
                 service=upstream.service,
-                responses=len(responses),
-            ).info("upstream ended under prompts")
+                requests=len(requests),
+            ).info("upstream ended under requests")
 
 
 def is_listening(upstream):
@@ -159,13 +164,3 @@
     except OSError:
         return None
     return True
-
-
-def _make_broken_prompt(response):
-    prompt = response.prompt
-    text = "\0".join(block.id for block in prompt.blocks)
-    return decisions.BrokenPrompt(
-        response.upstream.boot_id,
-        hashlib.sha256(text.encode()).hexdigest()[:16],
-        prompt.shared_block_ids,
-    )
--- a/sycamorespoke/gateway/_crash_records.py
+++ b/sycamorespoke/gateway/_crash_records.py
@@ -1,4 +1,4 @@
-"""Shared objects about blocks of prompts that end upstreams."""
+"""Shared objects about contents of requests that end upstreams."""
 
 import hashlib
 
@@ -7,7 +7,11 @@
 
 from sycamorespoke import decisions
 
-QUARANTINED_KEY = "quarantined"
+# Key of the JSON value of a `QuarantinedContent`, whose value is the ID.
+QUARANTINED_KEY_BY_KIND = {
+    decisions.ContentKind.BLOCK: "quarantined",
+    decisions.ContentKind.REQUEST: "quarantined_request",
+}
 
 
 @attrs.frozen
@@ -18,57 +22,58 @@
     ----------
     name : str
         Name of the object, different for each process.
-    broken_prompts : tuple of decisions.BrokenPrompt
-        Prompts whose response had begun when their upstream ended.
-    sound_blocks : tuple of str
-        Blocks in reports of other hosts on which this host has seen a complete
+    broken_requests : tuple of decisions.BrokenRequest
+        Requests that were at an upstream when it ended.
+    sound_contents : tuple of decisions.Content
+        Contents in reports of other hosts on which this host has seen a complete
         response, sorted.
     seen_s : float
         When this host received the report, seconds of the boot clock.
     """
 
     name: str
-    broken_prompts: tuple[decisions.BrokenPrompt, ...]
-    sound_blocks: tuple[str, ...]
+    broken_requests: tuple[decisions.BrokenRequest, ...]
+    sound_contents: tuple[decisions.Content, ...]
     seen_s: float = 0.0
 
     def to_value(self):
         """Return the report as a JSON value."""
         value = msgspec.to_builtins(self)
-        return {key: value[key] for key in ("broken_prompts", "sound_blocks")}
+        return {key: value[key] for key in ("broken_requests", "sound_contents")}
 
 
 @attrs.frozen
-class QuarantinedBlock:
-    """A block that no host sends to an upstream.
+class QuarantinedContent:
+    """Contents that no host sends to an upstream.
 
     Parameters
     ----------
     name : str
         Name of the object.
-    block_id : str
-        ID of the block.
+    content : decisions.Content
+        The contents.
     seen_s : float
         When this host received the object, seconds of the boot clock.
     """
 
     name: str
-    block_id: str
+    content: decisions.Content
     seen_s: float = 0.0
 
     def to_value(self):
-        """Return the block as a JSON value."""
-        return {QUARANTINED_KEY: self.block_id}
+        """Return the contents as a JSON value."""
+        return {QUARANTINED_KEY_BY_KIND[self.content.kind]: self.content.id}
 
 
-def make_quarantined_block(block_id):
-    """Return the `QuarantinedBlock` of a block, with the same name on every host."""
+def make_quarantined_content(content):
+    """Return the `QuarantinedContent`, with the same name on every host."""
     # Callers choose the IDs of blocks, which may contain characters of a path.
-    return QuarantinedBlock(hashlib.sha256(block_id.encode()).hexdigest(), block_id)
+    text = f"{QUARANTINED_KEY_BY_KIND[content.kind]} {content.id}"
+    return QuarantinedContent(hashlib.sha256(text.encode()).hexdigest(), content)
 
 
 def parse_crash_record(name, value, now):
-    """Parse the JSON value of a `CrashReport` or `QuarantinedBlock`.
+    """Parse the JSON value of a `CrashReport` or `QuarantinedContent`.
 
     Parameters
     ----------
@@ -81,7 +86,7 @@
 
     Returns
     -------
-    CrashReport or QuarantinedBlock
+    CrashReport or QuarantinedContent
         The object.
 
     Raises
@@ -91,16 +96,18 @@
 
     Examples
     --------
-    >>> block = make_quarantined_block("5c1e07a2")
-    >>> parse_crash_record(block.name, block.to_value(), 7.0).block_id
-    '5c1e07a2'
+    >>> block = decisions.Content(decisions.ContentKind.BLOCK, "5c1e07a2")
+    >>> record = make_quarantined_content(block)
+    >>> parse_crash_record(record.name, record.to_value(), 7.0).content == block
+    True
     """
     if not isinstance(value, dict):
         raise ValueError("not a crash record: not a JSON object")
     try:
-        if QUARANTINED_KEY in value:
-            block_id = msgspec.convert(value[QUARANTINED_KEY], str)
-            return QuarantinedBlock(name, block_id, now)
+        for kind, key in QUARANTINED_KEY_BY_KIND.items():
+            if key in value:
+                content = decisions.Content(kind, msgspec.convert(value[key], str))
+                return QuarantinedContent(name, content, now)
         fields = {**value, "name": name, "seen_s": now}
         return msgspec.convert(fields, CrashReport)
     except msgspec.ValidationError as error:
--- a/sycamorespoke/gateway/_fingerprint.py
+++ b/sycamorespoke/gateway/_fingerprint.py
@@ -18,11 +18,14 @@
     Returns
     -------
     str
-        Hash of the account, method, host, path, query and body, hexadecimal.
+        Hash of the account, method, host, path, query, blocks of the prompt and body,
+        hexadecimal.
     """
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
     account_name = account.name if account is not None else ""
-    for text in (account_name, request.method, request.host, request.target):
+    block_ids = [block.id for block in request.prompt.blocks] if request.prompt else []
+    texts = (account_name, request.method, request.host, request.target, *block_ids)
+    for text in texts:
         # The length keeps the boundaries between the texts unambiguous.
         digest.update(f"{len(text)} {text}".encode())
     digest.update(request.body)
--- a/sycamorespoke/gateway/_gateway.py
+++ b/sycamorespoke/gateway/_gateway.py
@@ -33,7 +33,7 @@
     block_planner : BlockPlanner
         Plans imports and exports of blocks.
     crash_monitor : CrashMonitor
-        Observes under which prompts upstreams end.
+        Observes under which requests upstreams end.
     budgets : RetryBudgets
         Limits the retries of each service.
     request_metrics : RequestMetrics
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -4,7 +4,7 @@
 
 import loguru
 
-from sycamorespoke import serving, telemetry
+from sycamorespoke import decisions, serving, telemetry
 from sycamorespoke.gateway import (
     _blocks,
     _chooser,
@@ -203,7 +203,10 @@
                 model: target.version
                 for model, target in (view.targets_by_model or {}).items()
             },
-            "quarantined_blocks": sorted(view.quarantined_by_block),
+            "quarantined": [
+                {"kind": content.kind.value, "id": content.id}
+                for content in view.quarantined_by_content
+            ],
             "upstreams": self.table.dump(now),
             "connections": self.pool.count_open(),
             "stores": self.block_planner.dump(now),
@@ -214,7 +217,9 @@
         view = self.views.get()
         self.metrics.gauge("caller_connections", self.server.count_connections())
         self.metrics.gauge("is_ready", int(self.is_ready()))
-        self.metrics.gauge("quarantined_blocks", len(view.quarantined_by_block))
+        for kind in decisions.ContentKind:
+            count = view.count_quarantined(kind)
+            self.metrics.gauge(f"quarantined_{kind.value}s", count)
         for section, confirmed_s in view.confirmed_s_by_section.items():
             self.metrics.gauge("view_age_seconds", now - confirmed_s, part=section)
         for task_lease in self.task_leases:
--- a/sycamorespoke/gateway/_quarantine.py
+++ b/sycamorespoke/gateway/_quarantine.py
@@ -1,6 +1,6 @@
-"""Puts blocks of prompts that end upstreams into quarantine, for all hosts together.
+"""Puts contents that end upstreams into quarantine, for all hosts together.
 
-No host sees enough of a block by itself. Each writes what it has seen into one shared
+No host sees enough of them by itself. Each writes what it has seen into one shared
 object, reads those of the others, and one of them writes the verdict.
 """
 
@@ -17,18 +17,21 @@
 MIN_INTERVAL_S = 0.25
 # All hosts together write at most this many reports per second.
 MAX_REPORTS_PER_S = 300.0
-# Before a verdict, other hosts have time to report that a block is sound: two rounds
+# Before a verdict, other hosts have time to report that contents are sound: two rounds
 # of reports and the delivery of the changes.
 ROUNDS_BEFORE_VERDICT = 2
 DELIVERY_S = 0.5
-MAX_REPORTED_PROMPTS = 100
+# Time in which a complete response or the end of another upstream may decide between
+# requests with equal evidence.
+CONTEST_S = 2.0
+MAX_REPORTED_REQUESTS = 100
 REPORT_LIFETIME_S = 600.0
 QUARANTINE_S = 3600.0
 PROCESS_NUMBER_BYTES = 4
 
 
 class Quarantine:
-    """Shares what this host has seen and decides on blocks; used by one thread.
+    """Shares what this host has seen and decides on contents; used by one thread.
 
     Parameters
     ----------
@@ -51,11 +54,11 @@
         # An object of its own for each process, so that a restart keeps what the
         # previous one has reported.
         self.report_name = f"{host}.{secrets.token_hex(PROCESS_NUMBER_BYTES)}"
-        self._broken = collections.deque(maxlen=MAX_REPORTED_PROMPTS)
+        self._broken = collections.deque(maxlen=MAX_REPORTED_REQUESTS)
         self._written = None
-        self._suspected_since_s_by_block = {}
-        self._quarantined_blocks = frozenset()
-        self._lifted_s_by_block = {}
+        self._suspected_since_s_by_content = {}
+        self._quarantined_contents = frozenset()
+        self._lifted_s_by_content = {}
 
     def start(self, stop_requested):
         """Run `step` in a background thread until ``stop_requested`` is set."""
@@ -69,11 +72,11 @@
         self._handle_lifted(view, now)
         for broken in self.monitor.collect(now):
             self._broken.append((now, broken))
-        sound_blocks = self._find_sound_blocks(view, now)
+        sound_contents = self._find_sound_contents(view, now)
         self._discard_old(now)
-        self._discard_blocks(sound_blocks)
+        self._discard_contents(sound_contents)
         self._report(view, now)
-        self._decide(view, sound_blocks, now)
+        self._decide(view, sound_contents, now)
         self._remove_expired(view, now)
 
     def _run(self, stop_requested):
@@ -87,62 +90,62 @@
         return max(MIN_INTERVAL_S, len(self.views.get().hosts) / MAX_REPORTS_PER_S)
 
     def _handle_lifted(self, view, now):
-        """Forget what spoke against blocks whose quarantine has ended."""
-        blocks = frozenset(view.quarantined_by_block)
-        lifted = self._quarantined_blocks - blocks
-        self._quarantined_blocks = blocks
-        self._lifted_s_by_block.update(dict.fromkeys(lifted, now))
-        self._discard_blocks(lifted)
+        """Forget what spoke against contents whose quarantine has ended."""
+        contents = frozenset(view.quarantined_by_content)
+        lifted = self._quarantined_contents - contents
+        self._quarantined_contents = contents
+        self._lifted_s_by_content.update(dict.fromkeys(lifted, now))
+        self._discard_contents(lifted)
 
     def _list_reported_by_others(self, view):
-        """Return the observations of other processes, without lifted blocks."""
+        """Return the observations of other processes, without lifted contents."""
         reported = []
         for report in view.crash_reports:
             if report.name == self.report_name:
                 continue
             lifted = {
-                block
-                for block, lifted_s in self._lifted_s_by_block.items()
+                content
+                for content, lifted_s in self._lifted_s_by_content.items()
                 if report.seen_s <= lifted_s
             }
-            reported += decisions.discard_blocks(report.broken_prompts, lifted)
+            reported += decisions.discard_contents(report.broken_requests, lifted)
         return reported
 
-    def _list_broken_prompts(self, view):
+    def _list_broken_requests(self, view):
         """Return the observations of all hosts, including new ones of this host."""
         own = [broken for _, broken in self._broken]
         return self._list_reported_by_others(view) + own
 
-    def _find_sound_blocks(self, view, now):
-        """Return the suspected blocks that this or another host knows as sound."""
-        suspected = _list_blocks(self._list_broken_prompts(view))
-        sound_blocks = self.monitor.sound_blocks.select(suspected, now)
+    def _find_sound_contents(self, view, now):
+        """Return the suspected contents that some host knows as sound."""
+        suspected = _list_contents(self._list_broken_requests(view))
+        sound_contents = self.monitor.sound_contents.select(suspected, now)
         for report in view.crash_reports:
             if report.name != self.report_name:
-                sound_blocks.update(report.sound_blocks)
-        return sound_blocks
+                sound_contents.update(report.sound_contents)
+        return sound_contents
 
     def _discard_old(self, now):
         while self._broken and now - self._broken[0][0] > REPORT_LIFETIME_S:
             self._broken.popleft()
 
-    def _discard_blocks(self, blocks):
+    def _discard_contents(self, contents):
         remaining = [
             (seen_s, each)
             for seen_s, broken in self._broken
-            for each in decisions.discard_blocks([broken], blocks)
+            for each in decisions.discard_contents([broken], contents)
         ]
         self._broken.clear()
         self._broken.extend(remaining)
 
     def _report(self, view, now):
-        suspected_by_others = _list_blocks(self._list_reported_by_others(view))
+        suspected_by_others = _list_contents(self._list_reported_by_others(view))
         report = _crash_records.CrashReport(
             self.report_name,
             tuple(broken for _, broken in self._broken),
-            tuple(sorted(self.monitor.sound_blocks.select(suspected_by_others, now))),
+            self._list_known_sound(suspected_by_others, now),
         )
-        is_empty = not report.broken_prompts and not report.sound_blocks
+        is_empty = not report.broken_requests and not report.sound_contents
         if report == self._written or (is_empty and self._written is None):
             return
         if is_empty:
@@ -150,26 +153,33 @@
         elif self.records.write(report.name, report.to_value()):
             self._written = report
 
-    def _decide(self, view, sound_blocks, now):
-        block = decisions.find_fatal_block(
-            self._list_broken_prompts(view), sound_blocks, view.quarantined_by_block
+    def _list_known_sound(self, contents, now):
+        sound = self.monitor.sound_contents.select(contents, now)
+        return tuple(sorted(sound, key=lambda each: (each.kind.value, each.id)))
+
+    def _decide(self, view, sound_contents, now):
+        suspicion = decisions.find_fatal_content(
+            self._list_broken_requests(view),
+            sound_contents,
+            view.quarantined_by_content,
         )
-        if block is None:
-            self._suspected_since_s_by_block.clear()
+        if suspicion is None:
+            self._suspected_since_s_by_content.clear()
             return
-        if block not in self._suspected_since_s_by_block:
-            self._suspected_since_s_by_block[block] = now
-            loguru.logger.bind(block=block).info("block suspected")
-        for sound in sound_blocks & self._suspected_since_s_by_block.keys():
-            del self._suspected_since_s_by_block[sound]
-        since_s = self._suspected_since_s_by_block[block]
+        content = suspicion.content
+        if content not in self._suspected_since_s_by_content:
+            self._suspected_since_s_by_content[content] = now
+            _log_content("suspected", content)
+        for sound in sound_contents & self._suspected_since_s_by_content.keys():
+            del self._suspected_since_s_by_content[sound]
+        since_s = self._suspected_since_s_by_content[content]
+        record = _crash_records.make_quarantined_content(content)
         wait_s = ROUNDS_BEFORE_VERDICT * self._interval_s() + DELIVERY_S
-        if now - since_s >= wait_s + self._compute_turn_s(view, block):
-            record = _crash_records.make_quarantined_block(block)
+        if suspicion.is_contested:
+            wait_s += CONTEST_S
+        if now - since_s >= wait_s + self._compute_turn_s(view, record.name):
             is_written = self.records.write(record.name, record.to_value())
-            loguru.logger.bind(block=block, written=is_written).info(
-                "block quarantined"
-            )
+            _log_content("quarantined", content, written=is_written)
 
     def _remove_expired(self, view, now):
         expired = [
@@ -180,7 +190,7 @@
         ]
         expired += [
             each.name
-            for each in view.quarantined_by_block.values()
+            for each in view.quarantined_by_content.values()
             if self._is_expired(view, each, QUARANTINE_S, now)
         ]
         for name in expired:
@@ -194,8 +204,14 @@
         return decisions.compute_acquire_delay_s(self.host, view.hosts, "", key)
 
 
-def _list_blocks(broken_prompts):
-    return {block for broken in broken_prompts for block in broken.blocks}
+def _list_contents(broken_requests):
+    return {content for broken in broken_requests for content in broken.contents}
+
+
+def _log_content(event, content, **fields):
+    """Log an event whose line starts with the kind of the contents."""
+    kind = content.kind.value
+    loguru.logger.bind(**{kind: content.id}, **fields).info(f"{kind} {event}")
 
 
 def compute_retry_after_s(quarantined, now):
@@ -203,8 +219,8 @@
 
     Parameters
     ----------
-    quarantined : QuarantinedBlock
-        The block.
+    quarantined : QuarantinedContent
+        The contents.
     now : float
         Current time, seconds of the boot clock.
     """
--- a/sycamorespoke/gateway/_view_updater.py
+++ b/sycamorespoke/gateway/_view_updater.py
@@ -162,19 +162,19 @@
             for item in items_by_name.values()
             if isinstance(item, _crash_records.CrashReport)
         )
-        quarantined_by_block = {
-            item.block_id: item
+        quarantined_by_content = {
+            item.content: item
             for item in items_by_name.values()
-            if isinstance(item, _crash_records.QuarantinedBlock)
+            if isinstance(item, _crash_records.QuarantinedContent)
         }
-        previous = self.views.get().quarantined_by_block
+        previous = self.views.get().quarantined_by_content
         self.views.replace_fields(
-            crash_reports=reports, quarantined_by_block=quarantined_by_block
+            crash_reports=reports, quarantined_by_content=quarantined_by_content
         )
-        for block_id in quarantined_by_block.keys() - previous.keys():
-            loguru.logger.bind(block=block_id).info("quarantine in force")
-        for block_id in previous.keys() - quarantined_by_block.keys():
-            loguru.logger.bind(block=block_id).info("quarantine lifted")
+        for content in quarantined_by_content.keys() - previous.keys():
+            _log_quarantine("quarantine in force", content)
+        for content in previous.keys() - quarantined_by_content.keys():
+            _log_quarantine("quarantine lifted", content)
 
     def _handle_announcement(self, announcement, now):
         upstreams = (self.views.get().upstreams_by_id or {}).values()
@@ -200,5 +200,9 @@
     ).info("upstream changed")
 
 
+def _log_quarantine(event, content):
+    loguru.logger.bind(**{content.kind.value: content.id}).info(event)
+
+
 def _may_retain(upstream):
     return not upstream.is_draining
--- a/sycamorespoke/gateway/_views.py
+++ b/sycamorespoke/gateway/_views.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from sycamorespoke import decisions
 from sycamorespoke.gateway import _crash_records, _model
 
 CONFIGURATION = "configuration"
@@ -35,8 +36,8 @@
         Registered entry hosts.
     crash_reports : tuple of CrashReport, default=()
         Reports of all hosts on upstreams that ended.
-    quarantined_by_block : dict of str to QuarantinedBlock
-        Blocks of prompts that no host sends to an upstream, by ID.
+    quarantined_by_content : dict of decisions.Content to QuarantinedContent
+        Contents that no host sends to an upstream.
     confirmed_s_by_section : dict of str to float
         When the source last confirmed each section, seconds of the boot clock.
     """
@@ -49,9 +50,9 @@
     loading_seen_s: float = float("-inf")
     hosts_by_name: dict[str, _model.Host] = attrs.field(factory=dict)
     crash_reports: tuple[_crash_records.CrashReport, ...] = ()
-    quarantined_by_block: dict[str, _crash_records.QuarantinedBlock] = attrs.field(
-        factory=dict
-    )
+    quarantined_by_content: dict[
+        decisions.Content, _crash_records.QuarantinedContent
+    ] = attrs.field(factory=dict)
     confirmed_s_by_section: dict[str, float] = attrs.field(factory=dict)
 
     @property
@@ -95,15 +96,17 @@
             and upstream.data_centre not in (self.data_centres_out or ())
         ]
 
-    def find_quarantined(self, prompt):
-        """Return a `QuarantinedBlock` of a prompt; ``None`` if it has none."""
-        if not self.quarantined_by_block:
-            return None
-        for block_id in prompt.shared_block_ids:
-            if block_id in self.quarantined_by_block:
-                return self.quarantined_by_block[block_id]
+    def find_quarantined(self, contents):
+        """Return the first `QuarantinedContent` of some contents, or ``None``."""
+        for content in contents:
+            if content in self.quarantined_by_content:
+                return self.quarantined_by_content[content]
         return None
 
+    def count_quarantined(self, kind):
+        """Return the number of quarantined contents of a `decisions.ContentKind`."""
+        return sum(content.kind is kind for content in self.quarantined_by_content)
+
     def is_loading(self, upstream, now):
         """Return whether an engine is announced to load weights at ``now``."""
         is_recent = now - self.loading_seen_s <= LOADING_TIMEOUT_S
--- a/sycamorespoke/platform/_names.py
+++ b/sycamorespoke/platform/_names.py
@@ -106,5 +106,5 @@
 # Name of the only object of that kind.
 PEER_KEY_NAME = "peers"
 KIND_LEASES = "syk-leases"
-# Reports on upstreams that ended, and blocks of prompts in quarantine.
+# Reports on upstreams that ended, and contents of requests in quarantine.
 KIND_CRASHES = "syk-crashes"
--- a/tests/decisions/test_crash_attribution.py
+++ b/tests/decisions/test_crash_attribution.py
@@ -1,4 +1,4 @@
-"""Attribution of the end of upstreams to a block of prompts."""
+"""Attribution of the end of upstreams to contents of requests."""
 
 import hypothesis
 from hypothesis import strategies
@@ -6,18 +6,39 @@
 from sycamorespoke import decisions
 
 
-def make_broken(upstream, prompt, *blocks):
-    return decisions.BrokenPrompt(upstream, prompt, blocks)
+def block(block_id):
+    return decisions.Content(decisions.ContentKind.BLOCK, block_id)
+
+
+def request(fingerprint):
+    return decisions.Content(decisions.ContentKind.REQUEST, fingerprint)
+
+
+def make_broken(upstream, fingerprint, *block_ids):
+    """Return a request whose blocks are suspected, but not the request itself."""
+    contents = tuple(block(each) for each in block_ids)
+    return decisions.BrokenRequest(upstream, fingerprint, contents)
+
+
+def make_suspected(upstream, fingerprint, *block_ids):
+    """Return a request that is suspected with its blocks."""
+    contents = (*(block(each) for each in block_ids), request(fingerprint))
+    return decisions.BrokenRequest(upstream, fingerprint, contents)
+
+
+def find(broken, sound=(), quarantined=()):
+    suspicion = decisions.find_fatal_content(broken, set(sound), set(quarantined))
+    return suspicion and suspicion.content
 
 
 def test_a_prompt_that_was_sent_again_and_again_is_one_observation():
     broken = [make_broken(f"i-{n}", "same", "a") for n in range(9)]
-    assert decisions.find_fatal_block(broken, set(), set()) is None
+    assert find(broken) is None
 
 
 def test_several_prompts_that_one_upstream_took_along_are_one_observation():
     broken = [make_broken("i-1", f"p{n}", "a") for n in range(9)]
-    assert decisions.find_fatal_block(broken, set(), set()) is None
+    assert find(broken) is None
 
 
 def test_block_of_prompts_in_flight_beside_a_quarantined_one_is_not_suspected():
@@ -25,19 +46,19 @@
     for n in range(5):
         broken.append(make_broken(f"i-{n}", f"p{n}", "bad"))
         broken.append(make_broken(f"i-{n}", f"q{n}", "beside"))
-    assert decisions.find_fatal_block(broken, set(), {"bad"}) is None
-    assert decisions.find_fatal_block(broken, {"bad"}, set()) == "beside"
+    assert find(broken, quarantined={block("bad")}) is None
+    assert find(broken, sound={block("bad")}) == block("beside")
 
 
 def test_second_fatal_block_is_found_beside_a_quarantined_one():
     broken = [make_broken(f"i-{n}", f"p{n}", "one") for n in range(3)]
     broken += [make_broken(f"j-{n}", f"q{n}", "two") for n in range(3)]
-    assert decisions.find_fatal_block(broken, set(), {"one"}) == "two"
+    assert find(broken, quarantined={block("one")}) == block("two")
 
 
 def test_discarding_sound_blocks_keeps_the_others_in_order():
     broken = [make_broken("i-1", "p", "a", "b", "c"), make_broken("i-1", "q", "b")]
-    assert decisions.discard_blocks(broken, {"b"}) == [
+    assert decisions.discard_contents(broken, {block("b")}) == [
         make_broken("i-1", "p", "a", "c")
     ]
 
@@ -66,6 +87,73 @@
             for n in range(bystanders)
         ]
     # Sound blocks have complete responses elsewhere.
-    sound = {block for each in broken for block in each.blocks} - {"bad"}
-    assert decisions.find_fatal_block(broken, sound, set()) == "bad"
-    assert decisions.find_fatal_block(broken, sound, {"bad"}) is None
+    sound = {each for one in broken for each in one.contents} - {block("bad")}
+    assert find(broken, sound) == block("bad")
+    assert find(broken, sound, {block("bad")}) is None
+
+
+def test_request_that_was_at_three_upstreams_as_they_ended_is_found():
+    broken = [make_suspected(f"i-{n}", "bad") for n in range(2)]
+    assert find(broken) is None
+    broken.append(make_suspected("i-2", "bad"))
+    assert find(broken) == request("bad")
+
+
+def test_request_that_one_upstream_had_several_times_is_one_observation():
+    assert find([make_suspected("i-1", "a") for _ in range(9)]) is None
+
+
+def test_request_is_found_before_a_block_that_sound_requests_share_with_it():
+    broken = []
+    for n in range(3):
+        broken.append(make_suspected(f"i-{n}", "bad", "sys", "doc"))
+        broken.append(make_suspected(f"i-{n}", f"beside{n}", "sys", "doc"))
+    assert find(broken) == request("bad")
+
+
+def test_block_is_found_before_a_request_with_it_that_was_sent_again():
+    broken = [make_suspected(f"i-{n}", "again", "bad") for n in range(3)]
+    broken += [make_suspected(f"j-{n}", f"p{n}", "bad") for n in range(2)]
+    assert find(broken) == block("bad")
+
+
+def test_request_beside_a_quarantined_one_is_not_suspected():
+    broken = []
+    for n in range(3):
+        broken.append(make_suspected(f"i-{n}", "bad"))
+        broken.append(make_suspected(f"i-{n}", "repeated"))
+    assert find(broken, quarantined={request("bad")}) is None
+
+
+def test_requests_with_equal_evidence_are_contested_until_one_has_more():
+    broken = []
+    for n in range(3):
+        broken.append(make_suspected(f"i-{n}", "bad"))
+        broken.append(make_suspected(f"i-{n}", "repeated"))
+    assert decisions.find_fatal_content(broken, set(), set()).is_contested
+    sound = {request("repeated")}
+    suspicion = decisions.find_fatal_content(broken, sound, set())
+    assert suspicion == decisions.Suspicion(request("bad"))
+    broken.append(make_suspected("i-3", "bad"))
+    suspicion = decisions.find_fatal_content(broken, set(), set())
+    assert suspicion == decisions.Suspicion(request("bad"))
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.lists(strategies.sampled_from("abcdefgh"), max_size=6),
+        min_size=4,
+        max_size=12,
+    )
+)
+@hypothesis.settings(derandomize=True, deadline=None)
+def test_the_request_in_every_loss_is_found_whichever_were_beside_it(beside):
+    broken = []
+    for number, fingerprints in enumerate(beside):
+        broken.append(make_suspected(f"i-{number}", "bad"))
+        broken += [make_suspected(f"i-{number}", each) for each in fingerprints]
+    # No other request was at every upstream.
+    everywhere = set.intersection(*(set(each) for each in beside))
+    sound = {request(each) for each in everywhere}
+    assert find(broken, sound) == request("bad")
+    assert find(broken, sound, {request("bad")}) is None
--- a/tests/gateway/test_fingerprint.py
+++ b/tests/gateway/test_fingerprint.py
@@ -28,6 +28,7 @@
         {"body": b"bodz"},
         {"account": None},
         {"account": _model.Account("b")},
+        {"prompt": _requests.Prompt("m", (_requests.PromptBlock("a", 1),), 1, 1)},
         # The same bytes, divided otherwise.
         {"host": "h/", "target": "a/b?c"},
     ],
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -1,4 +1,4 @@
-"""Quarantine of blocks that end upstreams, decided by several hosts together."""
+"""Quarantine of contents that end upstreams, decided by several hosts together."""
 
 import collections
 
@@ -10,7 +10,6 @@
     _crash_records,
     _model,
     _quarantine,
-    _requests,
     _views,
 )
 
@@ -20,8 +19,15 @@
 
 
 def make_prompt(*block_ids):
-    blocks = tuple(_requests.PromptBlock(each, 100) for each in block_ids)
-    return _requests.Prompt("m", blocks, 100 * len(blocks), 3)
+    """Return the contents of a request whose last block is its own."""
+    kind = decisions.ContentKind.BLOCK
+    blocks = tuple(decisions.Content(kind, each) for each in block_ids[:-1])
+    return (*blocks, *make_plain(" ".join(block_ids)))
+
+
+def make_plain(fingerprint):
+    """Return the contents of a request without a prompt."""
+    return (decisions.Content(decisions.ContentKind.REQUEST, fingerprint),)
 
 
 class SharedRecords:
@@ -57,10 +63,10 @@
         by_type = collections.defaultdict(list)
         for item in items:
             by_type[type(item)].append(item)
-        quarantined = by_type[_crash_records.QuarantinedBlock]
+        quarantined = by_type[_crash_records.QuarantinedContent]
         views.replace_fields(
             crash_reports=tuple(by_type[_crash_records.CrashReport]),
-            quarantined_by_block={each.block_id: each for each in quarantined},
+            quarantined_by_content={each.content: each for each in quarantined},
         )
 
 
@@ -88,11 +94,12 @@
         )
         self.by_name[name] = _quarantine.Quarantine(name, views, monitor, self.records)
 
-    def end_upstream(self, upstream_id, broken_by_host):
-        """End an upstream under prompts; one prompt each, by the host that sent it."""
+    def end_upstream(self, upstream_id, lost_by_host):
+        """End an upstream under requests; one each, by the host that sent it."""
         upstream = _model.Upstream(upstream_id, 1, "s", "127.0.0.1:1", "dc-1")
-        for name, prompt in broken_by_host.items():
-            self.by_name[name].monitor.record_broken(upstream, prompt, self.now)
+        for name, contents in lost_by_host.items():
+            monitor = self.by_name[name].monitor
+            monitor.record_lost(upstream, contents[-1].id, contents, self.now)
             if upstream_id in self.running:
                 registered = {upstream_id: upstream}
                 self.by_name[name].views.replace_fields(upstreams_by_id=registered)
@@ -108,7 +115,7 @@
     def list_quarantined(self):
         self.run(STEP_S)
         return {
-            frozenset(each.views.get().quarantined_by_block)
+            frozenset(one.id for one in each.views.get().quarantined_by_content)
             for each in self.by_name.values()
         }
 
@@ -237,21 +244,22 @@
 
 
 def test_retry_after_of_a_quarantined_prompt_is_when_the_quarantine_ends():
-    block = _crash_records.QuarantinedBlock("n", "bad", seen_s=10.0)
+    block = _crash_records.QuarantinedContent("n", make_plain("bad")[0], seen_s=10.0)
     ends_s = 10.0 + _quarantine.QUARANTINE_S
     assert _quarantine.compute_retry_after_s(block, ends_s - 7.5) == 8
     assert _quarantine.compute_retry_after_s(block, ends_s + 7.5) == 1
 
 
 def test_report_is_read_back_as_it_was_written():
-    broken = decisions.BrokenPrompt("i-1@5", "p", ("a", "b"))
-    report = _crash_records.CrashReport("h0.1", (broken,), ("c",), seen_s=7.0)
+    broken = decisions.BrokenRequest("i-1@5", "p", make_prompt("a", "b", "own"))
+    sound = make_prompt("c", "own")
+    report = _crash_records.CrashReport("h0.1", (broken,), sound, seen_s=7.0)
     parsed = _crash_records.parse_crash_record("h0.1", report.to_value(), 7.0)
     assert parsed == report
 
 
 @pytest.mark.parametrize(
-    "value", [None, [], {}, {"quarantined": None}, {"broken_prompts": 1}]
+    "value", [None, [], {}, {"quarantined": None}, {"broken_requests": 1}]
 )
 def test_malformed_record_is_rejected(value):
     with pytest.raises(ValueError, match="not a crash record"):
@@ -266,7 +274,8 @@
     # The report of the process before stays in the store.
     hosts.start("h0")
     hosts.run(STEP_S)
-    hosts.records.delete(_crash_records.make_quarantined_block("bad").name)
+    block = decisions.Content(decisions.ContentKind.BLOCK, "bad")
+    hosts.records.delete(_crash_records.make_quarantined_content(block).name)
     hosts.run(VERDICT_S)
     assert hosts.list_quarantined() == {frozenset()}
     for n in range(2):
@@ -276,3 +285,49 @@
     hosts.end_upstream("j-2", {"h2": make_prompt("bad", "new2")})
     hosts.run(VERDICT_S)
     assert hosts.list_quarantined() == {frozenset({"bad"})}
+
+
+@pytest.mark.parametrize("count", [3, 9, 40])
+def test_request_is_quarantined_though_no_host_sees_it_end_two_upstreams(count):
+    hosts = Hosts(count)
+    for n in range(3):
+        hosts.end_upstream(f"i-{n}", {f"h{n}": make_plain("bad")})
+    hosts.run(3.0)
+    assert hosts.list_quarantined() == {frozenset({"bad"})}
+
+
+def test_sound_requests_beside_it_stay_usable_though_they_were_sent_again():
+    hosts = Hosts(9)
+    for n in range(3):
+        lost_by_host = {
+            f"h{n}": make_plain("bad"),
+            # Lost at each of the three, by one host that sends it again.
+            "h7": make_plain("sound"),
+            f"h{n + 3}": make_plain(f"other{n}"),
+        }
+        hosts.end_upstream(f"i-{n}", lost_by_host)
+        hosts.run(0.25)
+    hosts.run(1.0)
+    hosts.by_name["h8"].monitor.record_whole(make_plain("sound"), hosts.now)
+    hosts.run(VERDICT_S)
+    assert hosts.list_quarantined() == {frozenset({"bad"})}
+
+
+def test_request_that_returns_is_quarantined_before_one_that_was_beside_it_so_far():
+    hosts = Hosts(9)
+    for n in range(3):
+        lost_by_host = {f"h{n}": make_plain("bad"), "h7": make_plain("z sound")}
+        hosts.end_upstream(f"i-{n}", lost_by_host)
+    hosts.run(1.5)
+    hosts.end_upstream("i-3", {"h3": make_plain("bad")})
+    hosts.run(VERDICT_S)
+    assert hosts.list_quarantined() == {frozenset({"bad"})}
+
+
+def test_two_requests_that_end_upstreams_are_both_quarantined():
+    hosts = Hosts(9)
+    for n in range(3):
+        hosts.end_upstream(f"i-{n}", {f"h{n}": make_plain("bad")})
+        hosts.end_upstream(f"j-{n}", {f"h{n + 3}": make_plain("worse")})
+    hosts.run(2 * VERDICT_S)
+    assert hosts.list_quarantined() == {frozenset({"bad", "worse"})}
--- a/tests/gateway/test_quarantined_prompts.py
+++ b/tests/gateway/test_quarantined_prompts.py
@@ -3,17 +3,26 @@
 import attrs
 import pytest
 
-from sycamorespoke import serving
+from sycamorespoke import decisions, serving
 from sycamorespoke.gateway import _crash_records
 from tests.fakes import scripted_upstream
 
 
+def make_block(block_id):
+    return decisions.Content(decisions.ContentKind.BLOCK, block_id)
+
+
+def quarantine(gateway, content):
+    """Put contents into the quarantine of a gateway."""
+    record = _crash_records.make_quarantined_content(content)
+    record = attrs.evolve(record, seen_s=serving.read_clock())
+    gateway.views.replace_fields(quarantined_by_content={content: record})
+
+
 def start_with_quarantined_block(harness, handle):
     upstream = harness.start_upstream(handle)
     gateway = harness.start_gateway([upstream])
-    block = _crash_records.make_quarantined_block("bad")
-    block = attrs.evolve(block, seen_s=serving.read_clock())
-    gateway.views.replace_fields(quarantined_by_block={"bad": block})
+    quarantine(gateway, make_block("bad"))
     return gateway, upstream
 
 
@@ -40,8 +49,7 @@
 
     def break_off(request):
         requests.append(request)
-        block = _crash_records.make_quarantined_block("bad")
-        gateway.views.replace_fields(quarantined_by_block={"bad": block})
+        quarantine(gateway, make_block("bad"))
         scripted_upstream.start_stream(request)
         scripted_upstream.abort(request)
 
@@ -68,8 +76,8 @@
     prompt = {"X_Sycamorespoke_Prompt_Prefix": "aa:5,cc:1"}
     assert gateway.request("/once/x", **prompt)[0] == 200
     now = serving.read_clock()
-    sound = gateway.crash_monitor.sound_blocks.select({"aa"}, now)
-    assert sound == ({"aa"} if is_sound else set())
+    sound = gateway.crash_monitor.sound_contents.select({make_block("aa")}, now)
+    assert sound == ({make_block("aa")} if is_sound else set())
 
 
 def test_failed_response_does_not_prove_its_blocks_sound(harness):
@@ -80,4 +88,5 @@
     prompt = {"X_Sycamorespoke_Prompt_Prefix": "aa:5,cc:1"}
     assert gateway.request("/once/x", **prompt)[0] == 500
     now = serving.read_clock()
-    assert gateway.crash_monitor.sound_blocks.select({"aa"}, now) == set()
+    sound_contents = gateway.crash_monitor.sound_contents
+    assert sound_contents.select({make_block("aa")}, now) == set()
