Soak: upstreams that say in their responses that they leave

Incident "requests to a leaving upstream": no stand-in of the soak said so. A fault lets an upstream state it in all its responses while the store lists it as ready, until it starts anew; the check takes what callers and upstreams saw, for each host since its last signal.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -47,6 +47,8 @@
         Received part of the response body.
     is_complete : bool
         Whether the response was received completely.
+    says_leaving : bool
+        Whether the response states that its upstream is leaving.
     """
 
     request_id: str
@@ -58,6 +60,7 @@
     has_stamp: bool = False
     body: bytes = b""
     is_complete: bool = False
+    says_leaving: bool = False
 
 
 class Caller(threading.Thread):
@@ -123,6 +126,7 @@
             bool(head and head.headers.get(scripted_upstream.RESPONSE_STAMP)),
             body,
             is_complete,
+            bool(head and head.headers.get("Server-Leaving")),
         )
 
     def _connect(self, host):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,6 +12,8 @@
 MIN_DURATION_S = 0.3
 MAX_DURATION_S = 2.0
 MAX_GAP_S = 0.8
+# Hosts have to avoid a leaving upstream only from a while after it has told them.
+EXTRA_DURATION_S_BY_FAULT = {"upstream says that it leaves": 3.0}
 
 
 class Fault(enum.Enum):
@@ -28,6 +30,7 @@
     UPSTREAM_MISBEHAVES = "upstream misbehaves"
     UPSTREAM_RESTART = "upstream restart"
     UPSTREAM_DRAINS = "upstream drains"
+    UPSTREAM_SAYS_IT_LEAVES = "upstream says that it leaves"
     CONFIGURATION = "configuration change"
 
 
@@ -96,9 +99,9 @@
     at_s = FIRST_START_S
     while at_s + MIN_DURATION_S < ends_s:
         fault = generator.choice(list(Fault))
-        duration_s = min(
-            generator.uniform(MIN_DURATION_S, MAX_DURATION_S), ends_s - at_s
-        )
+        extra_s = EXTRA_DURATION_S_BY_FAULT.get(fault.value, 0.0)
+        duration_s = generator.uniform(MIN_DURATION_S, MAX_DURATION_S) + extra_s
+        duration_s = min(duration_s, ends_s - at_s)
         count = host_count if fault.value.startswith(("host", "store link")) else None
         target = generator.randrange(count or upstream_count)
         planned.append(
@@ -135,6 +138,8 @@
         deployment.restart(deployment.upstreams[target])
     elif fault is Fault.UPSTREAM_DRAINS:
         deployment.register(deployment.upstreams[target], "draining")
+    elif fault is Fault.UPSTREAM_SAYS_IT_LEAVES:
+        deployment.upstreams[target].is_leaving = True
     else:
         deployment.change_configuration()
 
@@ -154,7 +159,7 @@
         deployment.upstreams[target].proxy.set_mode(proxy.Mode.PASS)
     elif fault is Fault.UPSTREAM_MISBEHAVES:
         deployment.upstreams[target].behaviour = upstreams.Behaviour.NORMAL
-    elif fault is Fault.UPSTREAM_DRAINS:
+    elif fault in (Fault.UPSTREAM_DRAINS, Fault.UPSTREAM_SAYS_IT_LEAVES):
         deployment.restart(deployment.upstreams[target])
 
 
--- a/tests/soak/gateway_deployment.py
+++ b/tests/soak/gateway_deployment.py
@@ -3,6 +3,7 @@
 import pathlib
 import signal
 import tempfile
+import time
 
 from tests.fakes import in_process_gateway, object_store
 from tests.platform import test_program
@@ -32,6 +33,8 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
         self.program = None
         self.logs = []
+        # Monotonic times of all signals, which may have stopped or paused the host.
+        self.signalled_s = []
 
     @property
     def port(self):
@@ -62,6 +65,7 @@
 
     def signal(self, number):
         """Send a signal to the process, if it is running."""
+        self.signalled_s.append(time.monotonic())
         if self.program.process.poll() is None:
             self.program.process.send_signal(number)
 
@@ -124,6 +128,7 @@
         """Restart an upstream with another ID at the same address."""
         self.store.delete("servers", upstream.id)
         upstream.proxy.reset_all()
+        upstream.is_leaving = False
         upstream.starts += 1
         self.register(upstream)
 
--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -8,6 +8,8 @@
 REFUSED_STATUSES = frozenset({400, 401, 403, 404, 413, 431})
 RUN_ONCE_KINDS = frozenset({callers.RequestKind.UNSAFE, callers.RequestKind.ONCE})
 MIN_SERVED_SHARE = 0.95
+# Bound of the users' platform.
+DRAIN_S = 2.0
 
 
 def check(outcomes, runs):
@@ -60,6 +62,51 @@
     return violations
 
 
+def check_leaving(outcomes, runs, signalled_s_by_host):
+    """Check that hosts avoid upstreams that told them that they leave.
+
+    Parameters
+    ----------
+    outcomes : list of callers.Outcome
+        Outcomes that the callers observed.
+    runs : list of upstreams.Run
+        Requests that the upstreams ran.
+    signalled_s_by_host : dict of str to list of float
+        When each host was signalled; it need not remember what it was told before.
+
+    Returns
+    -------
+    list of str
+        One line for each request that reached a leaving upstream too late.
+    """
+    upstreams_by_request = collections.defaultdict(list)
+    for run in runs:
+        upstreams_by_request[run.request_id].append(run.upstream)
+    told_times_by_pair = collections.defaultdict(list)
+    violations = []
+    for outcome in sorted(outcomes, key=lambda each: each.ended_s):
+        reached = upstreams_by_request[outcome.request_id]
+        signalled_s = signalled_s_by_host.get(outcome.host, ())
+        for upstream in reached:
+            told_times_s = told_times_by_pair[outcome.host, upstream]
+            if _is_too_late(outcome, told_times_s, signalled_s):
+                violations.append(
+                    f"{outcome.request_id} at {outcome.host} reached {upstream} "
+                    f"later than {DRAIN_S} s after it said that it leaves"
+                )
+        if outcome.says_leaving and reached:
+            told_times_by_pair[outcome.host, reached[-1]].append(outcome.ended_s)
+    return violations
+
+
+def _is_too_late(outcome, told_times_s, signalled_s):
+    return any(
+        outcome.sent_s > told_s + DRAIN_S
+        and not any(told_s <= each <= outcome.ended_s for each in signalled_s)
+        for told_s in told_times_s
+    )
+
+
 def check_recovery(outcomes):
     """Check that requests succeed after the faults have ended."""
     if not outcomes:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -77,7 +77,11 @@
         after = _send_after_faults(deployment, seed)
         # Requests that a host has abandoned may still reach an upstream, so the
         # log is only read now.
-        violations += guarantees.check(outcomes + after, deployment.log.list())
+        runs = deployment.log.list()
+        violations += guarantees.check(outcomes + after, runs)
+        violations += guarantees.check_leaving(
+            outcomes, runs, {each.name: each.signalled_s for each in deployment.hosts}
+        )
         violations += guarantees.check_recovery(after)
         served = sum(each.is_complete and each.status == 200 for each in outcomes)
         return Verdict(seed, violations, planned, len(outcomes), served)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -99,3 +99,21 @@
                 caller.recv(1)
         upstream.close()
         loopback.close()
+
+
+def test_request_at_an_upstream_that_told_its_host_before_is_reported():
+    told = attrs.evolve(OUTCOME, says_leaving=True)
+    later = attrs.evolve(OUTCOME, request_id="c1-2", sent_s=4.1, ended_s=4.2)
+    runs = [RUN, attrs.evolve(RUN, request_id="c1-2", at_s=4.1)]
+    assert len(guarantees.check_leaving([told, later], runs, {})) == 1
+    # In time, at another host, at another start, and after a signal of the host.
+    for outcomes, allowed_runs, signalled_s_by_host in (
+        ([told, attrs.evolve(later, sent_s=3.9)], runs, {}),
+        ([told, attrs.evolve(later, host="h1")], runs, {}),
+        ([told, later], [RUN, attrs.evolve(runs[1], upstream="i-1-2")], {}),
+        ([told, later], runs, {"h0": [3.0]}),
+    ):
+        violations = guarantees.check_leaving(
+            outcomes, allowed_runs, signalled_s_by_host
+        )
+        assert violations == []
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -92,6 +92,7 @@
         self.log = log
         self.starts = 1
         self.behaviour = Behaviour.NORMAL
+        self.is_leaving = False
         self.server = scripted_upstream.ScriptedUpstream(self._handle_request)
         self.proxy = proxy.LoopbackProxy(self.server.address)
 
@@ -123,13 +124,15 @@
         if expected != upstream_id:
             scripted_upstream.respond(request, 421, b"", X_Sycamorespoke_Not_Run="1")
             return
+        headers = self._make_headers()
         if self.behaviour is Behaviour.FULL:
-            scripted_upstream.respond(request, 503, b"", X_Sycamorespoke_Not_Run="1")
+            headers["X-Sycamorespoke-Not-Run"] = "1"
+            scripted_upstream.respond(request, 503, b"", **headers)
             return
         request_id = request.headers["X-Sycamorespoke-Request-Id"]
         self.log.add(Run(request_id, upstream_id, time.monotonic()))
         if self.behaviour is Behaviour.ERROR:
-            scripted_upstream.respond(request, 500, b"fault")
+            scripted_upstream.respond(request, 500, b"fault", **headers)
             return
         time.sleep(SLOW_S if self.behaviour is Behaviour.SLOW else WORK_S)
         if self.behaviour is Behaviour.CUT_HEAD:
@@ -147,12 +150,15 @@
             scripted_upstream.abort(request)
         else:
             body = make_body(request_id)
-            scripted_upstream.respond(request, body=body, **self._make_headers())
+            scripted_upstream.respond(request, body=body, **headers)
 
     def _make_headers(self):
+        headers = {}
         if self.behaviour is Behaviour.RATE_LIMIT:
-            return {"Server-Limit": RATE_LIMIT_PER_S}
-        return {}
+            headers["Server-Limit"] = RATE_LIMIT_PER_S
+        if self.is_leaving:
+            headers["Server-Leaving"] = "1"
+        return headers
 
     def _send_endless(self, request, request_id):
         """Send bytes that are no response until the gateway closes the connection."""
