Gateway: a complete response ends a quarantine that was wrong, on all hosts

What callers see without it: a sound block or request that was at three lost upstreams is refused for an hour, although a response on it that was in progress at the verdict has been completed since.

Cause: complete responses were an objection before the verdict only. Change: the host that has seen one deletes the verdict; the evidence before it is dropped by all hosts as when an operator does it. Contents that end upstreams are never completed, so their quarantine stays.

Evidence: the new test fails without the change for blocks and for requests, passes with it.

--- a/sycamorespoke/gateway/_quarantine.py
+++ b/sycamorespoke/gateway/_quarantine.py
@@ -77,6 +77,7 @@
         self._discard_contents(sound_contents)
         self._report(view, now)
         self._decide(view, sound_contents, now)
+        self._lift_disproved(view, now)
         self._remove_expired(view, now)
 
     def _run(self, stop_requested):
@@ -181,6 +182,13 @@
             is_written = self.records.write(record.name, record.to_value())
             _log_content("quarantined", content, written=is_written)
 
+    def _lift_disproved(self, view, now):
+        """End the quarantine of contents on which this host saw a whole response."""
+        quarantined = view.quarantined_by_content
+        for content in self.monitor.sound_contents.select(quarantined, now):
+            is_lifted = self.records.delete(quarantined[content].name)
+            _log_content("quarantine disproved", content, written=is_lifted)
+
     def _remove_expired(self, view, now):
         expired = [
             each.name
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -331,3 +331,20 @@
         hosts.end_upstream(f"j-{n}", {f"h{n + 3}": make_plain("worse")})
     hosts.run(2 * VERDICT_S)
     assert hosts.list_quarantined() == {frozenset({"bad", "worse"})}
+
+
+@pytest.mark.parametrize("make", [make_prompt, make_plain])
+def test_complete_response_at_any_host_lifts_a_quarantine_that_was_wrong(make):
+    hosts = Hosts(9)
+    for n in range(3):
+        lost = make("doc", f"own{n}") if make is make_prompt else make("doc")
+        hosts.end_upstream(f"i-{n}", {f"h{n}": lost})
+    hosts.run(VERDICT_S)
+    assert hosts.list_quarantined() == {frozenset({"doc"})}
+    # It was in progress all the while.
+    in_progress = make("doc", "other") if make is make_prompt else make("doc")
+    hosts.by_name["h8"].monitor.record_whole(in_progress, hosts.now)
+    hosts.run(2 * STEP_S)
+    assert hosts.list_quarantined() == {frozenset()}
+    hosts.run(60.0)
+    assert hosts.list_quarantined() == {frozenset()}
