Gateway: upstreams that are lost together are one observation of a block

What callers would see without it: a data centre or a rack is lost at one moment, a popular block is in responses on three of its engines or more, no host has completed a response on it in the last 30 s, and prompts with it are refused on all hosts for an hour.

Cause: the verdict counted upstreams and requests, not when upstreams ended. Change: a block needs ends in three moments of a second each. Reports hold the age of each loss when they are written, so that hosts need no common clock.

Evidence: five upstreams at once, completed 40 s before or never, twice and after a restart of a host: the new tests fail with one moment in place of three and pass now. A fatal block that ends an upstream every 0.25 to 2 s still reaches three at most later than 3 s after the fifth. The hosts of the tests end upstreams 1.5 s apart where they ended them in one moment, which is the case that is no evidence any more; their conditions are the same.

--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -58,6 +58,7 @@
     compute_cold_share,
 )
 from sycamorespoke.decisions._crash_attribution import (
+    MOMENT_S,
     BrokenRequest,
     Content,
     ContentKind,
@@ -223,6 +224,7 @@
     "MAX_DIRECT_HOSTS",
     "MAX_HEARTBEAT_AGE_S",
     "MAX_ORDER_DURATION_S",
+    "MOMENT_S",
     "PERMIT_LIFETIME_S",
     "PERMIT_RETRY_AFTER_S",
     "RENEW_INTERVAL_S",
--- a/sycamorespoke/decisions/_crash_attribution.py
+++ b/sycamorespoke/decisions/_crash_attribution.py
@@ -12,6 +12,10 @@
 MIN_ENDED_UPSTREAMS = 3
 # Different requests with a block, so that one that is sent again does not count anew.
 MIN_BROKEN_REQUESTS = 3
+# Upstreams that end within a moment may have one cause, such as the loss of a data
+# centre. Hosts estimate the times of each other's observations.
+MOMENT_S = 1.0
+MIN_MOMENTS = 3
 
 
 class ContentKind(enum.Enum):
@@ -51,11 +55,14 @@
     contents : tuple of Content
         Its contents that may have ended the upstream and are not known to be sound:
         blocks in order, the request itself last.
+    lost_s : float
+        When its connection broke, seconds of the boot clock of the host that decides.
     """
 
     upstream: str
     request: str
     contents: tuple[Content, ...]
+    lost_s: float
 
 
 @attrs.frozen
@@ -82,6 +89,7 @@
     content: Content
     upstreams: set = attrs.field(factory=set)
     requests: set = attrs.field(factory=set)
+    lost_times_s: list = attrs.field(factory=list)
     position: int = 0
 
     @property
@@ -90,9 +98,14 @@
 
     @property
     def is_sufficient(self):
-        has_upstreams = len(self.upstreams) >= MIN_ENDED_UPSTREAMS
-        has_requests = self.is_request or len(self.requests) >= MIN_BROKEN_REQUESTS
-        return has_upstreams and has_requests
+        if len(self.upstreams) < MIN_ENDED_UPSTREAMS:
+            return False
+        if self.is_request:
+            # One request is at one upstream at a time, and goes to the next after that
+            # has ended.
+            return True
+        has_requests = len(self.requests) >= MIN_BROKEN_REQUESTS
+        return has_requests and _count_moments(self.lost_times_s) >= MIN_MOMENTS
 
     @property
     def rank(self):
@@ -123,13 +136,13 @@
     Returns
     -------
     Suspicion or None
-        ``None`` unless several upstreams ended under one request, or under different
-        requests with one block.
+        ``None`` unless several upstreams ended under one request, or at different
+        times under different requests with one block.
 
     Examples
     --------
     >>> bad = Content(ContentKind.REQUEST, "a1")
-    >>> broken = [BrokenRequest(f"i-{n}", "a1", (bad,)) for n in range(3)]
+    >>> broken = [BrokenRequest(f"i-{n}", "a1", (bad,), 0.1 * n) for n in range(3)]
     >>> find_fatal_content(broken, set(), set()).content.id
     'a1'
     >>> find_fatal_content(broken[:2], set(), set()) is None
@@ -186,9 +199,21 @@
         evidence = evidence_by_content.setdefault(content, _Evidence(content))
         evidence.upstreams.add(broken.upstream)
         evidence.requests.add(broken.request)
+        evidence.lost_times_s.append(broken.lost_s)
         evidence.position = max(evidence.position, position)
 
 
+def _count_moments(times_s):
+    """Return into how many spans of `MOMENT_S` some times fall."""
+    count = 0
+    begun_s = float("-inf")
+    for time_s in sorted(times_s):
+        if time_s - begun_s > MOMENT_S:
+            begun_s = time_s
+            count += 1
+    return count
+
+
 def _is_contested(strongest, candidates):
     return strongest.is_request and any(
         each.is_request
--- a/sycamorespoke/gateway/_crash_monitor.py
+++ b/sycamorespoke/gateway/_crash_monitor.py
@@ -23,7 +23,7 @@
     upstream: object
     fingerprint: str
     contents: tuple[decisions.Content, ...]
-    broke_s: float
+    lost_s: float
 
 
 class CrashMonitor:
@@ -91,7 +91,7 @@
         """
         with self._lock:
             pending, self._pending = self._pending, []
-        pending = [each for each in pending if now - each.broke_s <= MAX_PENDING_S]
+        pending = [each for each in pending if now - each.lost_s <= MAX_PENDING_S]
         is_running_by_boot = self._check(pending)
         undecided = [
             each
@@ -108,7 +108,7 @@
         self._log_ends(ended)
         broken_requests = [
             decisions.BrokenRequest(
-                each.upstream.boot_id, each.fingerprint, each.contents
+                each.upstream.boot_id, each.fingerprint, each.contents, each.lost_s
             )
             for each in ended
         ]
--- a/sycamorespoke/gateway/_crash_records.py
+++ b/sycamorespoke/gateway/_crash_records.py
@@ -14,6 +14,29 @@
 }
 
 
+@attrs.frozen
+class _Loss:
+    """A `decisions.BrokenRequest` with the age of the loss when it was written."""
+
+    upstream: str
+    request: str
+    contents: tuple[decisions.Content, ...]
+    lost_ago_s: float
+
+    def make_broken_request(self, now):
+        return decisions.BrokenRequest(
+            self.upstream, self.request, self.contents, now - self.lost_ago_s
+        )
+
+
+@attrs.frozen
+class _ReportValue:
+    """The JSON value of a `CrashReport`."""
+
+    broken_requests: tuple[_Loss, ...]
+    sound_contents: tuple[decisions.Content, ...]
+
+
 @attrs.frozen
 class CrashReport:
     """What one host process has seen of upstreams that ended.
@@ -36,10 +59,16 @@
     sound_contents: tuple[decisions.Content, ...]
     seen_s: float = 0.0
 
-    def to_value(self):
-        """Return the report as a JSON value."""
-        value = msgspec.to_builtins(self)
-        return {key: value[key] for key in ("broken_requests", "sound_contents")}
+    def to_value(self, now):
+        """Return the report, written at ``now``, as a JSON value."""
+        # The boot clocks of two hosts differ, so ages are written.
+        losses = [
+            _Loss(each.upstream, each.request, each.contents, now - each.lost_s)
+            for each in self.broken_requests
+        ]
+        return msgspec.to_builtins(
+            {"broken_requests": losses, "sound_contents": self.sound_contents}
+        )
 
 
 @attrs.frozen
@@ -108,7 +137,10 @@
             if key in value:
                 content = decisions.Content(kind, msgspec.convert(value[key], str))
                 return QuarantinedContent(name, content, now)
-        fields = {**value, "name": name, "seen_s": now}
-        return msgspec.convert(fields, CrashReport)
+        report = msgspec.convert(value, _ReportValue)
     except msgspec.ValidationError as error:
         raise ValueError(f"not a crash record: {error}") from error
+    broken_requests = tuple(
+        each.make_broken_request(now) for each in report.broken_requests
+    )
+    return CrashReport(name, broken_requests, report.sound_contents, now)
--- a/sycamorespoke/gateway/_quarantine.py
+++ b/sycamorespoke/gateway/_quarantine.py
@@ -151,7 +151,7 @@
             return
         if is_empty:
             self._written = None if self.records.delete(report.name) else self._written
-        elif self.records.write(report.name, report.to_value()):
+        elif self.records.write(report.name, report.to_value(now)):
             self._written = report
 
     def _list_known_sound(self, contents, now):
--- a/tests/decisions/test_crash_attribution.py
+++ b/tests/decisions/test_crash_attribution.py
@@ -17,13 +17,20 @@
 def make_broken(upstream, fingerprint, *block_ids):
     """Return a request whose blocks are suspected, but not the request itself."""
     contents = tuple(block(each) for each in block_ids)
-    return decisions.BrokenRequest(upstream, fingerprint, contents)
+    lost_s = get_lost_s(upstream)
+    return decisions.BrokenRequest(upstream, fingerprint, contents, lost_s)
 
 
 def make_suspected(upstream, fingerprint, *block_ids):
     """Return a request that is suspected with its blocks."""
     contents = (*(block(each) for each in block_ids), request(fingerprint))
-    return decisions.BrokenRequest(upstream, fingerprint, contents)
+    lost_s = get_lost_s(upstream)
+    return decisions.BrokenRequest(upstream, fingerprint, contents, lost_s)
+
+
+def get_lost_s(upstream):
+    """Return a time at which no other upstream ended, by the number in the name."""
+    return 2 * decisions.MOMENT_S * int(upstream.partition("-")[2])
 
 
 def find(broken, sound=(), quarantined=()):
@@ -113,7 +120,7 @@
 
 def test_block_is_found_before_a_request_with_it_that_was_sent_again():
     broken = [make_suspected(f"i-{n}", "again", "bad") for n in range(3)]
-    broken += [make_suspected(f"j-{n}", f"p{n}", "bad") for n in range(2)]
+    broken += [make_suspected(f"j-{n + 3}", f"p{n}", "bad") for n in range(2)]
     assert find(broken) == block("bad")
 
 
@@ -157,3 +164,30 @@
     sound = {request(each) for each in everywhere}
     assert find(broken, sound) == request("bad")
     assert find(broken, sound, {request("bad")}) is None
+
+
+@hypothesis.given(
+    strategies.lists(strategies.floats(0, decisions.MOMENT_S / 2), min_size=1),
+    strategies.integers(1, 5),
+)
+@hypothesis.settings(derandomize=True, deadline=None)
+def test_block_is_found_only_if_upstreams_end_in_three_moments(offsets_s, moments):
+    broken = [
+        decisions.BrokenRequest(
+            f"i-{moment}-{number}",
+            f"p{moment}-{number}",
+            (block("doc"),),
+            10 * decisions.MOMENT_S * moment + offset_s,
+        )
+        for moment in range(moments)
+        for number, offset_s in enumerate(offsets_s)
+    ]
+    assert find(broken) == (block("doc") if moments >= 3 else None)
+
+
+def test_upstreams_that_end_in_quick_succession_are_several_moments():
+    broken = [
+        decisions.BrokenRequest(f"i-{n}", f"p{n}", (block("bad"),), n / 10)
+        for n in range(40)
+    ]
+    assert find(broken) == block("bad")
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -95,7 +95,16 @@
         self.by_name[name] = _quarantine.Quarantine(name, views, monitor, self.records)
 
     def end_upstream(self, upstream_id, lost_by_host):
-        """End an upstream under requests; one each, by the host that sent it."""
+        """End an upstream under requests, some time after the one before."""
+        self.run(1.5 * decisions.MOMENT_S)
+        self.end_at_once({upstream_id: lost_by_host})
+
+    def end_at_once(self, lost_by_host_by_upstream):
+        """End upstreams in one moment under requests, by the host that sent each."""
+        for upstream_id, lost_by_host in lost_by_host_by_upstream.items():
+            self._end_upstream(upstream_id, lost_by_host)
+
+    def _end_upstream(self, upstream_id, lost_by_host):
         upstream = _model.Upstream(upstream_id, 1, "s", "127.0.0.1:1", "dc-1")
         for name, contents in lost_by_host.items():
             monitor = self.by_name[name].monitor
@@ -251,11 +260,15 @@
 
 
 def test_report_is_read_back_as_it_was_written():
-    broken = decisions.BrokenRequest("i-1@5", "p", make_prompt("a", "b", "own"))
+    contents = make_prompt("a", "b", "own")
+    broken = decisions.BrokenRequest("i-1@5", "p", contents, lost_s=4.0)
     sound = make_prompt("c", "own")
     report = _crash_records.CrashReport("h0.1", (broken,), sound, seen_s=7.0)
-    parsed = _crash_records.parse_crash_record("h0.1", report.to_value(), 7.0)
+    parsed = _crash_records.parse_crash_record("h0.1", report.to_value(7.0), 7.0)
     assert parsed == report
+    # Another host has another clock.
+    parsed = _crash_records.parse_crash_record("h0.1", report.to_value(7.0), 107.0)
+    assert parsed.broken_requests[0].lost_s == 104.0
 
 
 @pytest.mark.parametrize(
@@ -348,3 +361,45 @@
     assert hosts.list_quarantined() == {frozenset()}
     hosts.run(60.0)
     assert hosts.list_quarantined() == {frozenset()}
+
+
+@pytest.mark.parametrize("completed_s_before", [None, 40.0])
+def test_block_on_upstreams_that_are_lost_together_is_not_quarantined(
+    completed_s_before,
+):
+    hosts = Hosts(9)
+    if completed_s_before is not None:
+        hosts.by_name["h8"].monitor.record_whole(make_prompt("doc", "x"), hosts.now)
+        hosts.run(completed_s_before)
+    lost_by_host_by_upstream = {
+        f"i-{n}": {f"h{n}": make_prompt("sys", "doc", f"own{n}")} for n in range(5)
+    }
+    hosts.end_at_once(lost_by_host_by_upstream)
+    hosts.run(VERDICT_S)
+    assert hosts.list_quarantined() == {frozenset()}
+    # Nor on those that are lost together a second time.
+    hosts.run(20.0)
+    hosts.end_at_once(lost_by_host_by_upstream)
+    hosts.run(VERDICT_S)
+    # The reports of all hosts are read anew.
+    hosts.start("h0")
+    hosts.run(VERDICT_S)
+    assert hosts.list_quarantined() == {frozenset()}
+
+
+@pytest.mark.parametrize("interval_s", [0.25, 0.5, 1.0, 2.0])
+def test_fatal_block_reaches_three_upstreams_at_most_after_the_bound(interval_s):
+    hosts = Hosts(9)
+    ends_s = []
+    while len(ends_s) < 60 and hosts.list_quarantined() == {frozenset()}:
+        number = len(ends_s)
+        lost = make_prompt("sys", "bad", f"own{number}")
+        hosts.end_at_once({f"i-{number}": {f"h{number % 9}": lost}})
+        ends_s.append(hosts.now)
+        # Stepping above takes a part of the interval.
+        hosts.run(interval_s - STEP_S)
+        sound = make_prompt("sys", f"own{number}")
+        hosts.by_name["h8"].monitor.record_whole(sound, hosts.now)
+    assert hosts.list_quarantined() == {frozenset({"bad"})}
+    bound_s = ends_s[4] + 3.0 if len(ends_s) >= 5 else hosts.now
+    assert sum(each > bound_s for each in ends_s) <= 3
