--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -23,15 +23,12 @@
     TARGET_VERSION_MAX_AGE_S,
     BlockScope,
     may_import,
-    parse_block_scope,
     select_retired_blocks,
 )
 from sycamorespoke.decisions._byte_bucket import (
-    ByteBucket,
     reserve_bytes,
 )
 from sycamorespoke.decisions._claim_operations import (
-    Applied,
     Claim,
     Claimed,
     ClaimToken,
@@ -39,7 +36,6 @@
     Recorded,
     RecordOutcome,
     ReleaseClaim,
-    ShardUpdate,
     hash_claim_key,
     hash_request,
 )
@@ -50,7 +46,6 @@
 )
 from sycamorespoke.decisions._cold_permits import (
     compute_limit_without_owner,
-    has_majority,
     may_grant_permits,
 )
 from sycamorespoke.decisions._cold_share import (
@@ -87,14 +82,11 @@
     FairQueue,
 )
 from sycamorespoke.decisions._lease_state import (
-    HOLDER_VALIDITY_RATIO,
     LEASE_DURATION_S,
     RENEW_INTERVAL_S,
-    HeldLease,
     LeaseAction,
     LeaseRecord,
     LeaseState,
-    SeenLease,
     is_held,
     may_acquire,
 )
@@ -107,9 +99,7 @@
     plan_lease_step,
 )
 from sycamorespoke.decisions._links import (
-    LinkBudget,
     begin_transfer,
-    compute_observed_speed,
     end_transfer,
     estimate_transfer_s,
     has_spare_capacity,
@@ -118,7 +108,6 @@
 from sycamorespoke.decisions._load_sample import scale_sample
 from sycamorespoke.decisions._membership import (
     MAX_CONFIRMATION_AGE_S,
-    MAX_HEARTBEAT_AGE_S,
     WATCHERS_PER_DATA_CENTRE,
     Neighbours,
     choose_neighbours,
@@ -141,8 +130,6 @@
     PERMIT_LIFETIME_S,
     PERMIT_RETRY_AFTER_S,
     REPORT_LAG_S,
-    PermitDecision,
-    PermitLedger,
     apply_load_report,
     count_permitted_requests,
     decide_permit,
@@ -155,8 +142,6 @@
     pick_weighted,
     place_by_key,
     place_by_load,
-    rank_by_key,
-    rank_weighted,
 )
 from sycamorespoke.decisions._publication import (
     PublishRules,
@@ -175,7 +160,6 @@
     Candidate,
     Cost,
     choose_upstream,
-    estimate_cost,
 )
 from sycamorespoke.decisions._stated_rate import (
     TurnShare,
@@ -183,7 +167,6 @@
     find_turn,
 )
 from sycamorespoke.decisions._stored_objects import (
-    ChangeRecord,
     Malformed,
     StoredRules,
     StoredServiceState,
@@ -210,19 +193,16 @@
 from sycamorespoke.decisions._weight_rollout import (
     EngineVersion,
     compute_acquire_delay_s,
-    compute_max_loads,
     select_engines_to_load,
 )
 
 __all__ = [
     "CLAIM_RETENTION_S",
     "CLAIM_SHARD_BYTES",
-    "HOLDER_VALIDITY_RATIO",
     "IMPORT_TIMEOUT_S",
     "LEASE_DURATION_S",
     "MAX_CONFIRMATION_AGE_S",
     "MAX_DIRECT_HOSTS",
-    "MAX_HEARTBEAT_AGE_S",
     "MAX_ORDER_DURATION_S",
     "MOMENT_S",
     "PERMIT_LIFETIME_S",
@@ -232,14 +212,11 @@
     "RETRYABLE_KINDS",
     "TARGET_VERSION_MAX_AGE_S",
     "WATCHERS_PER_DATA_CENTRE",
-    "Applied",
     "AttemptOutcome",
     "BlockPlan",
     "BlockScope",
     "BrokenRequest",
-    "ByteBucket",
     "Candidate",
-    "ChangeRecord",
     "Claim",
     "ClaimToken",
     "Claimed",
@@ -252,17 +229,13 @@
     "FailureHistory",
     "FairQueue",
     "Freshness",
-    "HeldLease",
     "LeaseAction",
     "LeaseRecord",
     "LeaseState",
-    "LinkBudget",
     "LoadOrder",
     "Malformed",
     "Neighbours",
     "Outcome",
-    "PermitDecision",
-    "PermitLedger",
     "PlacementCandidate",
     "Preparation",
     "PreparationKind",
@@ -276,10 +249,8 @@
     "ReleaseClaim",
     "ResourceKind",
     "RetryBudget",
-    "SeenLease",
     "SentOrder",
     "SetOutOfService",
-    "ShardUpdate",
     "StoreCandidate",
     "StoreState",
     "StoredRules",
@@ -307,8 +278,6 @@
     "compute_acquire_delay_s",
     "compute_cold_share",
     "compute_limit_without_owner",
-    "compute_max_loads",
-    "compute_observed_speed",
     "compute_peers_confirmed_s",
     "compute_stated_share",
     "count_permitted_requests",
@@ -316,7 +285,6 @@
     "decide_permit",
     "discard_contents",
     "end_transfer",
-    "estimate_cost",
     "estimate_transfer_s",
     "estimate_wait_s",
     "find_fatal_content",
@@ -326,7 +294,6 @@
     "handle_lease_write",
     "handle_lease_write_conflict",
     "handle_uncertain_lease_write",
-    "has_majority",
     "has_spare_capacity",
     "hash_claim_key",
     "hash_request",
@@ -345,7 +312,6 @@
     "may_import",
     "may_send_order",
     "open_ledger",
-    "parse_block_scope",
     "parse_rules",
     "parse_service_state",
     "pick_weighted",
@@ -356,9 +322,7 @@
     "plan_load_orders",
     "plan_preparations",
     "plan_readers",
-    "rank_by_key",
     "rank_hosts",
-    "rank_weighted",
     "record_failure",
     "record_success",
     "reserve_bytes",
--- a/sycamorespoke/gateway/_attempt_log.py
+++ b/sycamorespoke/gateway/_attempt_log.py
@@ -100,12 +100,11 @@
     def _describe(self):
         """Return what tells the contents of the request from those of others."""
         prompt = self.request.prompt
+        block_ids = prompt.shared_block_ids if prompt else ()
         return {
             "fingerprint": self.crash_watch.fingerprint,
             # The last blocks tell prompts apart.
-            "blocks": list(prompt.shared_block_ids[-MAX_LOGGED_BLOCKS:])
-            if prompt
-            else [],
+            "blocks": list(block_ids[-MAX_LOGGED_BLOCKS:]),
         }
 
     def _log(self, event, upstream, level="INFO", **fields):
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -145,7 +145,8 @@
         framing = self.exchange.head.framing
         self._record_failure(upstream, failure.refusal.kind)
         now = self.gateway.read_clock()
-        self.crash_watch.record_lost(upstream, failure.refusal.kind, True, now)
+        kind = failure.refusal.kind
+        self.crash_watch.record_lost(upstream, kind, has_begun=True, now=now)
         self.gateway.request_metrics.record_response_end(framing, is_whole=False)
         self.log.record_broken(upstream, failure.refusal.reason, framing, last_event_id)
         self.finish()
@@ -264,7 +265,7 @@
         self._excluded_boot_ids.add(upstream.boot_id)
         self._record_failure(upstream, refusal.kind)
         now = self.gateway.read_clock()
-        self.crash_watch.record_lost(upstream, refusal.kind, False, now)
+        self.crash_watch.record_lost(upstream, refusal.kind, has_begun=False, now=now)
         if refusal.kind in NOT_SENT_KINDS:
             return None
         self._reached_boot_ids.add(upstream.boot_id)
