--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -16,6 +16,7 @@
 STEP_S = _quarantine.MIN_INTERVAL_S
 # Reports, the wait before the verdict and the turns of the hosts that write it.
 VERDICT_S = 4.0
+QUARANTINED_KEYS = set(_crash_records.QUARANTINED_KEY_BY_KIND.values())
 
 
 def make_prompt(*block_ids):
@@ -38,11 +39,14 @@
         self.seen_s_by_name = {}
         self.writes = 0
         self.is_available = True
+        self._verdicts = set()
 
     def write(self, name, value):
         if not self.is_available:
             return False
         self.writes += 1
+        if not value.keys().isdisjoint(QUARANTINED_KEYS):
+            self._verdicts.add(name)
         if self.values_by_name.get(name) != value:
             self.seen_s_by_name[name] = None
         self.values_by_name[name] = value
@@ -53,6 +57,10 @@
             self.values_by_name.pop(name, None)
         return self.is_available
 
+    def count_verdicts(self):
+        """Return how many contents have ever been in quarantine."""
+        return len(self._verdicts)
+
     def deliver(self, views, now):
         items = []
         for name, value in self.values_by_name.items():
@@ -172,10 +180,13 @@
     hosts = Hosts(9)
     for n in range(5):
         hosts.end_upstream(f"i-{n}", {f"h{n}": make_prompt("doc", f"own{n}")})
-    hosts.run(STEP_S * 2)
-    hosts.by_name["h8"].monitor.record_whole(make_prompt("doc", "x"), hosts.now)
+        # The third loss is enough for a verdict.
+        if n >= 2:
+            hosts.run(STEP_S * 2)
+            whole = make_prompt("doc", f"x{n}")
+            hosts.by_name["h8"].monitor.record_whole(whole, hosts.now)
     hosts.run(VERDICT_S)
-    assert hosts.list_quarantined() == {frozenset()}
+    assert hosts.records.count_verdicts() == 0
 
 
 def test_losses_that_a_complete_response_explained_away_do_not_count_later():
@@ -202,11 +213,12 @@
 
 def test_loss_of_one_data_centre_under_different_prompts_quarantines_nothing():
     hosts = Hosts(9)
-    for n in range(9):
-        hosts.end_upstream(f"i-{n}", {f"h{n}": make_prompt("sys", f"doc{n}", "o")})
+    hosts.end_at_once(
+        {f"i-{n}": {f"h{n}": make_prompt("sys", f"doc{n}", "o")} for n in range(9)}
+    )
     hosts.by_name["h0"].monitor.record_whole(make_prompt("sys", "o"), hosts.now)
     hosts.run(VERDICT_S)
-    assert hosts.list_quarantined() == {frozenset()}
+    assert hosts.records.count_verdicts() == 0
 
 
 def test_restarted_host_loses_no_observation():
@@ -384,7 +396,7 @@
     # The reports of all hosts are read anew.
     hosts.start("h0")
     hosts.run(VERDICT_S)
-    assert hosts.list_quarantined() == {frozenset()}
+    assert hosts.records.count_verdicts() == 0
 
 
 @pytest.mark.parametrize("interval_s", [0.25, 0.5, 1.0, 2.0])
--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -9,7 +9,8 @@
 
 from sycamorespoke import clients, domain
 from sycamorespoke.clients import _block_checks
-from sycamorespoke.gateway import _stream_body
+from sycamorespoke.decisions import _crash_attribution
+from sycamorespoke.gateway import _crash_watch, _quarantine, _stream_body, _table
 from tests import mechanisms_off_run_once
 
 _chain_block_keys = domain.chain_block_keys
@@ -92,6 +93,32 @@
     clients.BlockClient.export_block = export_block
 
 
+def _ignore_leaving():
+    _table.UpstreamTable.record_leaving = lambda *_: False
+
+
+def _ignore_quarantine():
+    _crash_watch.CrashWatch.find_refusal = lambda *_: None
+
+
+def _ignore_requests_lost_before_a_response():
+    record_lost = _crash_watch.CrashWatch.record_lost
+
+    def record_lost_response(self, upstream, kind, has_begun, now):
+        if has_begun:
+            record_lost(self, upstream, kind, has_begun, now)
+
+    _crash_watch.CrashWatch.record_lost = record_lost_response
+
+
+def _count_upstreams_lost_together():
+    _crash_attribution.MIN_MOMENTS = 1
+
+
+def _keep_disproved_quarantine():
+    _quarantine.Quarantine._lift_disproved = lambda *_: None
+
+
 OFF_BY_NAME = {
     **mechanisms_off_run_once.OFF_BY_NAME,
     "block-checks": _skip_block_checks,
@@ -103,4 +130,9 @@
     "version-in-key": _omit_version_from_keys,
     "export-checks": _skip_export_checks,
     "version-of-import": _import_under_version_of_engine,
+    "leaving": _ignore_leaving,
+    "quarantine": _ignore_quarantine,
+    "lost-before-response": _ignore_requests_lost_before_a_response,
+    "moments": _count_upstreams_lost_together,
+    "disproof": _keep_disproved_quarantine,
 }
