Tests: the block that two fatal ones share goes into quarantine (failing, listed)

A second test, that hosts which reach the store find a fatal block though half of the hosts are cut off from it, passes.

--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -415,3 +415,27 @@
     assert hosts.list_quarantined() == {frozenset({"bad"})}
     bound_s = ends_s[4] + 3.0 if len(ends_s) >= 5 else hosts.now
     assert sum(each > bound_s for each in ends_s) <= 3
+
+
+def test_block_that_two_fatal_ones_share_is_not_quarantined():
+    hosts = Hosts(9)
+    for n in range(8):
+        fatal = "bad" if n % 2 else "worse"
+        lost = make_prompt("sys", fatal, f"own{n}")
+        hosts.end_upstream(f"i-{n}", {f"h{n}": lost})
+    hosts.run(VERDICT_S)
+    assert hosts.list_quarantined() == {frozenset({"bad", "worse"})}
+
+
+def test_fatal_block_is_quarantined_by_the_hosts_that_reach_the_store():
+    hosts = Hosts(8)
+    cut_off = {f"h{n}" for n in range(0, 8, 2)}
+    for name in cut_off:
+        hosts.by_name[name].records = SharedRecords()
+        hosts.by_name[name].records.is_available = False
+    for n in range(6):
+        hosts.end_upstream(f"i-{n}", {f"h{n}": make_prompt("bad", f"own{n}")})
+    hosts.run(VERDICT_S)
+    for name in hosts.by_name.keys() - cut_off:
+        quarantined = hosts.by_name[name].views.get().quarantined_by_content
+        assert {each.id for each in quarantined} == {"bad"}
