--- a/scenarios/steps.py
+++ b/scenarios/steps.py
@@ -207,9 +207,8 @@
 def check_all_streams_and_bookings(cluster, callers):
     responses = callers.wait()
     assert responses
-    assert all(response.is_complete() for response in responses), [
-        response.error for response in responses
-    ]
+    incomplete = [each.describe() for each in responses if not each.is_complete()]
+    assert not incomplete, "\n".join(incomplete)
     statuses_by_key = callers.booking_statuses_by_key
     assert not callers.booking_errors
     assert set(statuses_by_key.values()) == {201}
