Quarantine: a package of its own, without the gateway's view

Change: the four modules are the package sycamorespoke/quarantine. What a host knows of the shared objects is CrashRecords (before: two fields of the gateway's view, and the sorting and logging in its updater). The monitor takes a callable that says whether an upstream is registered in place of the views, and is_running in place of is_listening. No decision changed; the tests moved with the modules and check the same.

--- a/sycamorespoke/gateway/__init__.py
+++ b/sycamorespoke/gateway/__init__.py
@@ -1,7 +1,6 @@
 """Routes callers' requests by host name and path to registered upstreams."""
 
 from sycamorespoke.gateway._connections import SOCKET_OPTIONS
-from sycamorespoke.gateway._crash_records import parse_crash_record
 from sycamorespoke.gateway._deployment import Deployment, ObjectKind, ObjectKinds
 from sycamorespoke.gateway._model import (
     Account,
@@ -78,5 +77,4 @@
     "Unavailable",
     "Upstream",
     "VersionOrder",
-    "parse_crash_record",
 ]
--- a/sycamorespoke/gateway/_crash_watch.py
+++ b/sycamorespoke/gateway/_crash_watch.py
@@ -3,7 +3,7 @@
 import functools
 
 from sycamorespoke import decisions, domain
-from sycamorespoke.gateway import _fingerprint, _quarantine, _requests
+from sycamorespoke.gateway import _fingerprint, _requests
 
 _REFUSALS_BY_KIND = {
     decisions.ContentKind.BLOCK: (
@@ -42,14 +42,14 @@
 
     def find_refusal(self, view, now):
         """Return a `domain.Refusal` if contents are in quarantine, else ``None``."""
-        if not view.quarantined_by_content:
+        if not view.crashes.quarantined_by_content:
             return None
-        quarantined = view.find_quarantined(self._list_contents(with_blocks=True))
+        contents = self._list_contents(with_blocks=True)
+        quarantined = view.crashes.find_quarantined(contents)
         if quarantined is None:
             return None
         kind, reason = _REFUSALS_BY_KIND[quarantined.content.kind]
-        retry_after_s = _quarantine.compute_retry_after_s(quarantined, now)
-        return domain.Refusal(kind, reason, retry_after_s)
+        return domain.Refusal(kind, reason, quarantined.compute_retry_after_s(now))
 
     def record_whole(self, head, now):
         """Record a complete response with a head, which shows the contents sound."""
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -4,17 +4,15 @@
 
 import loguru
 
-from sycamorespoke import decisions, serving, telemetry
+from sycamorespoke import decisions, quarantine, serving, telemetry
 from sycamorespoke.gateway import (
     _blocks,
     _chooser,
     _connections,
-    _crash_monitor,
     _gateway,
     _model,
     _peer_loads,
     _peering,
-    _quarantine,
     _readiness,
     _request_metrics,
     _retirement,
@@ -69,10 +67,10 @@
             frozenset({deployment.kinds.configuration.name}),
             serving.read_clock,
         )
-        self.crash_monitor = _crash_monitor.CrashMonitor(
-            self.views, self._count_upstream_end, _crash_monitor.is_listening
+        self.crash_monitor = quarantine.CrashMonitor(
+            self.views.is_registered, self._count_upstream_end, quarantine.is_listening
         )
-        self.quarantine = _quarantine.Quarantine(
+        self.quarantine = quarantine.Quarantine(
             gateway_settings.name,
             self.views,
             self.crash_monitor,
@@ -205,7 +203,7 @@
             },
             "quarantined": [
                 {"kind": content.kind.value, "id": content.id}
-                for content in view.quarantined_by_content
+                for content in view.crashes.quarantined_by_content
             ],
             "upstreams": self.table.dump(now),
             "connections": self.pool.count_open(),
@@ -218,7 +216,7 @@
         self.metrics.gauge("caller_connections", self.server.count_connections())
         self.metrics.gauge("is_ready", int(self.is_ready()))
         for kind in decisions.ContentKind:
-            count = view.count_quarantined(kind)
+            count = view.crashes.count_quarantined(kind)
             self.metrics.gauge(f"quarantined_{kind.value}s", count)
         for section, confirmed_s in view.confirmed_s_by_section.items():
             self.metrics.gauge("view_age_seconds", now - confirmed_s, part=section)
--- a/sycamorespoke/gateway/_view_updater.py
+++ b/sycamorespoke/gateway/_view_updater.py
@@ -4,9 +4,8 @@
 
 import loguru
 
-from sycamorespoke import decisions, serving
+from sycamorespoke import decisions, quarantine, serving
 from sycamorespoke.gateway import (
-    _crash_records,
     _follower,
     _orders,
     _rollout,
@@ -157,24 +156,10 @@
             )
 
     def _handle_crashes(self, items_by_name, now):
-        reports = tuple(
-            item
-            for item in items_by_name.values()
-            if isinstance(item, _crash_records.CrashReport)
-        )
-        quarantined_by_content = {
-            item.content: item
-            for item in items_by_name.values()
-            if isinstance(item, _crash_records.QuarantinedContent)
-        }
-        previous = self.views.get().quarantined_by_content
-        self.views.replace_fields(
-            crash_reports=reports, quarantined_by_content=quarantined_by_content
-        )
-        for content in quarantined_by_content.keys() - previous.keys():
-            _log_quarantine("quarantine in force", content)
-        for content in previous.keys() - quarantined_by_content.keys():
-            _log_quarantine("quarantine lifted", content)
+        previous = self.views.get().crashes
+        crashes = quarantine.CrashRecords.from_items(items_by_name.values())
+        self.views.replace_fields(crashes=crashes)
+        crashes.log_changes(previous)
 
     def _handle_announcement(self, announcement, now):
         upstreams = (self.views.get().upstreams_by_id or {}).values()
@@ -200,9 +185,5 @@
     ).info("upstream changed")
 
 
-def _log_quarantine(event, content):
-    loguru.logger.bind(**{content.kind.value: content.id}).info(event)
-
-
 def _may_retain(upstream):
     return not upstream.is_draining
--- a/sycamorespoke/gateway/_views.py
+++ b/sycamorespoke/gateway/_views.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from sycamorespoke import decisions
-from sycamorespoke.gateway import _crash_records, _model
+from sycamorespoke import quarantine
+from sycamorespoke.gateway import _model
 
 CONFIGURATION = "configuration"
 VERSIONS = "versions"
@@ -34,10 +34,8 @@
         When ``loading`` was received, seconds of the boot clock.
     hosts_by_name : dict of str to Host
         Registered entry hosts.
-    crash_reports : tuple of CrashReport, default=()
-        Reports of all hosts on upstreams that ended.
-    quarantined_by_content : dict of decisions.Content to QuarantinedContent
-        Contents that no host sends to an upstream.
+    crashes : quarantine.CrashRecords
+        Reports of all hosts on upstreams that ended, and contents in quarantine.
     confirmed_s_by_section : dict of str to float
         When the source last confirmed each section, seconds of the boot clock.
     """
@@ -49,10 +47,7 @@
     loading: frozenset[str] = frozenset()
     loading_seen_s: float = float("-inf")
     hosts_by_name: dict[str, _model.Host] = attrs.field(factory=dict)
-    crash_reports: tuple[_crash_records.CrashReport, ...] = ()
-    quarantined_by_content: dict[
-        decisions.Content, _crash_records.QuarantinedContent
-    ] = attrs.field(factory=dict)
+    crashes: quarantine.CrashRecords = attrs.field(factory=quarantine.CrashRecords)
     confirmed_s_by_section: dict[str, float] = attrs.field(factory=dict)
 
     @property
@@ -96,17 +91,6 @@
             and upstream.data_centre not in (self.data_centres_out or ())
         ]
 
-    def find_quarantined(self, contents):
-        """Return the first `QuarantinedContent` of some contents, or ``None``."""
-        for content in contents:
-            if content in self.quarantined_by_content:
-                return self.quarantined_by_content[content]
-        return None
-
-    def count_quarantined(self, kind):
-        """Return the number of quarantined contents of a `decisions.ContentKind`."""
-        return sum(content.kind is kind for content in self.quarantined_by_content)
-
     def is_loading(self, upstream, now):
         """Return whether an engine is announced to load weights at ``now``."""
         is_recent = now - self.loading_seen_s <= LOADING_TIMEOUT_S
@@ -128,6 +112,10 @@
         """Return the current `View`, which later changes do not modify."""
         return self._view
 
+    def is_registered(self, upstream):
+        """Return whether this start of an upstream is registered."""
+        return upstream.boot_id in self._view.list_boot_ids()
+
     def set_configuration(self, configuration):
         """Adopt a configuration unless a newer one is in force.
 
--- a/sycamorespoke/platform/_deployment.py
+++ b/sycamorespoke/platform/_deployment.py
@@ -1,6 +1,6 @@
 """Implementation of `gateway.Deployment` for the platform."""
 
-from sycamorespoke import gateway
+from sycamorespoke import gateway, quarantine
 from sycamorespoke.platform import (
     _block_stores,
     _engines,
@@ -118,4 +118,4 @@
 
 
 def _parse_crash_record(stored, now):
-    return gateway.parse_crash_record(stored.name, stored.spec, now)
+    return quarantine.parse_crash_record(stored.name, stored.spec, now)
--- a/sycamorespoke/quarantine/_monitor.py
+++ b/sycamorespoke/quarantine/_monitor.py
@@ -7,13 +7,14 @@
 import loguru
 
 from sycamorespoke import decisions
-from sycamorespoke.gateway import _connections, _sound_contents
+from sycamorespoke.quarantine import _sound_contents
 
 MAX_PENDING = 200
 # Without a verdict by then the upstream counts as running.
 MAX_PENDING_S = 5.0
 # A connection attempt to a silent upstream takes up to `CONNECT_TIMEOUT_S`.
 MAX_CHECKS_PER_STEP = 4
+CONNECT_TIMEOUT_S = 0.4
 
 
 @attrs.frozen
@@ -31,13 +32,14 @@
 
     Parameters
     ----------
-    views : Views
-        Lists the registered upstreams.
+    is_registered : callable
+        Takes an upstream and returns whether the platform still lists this start of
+        it.
     count_end : callable
         Called with the service of each upstream that has ended.
-    is_listening : callable
-        Takes an upstream and returns whether its process accepts connections;
-        ``None`` if unknown.
+    is_running : callable
+        Takes an upstream and returns whether its process still runs; ``None`` if
+        unknown.
 
     Attributes
     ----------
@@ -45,10 +47,10 @@
         Contents on which a response was completed.
     """
 
-    def __init__(self, views, count_end, is_listening):
-        self.views = views
+    def __init__(self, is_registered, count_end, is_running):
+        self.is_registered = is_registered
         self.count_end = count_end
-        self.is_listening = is_listening
+        self.is_running = is_running
         self.sound_contents = _sound_contents.SoundContents()
         self._lock = threading.Lock()
         self._pending = []
@@ -123,16 +125,13 @@
         for upstream in {
             each.upstream.boot_id: each.upstream for each in pending
         }.values():
-            if not self._is_registered(upstream):
+            if not self.is_registered(upstream):
                 is_running_by_boot[upstream.boot_id] = False
             elif checks < MAX_CHECKS_PER_STEP:
                 checks += 1
-                is_running_by_boot[upstream.boot_id] = self.is_listening(upstream)
+                is_running_by_boot[upstream.boot_id] = self.is_running(upstream)
         return is_running_by_boot
 
-    def _is_registered(self, upstream):
-        return upstream.boot_id in self.views.get().list_boot_ids()
-
     def _log_ends(self, ended):
         requests_by_boot = {}
         for each in ended:
@@ -156,9 +155,8 @@
         ``None`` if there is neither a connection nor a refusal of it.
     """
     host, _, port = upstream.address.rpartition(":")
-    timeout_s = _connections.CONNECT_TIMEOUT_S
     try:
-        socket.create_connection((host, int(port)), timeout_s).close()
+        socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S).close()
     except ConnectionRefusedError:
         return False
     except OSError:
--- a/sycamorespoke/quarantine/_quarantine.py
+++ b/sycamorespoke/quarantine/_quarantine.py
@@ -5,14 +5,13 @@
 """
 
 import collections
-import math
 import secrets
 import threading
 
 import loguru
 
 from sycamorespoke import decisions, serving
-from sycamorespoke.gateway import _crash_records
+from sycamorespoke.quarantine import _records
 
 MIN_INTERVAL_S = 0.25
 # All hosts together write at most this many reports per second.
@@ -26,7 +25,6 @@
 CONTEST_S = 2.0
 MAX_REPORTED_REQUESTS = 100
 REPORT_LIFETIME_S = 600.0
-QUARANTINE_S = 3600.0
 PROCESS_NUMBER_BYTES = 4
 
 
@@ -37,8 +35,9 @@
     ----------
     host : str
         Name of this host.
-    views : Views
-        View with the reports of all hosts.
+    views : object
+        Has ``get()``, whose result has the names of all ``hosts`` and the
+        `CrashRecords` ``crashes``.
     monitor : CrashMonitor
         Observes upstreams that end.
     records : object
@@ -92,7 +91,7 @@
 
     def _handle_lifted(self, view, now):
         """Forget what spoke against contents whose quarantine has ended."""
-        contents = frozenset(view.quarantined_by_content)
+        contents = frozenset(view.crashes.quarantined_by_content)
         lifted = self._quarantined_contents - contents
         self._quarantined_contents = contents
         self._lifted_s_by_content.update(dict.fromkeys(lifted, now))
@@ -101,7 +100,7 @@
     def _list_reported_by_others(self, view):
         """Return the observations of other processes, without lifted contents."""
         reported = []
-        for report in view.crash_reports:
+        for report in view.crashes.reports:
             if report.name == self.report_name:
                 continue
             lifted = {
@@ -121,7 +120,7 @@
         """Return the suspected contents that some host knows as sound."""
         suspected = _list_contents(self._list_broken_requests(view))
         sound_contents = self.monitor.sound_contents.select(suspected, now)
-        for report in view.crash_reports:
+        for report in view.crashes.reports:
             if report.name != self.report_name:
                 sound_contents.update(report.sound_contents)
         return sound_contents
@@ -141,7 +140,7 @@
 
     def _report(self, view, now):
         suspected_by_others = _list_contents(self._list_reported_by_others(view))
-        report = _crash_records.CrashReport(
+        report = _records.CrashReport(
             self.report_name,
             tuple(broken for _, broken in self._broken),
             self._list_known_sound(suspected_by_others, now),
@@ -162,7 +161,7 @@
         suspicion = decisions.find_fatal_content(
             self._list_broken_requests(view),
             sound_contents,
-            view.quarantined_by_content,
+            view.crashes.quarantined_by_content,
         )
         if suspicion is None:
             self._suspected_since_s_by_content.clear()
@@ -174,7 +173,7 @@
         for sound in sound_contents & self._suspected_since_s_by_content.keys():
             del self._suspected_since_s_by_content[sound]
         since_s = self._suspected_since_s_by_content[content]
-        record = _crash_records.make_quarantined_content(content)
+        record = _records.make_quarantined_content(content)
         wait_s = ROUNDS_BEFORE_VERDICT * self._interval_s() + DELIVERY_S
         if suspicion.is_contested:
             wait_s += CONTEST_S
@@ -184,7 +183,7 @@
 
     def _lift_disproved(self, view, now):
         """End the quarantine of contents on which this host saw a whole response."""
-        quarantined = view.quarantined_by_content
+        quarantined = view.crashes.quarantined_by_content
         for content in self.monitor.sound_contents.select(quarantined, now):
             is_lifted = self.records.delete(quarantined[content].name)
             _log_content("quarantine disproved", content, written=is_lifted)
@@ -192,14 +191,14 @@
     def _remove_expired(self, view, now):
         expired = [
             each.name
-            for each in view.crash_reports
+            for each in view.crashes.reports
             if each.name != self.report_name
             and self._is_expired(view, each, REPORT_LIFETIME_S, now)
         ]
         expired += [
             each.name
-            for each in view.quarantined_by_content.values()
-            if self._is_expired(view, each, QUARANTINE_S, now)
+            for each in view.crashes.quarantined_by_content.values()
+            if self._is_expired(view, each, _records.QUARANTINE_S, now)
         ]
         for name in expired:
             self.records.delete(name)
@@ -220,16 +219,3 @@
     """Log an event whose line starts with the kind of the contents."""
     kind = content.kind.value
     loguru.logger.bind(**{kind: content.id}, **fields).info(f"{kind} {event}")
-
-
-def compute_retry_after_s(quarantined, now):
-    """Return after how many seconds a quarantine ends, 1 or more.
-
-    Parameters
-    ----------
-    quarantined : QuarantinedContent
-        The contents.
-    now : float
-        Current time, seconds of the boot clock.
-    """
-    return max(math.ceil(quarantined.seen_s + QUARANTINE_S - now), 1)
--- a/sycamorespoke/quarantine/_records.py
+++ b/sycamorespoke/quarantine/_records.py
@@ -1,12 +1,15 @@
 """Shared objects about contents of requests that end upstreams."""
 
 import hashlib
+import math
 
 import attrs
+import loguru
 import msgspec
 
 from sycamorespoke import decisions
 
+QUARANTINE_S = 3600.0
 # Key of the JSON value of a `QuarantinedContent`, whose value is the ID.
 QUARANTINED_KEY_BY_KIND = {
     decisions.ContentKind.BLOCK: "quarantined",
@@ -93,6 +96,67 @@
         """Return the contents as a JSON value."""
         return {QUARANTINED_KEY_BY_KIND[self.content.kind]: self.content.id}
 
+    def compute_retry_after_s(self, now):
+        """Return after how many seconds the quarantine ends, 1 or more."""
+        return max(math.ceil(self.seen_s + QUARANTINE_S - now), 1)
+
+
+@attrs.frozen
+class CrashRecords:
+    """The shared objects of all hosts, as one host knows them.
+
+    Parameters
+    ----------
+    reports : tuple of CrashReport, default=()
+        Reports on upstreams that ended.
+    quarantined_by_content : dict of decisions.Content to QuarantinedContent
+        Contents that no host sends to an upstream.
+    """
+
+    reports: tuple[CrashReport, ...] = ()
+    quarantined_by_content: dict[decisions.Content, QuarantinedContent] = attrs.field(
+        factory=dict
+    )
+
+    @classmethod
+    def from_items(cls, items):
+        """Sort parsed objects by their kind.
+
+        Parameters
+        ----------
+        items : iterable of CrashReport or QuarantinedContent
+            The objects, as `parse_crash_record` returns them.
+
+        Returns
+        -------
+        CrashRecords
+            All of them.
+        """
+        items = tuple(items)
+        reports = (each for each in items if isinstance(each, CrashReport))
+        quarantined = (each for each in items if isinstance(each, QuarantinedContent))
+        return cls(tuple(reports), {each.content: each for each in quarantined})
+
+    def find_quarantined(self, contents):
+        """Return the first `QuarantinedContent` of some contents, or ``None``."""
+        for content in contents:
+            if content in self.quarantined_by_content:
+                return self.quarantined_by_content[content]
+        return None
+
+    def count_quarantined(self, kind):
+        """Return the number of quarantined contents of a `decisions.ContentKind`."""
+        return sum(content.kind is kind for content in self.quarantined_by_content)
+
+    def log_changes(self, previous):
+        """Log which quarantines began and ended since ``previous`` `CrashRecords`."""
+        before = previous.quarantined_by_content.keys()
+        after = self.quarantined_by_content.keys()
+        for content in after - before:
+            _log_quarantine("quarantine in force", content)
+        for content in before - after:
+            _log_quarantine("quarantine lifted", content)
+
 
 def make_quarantined_content(content):
     """Return the `QuarantinedContent`, with the same name on every host."""
@@ -144,3 +208,7 @@
         each.make_broken_request(now) for each in report.broken_requests
     )
     return CrashReport(name, broken_requests, report.sound_contents, now)
+
+
+def _log_quarantine(event, content):
+    loguru.logger.bind(**{content.kind.value: content.id}).info(event)
--- a/tests/fakes/in_process_gateway.py
+++ b/tests/fakes/in_process_gateway.py
@@ -2,12 +2,11 @@
 
 import http.client
 
-from sycamorespoke import serving, telemetry
+from sycamorespoke import quarantine, serving, telemetry
 from sycamorespoke.gateway import (
     _blocks,
     _chooser,
     _connections,
-    _crash_monitor,
     _gateway,
     _model,
     _peer_loads,
@@ -53,8 +52,8 @@
         self.table = _table.UpstreamTable()
         self.pool = _connections.ConnectionPool()
         self.metrics = telemetry.Metrics()
-        self.crash_monitor = _crash_monitor.CrashMonitor(
-            self.views, lambda service: None, _crash_monitor.is_listening
+        self.crash_monitor = quarantine.CrashMonitor(
+            self.views.is_registered, lambda service: None, quarantine.is_listening
         )
         limits = _chooser.UpstreamLimits(1.5, 5.0, 6.0)
         self.gateway = _gateway.Gateway(
--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -3,8 +3,8 @@
 import attrs
 import pytest
 
-from sycamorespoke import decisions, serving
-from sycamorespoke.gateway import _crash_records, _crash_watch
+from sycamorespoke import decisions, quarantine, serving
+from sycamorespoke.gateway import _crash_watch
 from tests.fakes import scripted_upstream
 
 PROMPT = {"X_Sycamorespoke_Prompt_Prefix": "aa:5,bb:5,own:1"}
@@ -20,7 +20,7 @@
 def list_lost(gateway):
     """Return the kinds and IDs of the contents of each request that was lost."""
     # The check of the upstream is left out.
-    gateway.crash_monitor.is_listening = lambda upstream: False
+    gateway.crash_monitor.is_running = lambda upstream: False
     lost = gateway.crash_monitor.collect(serving.read_clock())
     return [[(one.kind.value, one.id) for one in each.contents] for each in lost]
 
@@ -86,9 +86,10 @@
     """Put the request that was lost into quarantine."""
     (((_, fingerprint),),) = list_lost(gateway)
     content = decisions.Content(REQUEST, fingerprint)
-    record = _crash_records.make_quarantined_content(content)
+    record = quarantine.make_quarantined_content(content)
     record = attrs.evolve(record, seen_s=serving.read_clock())
-    gateway.views.replace_fields(quarantined_by_content={content: record})
+    crashes = quarantine.CrashRecords.from_items([record])
+    gateway.views.replace_fields(crashes=crashes)
 
 
 @pytest.mark.parametrize("path", PATHS)
--- a/tests/gateway/test_quarantined_prompts.py
+++ b/tests/gateway/test_quarantined_prompts.py
@@ -3,8 +3,7 @@
 import attrs
 import pytest
 
-from sycamorespoke import decisions, serving
-from sycamorespoke.gateway import _crash_records
+from sycamorespoke import decisions, quarantine, serving
 from tests.fakes import scripted_upstream
 
 
@@ -12,17 +11,18 @@
     return decisions.Content(decisions.ContentKind.BLOCK, block_id)
 
 
-def quarantine(gateway, content):
+def put_into_quarantine(gateway, content):
     """Put contents into the quarantine of a gateway."""
-    record = _crash_records.make_quarantined_content(content)
+    record = quarantine.make_quarantined_content(content)
     record = attrs.evolve(record, seen_s=serving.read_clock())
-    gateway.views.replace_fields(quarantined_by_content={content: record})
+    crashes = quarantine.CrashRecords.from_items([record])
+    gateway.views.replace_fields(crashes=crashes)
 
 
 def start_with_quarantined_block(harness, handle):
     upstream = harness.start_upstream(handle)
     gateway = harness.start_gateway([upstream])
-    quarantine(gateway, make_block("bad"))
+    put_into_quarantine(gateway, make_block("bad"))
     return gateway, upstream
 
 
@@ -49,7 +49,7 @@
 
     def break_off(request):
         requests.append(request)
-        quarantine(gateway, make_block("bad"))
+        put_into_quarantine(gateway, make_block("bad"))
         scripted_upstream.start_stream(request)
         scripted_upstream.abort(request)
 
--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -10,7 +10,8 @@
 from sycamorespoke import clients, domain
 from sycamorespoke.clients import _block_checks
 from sycamorespoke.decisions import _crash_attribution
-from sycamorespoke.gateway import _crash_watch, _quarantine, _stream_body, _table
+from sycamorespoke.gateway import _crash_watch, _stream_body, _table
+from sycamorespoke.quarantine import _quarantine
 from tests import mechanisms_off_run_once
 
 _chain_block_keys = domain.chain_block_keys
--- a/tests/quarantine/test_monitor.py
+++ b/tests/quarantine/test_monitor.py
@@ -1,7 +1,8 @@
 """Requests that were lost, and whether their upstream has ended."""
 
 from sycamorespoke import decisions
-from sycamorespoke.gateway import _crash_monitor, _model, _views
+from sycamorespoke.gateway import _model, _views
+from sycamorespoke.quarantine import _monitor
 
 UPSTREAM = _model.Upstream("i-1", 1, "s", "127.0.0.1:1", "dc-1")
 
@@ -20,8 +21,8 @@
         self.ended_services = []
         self.views = _views.Views()
         self.views.replace_fields(upstreams_by_id={UPSTREAM.id: UPSTREAM})
-        self.monitor = _crash_monitor.CrashMonitor(
-            self.views, self.ended_services.append, self.check
+        self.monitor = _monitor.CrashMonitor(
+            self.views.is_registered, self.ended_services.append, self.check
         )
 
     def check(self, upstream):
@@ -64,7 +65,7 @@
 def test_silent_upstream_that_stays_registered_is_given_up():
     harness = MonitorHarness(running=None)
     harness.record_lost("own", "a")
-    assert harness.collect_blocks(_crash_monitor.MAX_PENDING_S + 0.1) == []
+    assert harness.collect_blocks(_monitor.MAX_PENDING_S + 0.1) == []
     assert harness.checks == 0
 
 
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -1,22 +1,15 @@
 """Quarantine of contents that end upstreams, decided by several hosts together."""
 
-import collections
-
 import pytest
 
 from sycamorespoke import decisions
-from sycamorespoke.gateway import (
-    _crash_monitor,
-    _crash_records,
-    _model,
-    _quarantine,
-    _views,
-)
+from sycamorespoke.gateway import _model, _views
+from sycamorespoke.quarantine import _monitor, _quarantine, _records
 
 STEP_S = _quarantine.MIN_INTERVAL_S
 # Reports, the wait before the verdict and the turns of the hosts that write it.
 VERDICT_S = 4.0
-QUARANTINED_KEYS = set(_crash_records.QUARANTINED_KEY_BY_KIND.values())
+QUARANTINED_KEYS = set(_records.QUARANTINED_KEY_BY_KIND.values())
 
 
 def make_prompt(*block_ids):
@@ -67,15 +60,8 @@
             if self.seen_s_by_name[name] is None:
                 self.seen_s_by_name[name] = now
             seen_s = self.seen_s_by_name[name]
-            items.append(_crash_records.parse_crash_record(name, value, seen_s))
-        by_type = collections.defaultdict(list)
-        for item in items:
-            by_type[type(item)].append(item)
-        quarantined = by_type[_crash_records.QuarantinedContent]
-        views.replace_fields(
-            crash_reports=tuple(by_type[_crash_records.CrashReport]),
-            quarantined_by_content={each.content: each for each in quarantined},
-        )
+            items.append(_records.parse_crash_record(name, value, seen_s))
+        views.replace_fields(crashes=_records.CrashRecords.from_items(items))
 
 
 class Hosts:
@@ -97,8 +83,10 @@
         """Start a host, or another process of it."""
         views = _views.Views()
         views.replace_fields(hosts_by_name=self.hosts_by_name, upstreams_by_id={})
-        monitor = _crash_monitor.CrashMonitor(
-            views, lambda service: None, lambda upstream: upstream.id in self.running
+        monitor = _monitor.CrashMonitor(
+            views.is_registered,
+            lambda service: None,
+            lambda upstream: upstream.id in self.running,
         )
         self.by_name[name] = _quarantine.Quarantine(name, views, monitor, self.records)
 
@@ -132,7 +120,7 @@
     def list_quarantined(self):
         self.run(STEP_S)
         return {
-            frozenset(one.id for one in each.views.get().quarantined_by_content)
+            frozenset(one.id for one in each.views.get().crashes.quarantined_by_content)
             for each in self.by_name.values()
         }
 
@@ -251,7 +239,7 @@
     hosts.start("h0")
     hosts.run(_quarantine.REPORT_LIFETIME_S + 5.0)
     assert len(hosts.records.values_by_name) == 1
-    hosts.now += _quarantine.QUARANTINE_S
+    hosts.now += _records.QUARANTINE_S
     hosts.run(5.0)
     assert hosts.list_quarantined() == {frozenset()}
     assert hosts.records.values_by_name == {}
@@ -265,21 +253,21 @@
 
 
 def test_retry_after_of_a_quarantined_prompt_is_when_the_quarantine_ends():
-    block = _crash_records.QuarantinedContent("n", make_plain("bad")[0], seen_s=10.0)
-    ends_s = 10.0 + _quarantine.QUARANTINE_S
-    assert _quarantine.compute_retry_after_s(block, ends_s - 7.5) == 8
-    assert _quarantine.compute_retry_after_s(block, ends_s + 7.5) == 1
+    block = _records.QuarantinedContent("n", make_plain("bad")[0], seen_s=10.0)
+    ends_s = 10.0 + _records.QUARANTINE_S
+    assert block.compute_retry_after_s(ends_s - 7.5) == 8
+    assert block.compute_retry_after_s(ends_s + 7.5) == 1
 
 
 def test_report_is_read_back_as_it_was_written():
     contents = make_prompt("a", "b", "own")
     broken = decisions.BrokenRequest("i-1@5", "p", contents, lost_s=4.0)
     sound = make_prompt("c", "own")
-    report = _crash_records.CrashReport("h0.1", (broken,), sound, seen_s=7.0)
-    parsed = _crash_records.parse_crash_record("h0.1", report.to_value(7.0), 7.0)
+    report = _records.CrashReport("h0.1", (broken,), sound, seen_s=7.0)
+    parsed = _records.parse_crash_record("h0.1", report.to_value(7.0), 7.0)
     assert parsed == report
     # Another host has another clock.
-    parsed = _crash_records.parse_crash_record("h0.1", report.to_value(7.0), 107.0)
+    parsed = _records.parse_crash_record("h0.1", report.to_value(7.0), 107.0)
     assert parsed.broken_requests[0].lost_s == 104.0
 
 
@@ -288,7 +276,7 @@
 )
 def test_malformed_record_is_rejected(value):
     with pytest.raises(ValueError, match="not a crash record"):
-        _crash_records.parse_crash_record("n", value, 0.0)
+        _records.parse_crash_record("n", value, 0.0)
 
 
 def test_block_whose_quarantine_an_operator_ended_needs_new_losses():
@@ -300,7 +288,7 @@
     hosts.start("h0")
     hosts.run(STEP_S)
     block = decisions.Content(decisions.ContentKind.BLOCK, "bad")
-    hosts.records.delete(_crash_records.make_quarantined_content(block).name)
+    hosts.records.delete(_records.make_quarantined_content(block).name)
     hosts.run(VERDICT_S)
     assert hosts.list_quarantined() == {frozenset()}
     for n in range(2):
@@ -437,5 +425,5 @@
         hosts.end_upstream(f"i-{n}", {f"h{n}": make_prompt("bad", f"own{n}")})
     hosts.run(VERDICT_S)
     for name in hosts.by_name.keys() - cut_off:
-        quarantined = hosts.by_name[name].views.get().quarantined_by_content
+        quarantined = hosts.by_name[name].views.get().crashes.quarantined_by_content
         assert {each.id for each in quarantined} == {"bad"}
