Entry hosts: requests and blocks that end upstreams go into quarantine

What callers see: a request that ends each upstream which runs it, or a prompt with a block that does, comes again at any entry host, and upstream after upstream ends. The callers beside it get 502 and 503 while their upstreams are down.

Ruled out: retries as the cause (bookings are sent once and reach 9 upstreams too).

Change: entry hosts use the package quarantine. Each attempt asks before it is sent: a plain service's through WatchedServiceClient, a completion's in the relay, both also before admission. An engine has ended if nothing listens or its report has another boot ID. Plain services have no boot IDs here: ends of one upstream in different moments are ends of different starts (decisions, has_boot_id). The stand-ins of the scenario now close their listener, as a process that ends does; with the connections only closed (before), the upstream would count as running.

Sound requests beside it are served.

Beside it: Usage and ServiceAttempts are modules of their own.

--- a/scenarios/deployment.py
+++ b/scenarios/deployment.py
@@ -276,8 +276,22 @@
             retries=False,
         )
 
+    def end_upstream(self, name):
+        """Close the listener and all connections of an upstream, as its end does."""
+        self.handles_by_name[name].close()
+
+    def restart_upstream(self, name):
+        """Start an upstream that has ended anew, at its former address."""
+        ended = self.handles_by_name[name]
+        ended.standin.set_faults({"turn_cold": True})
+        ended.standin.set_faults({})
+        self.handles_by_name[name] = standins.run_in_thread(
+            ended.standin, ended.address
+        )
+
     def _add_upstream(self, name, data_centre, group, standin):
-        handle = standins.run_in_thread(standin)
+        listen = f"127.0.0.1:{free_ports.choose_free_port()}"
+        handle = standins.run_in_thread(standin, listen)
         self.handles_by_name[name] = handle
         self.upstreams_by_name[name] = domain.Host(
             name=name,
--- a/sycamorespoke/clients/_service.py
+++ b/sycamorespoke/clients/_service.py
@@ -28,6 +28,7 @@
         "x-request-id",
     )
 )
+FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 _TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _PATH = re.compile(r"/[!-~]*")
 _HEADER_TEXT = re.compile(r"[\t -~\x80-\xff]*")
@@ -45,11 +46,20 @@
         Headers without the hop-by-hop headers.
     body : bytes
         Complete body, still encoded as its ``Content-Encoding`` says.
+    has_framing : bool, default=True
+        Whether the response stated its length or came in chunks. Without that, a
+        connection that broke may have cut it.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    has_framing: bool = True
+
+    @property
+    def is_success(self):
+        """Whether the status is one of success."""
+        return 200 <= self.status < 300
 
 
 class ServiceClient:
@@ -205,7 +215,8 @@
         for name, text in response.headers.items()
         if name.lower() not in HOP_BY_HOP_HEADERS
     )
-    return ServiceResponse(response.status, headers, bytes(body))
+    has_framing = not FRAMING_HEADERS.isdisjoint(map(str.lower, response.headers))
+    return ServiceResponse(response.status, headers, bytes(body), has_framing)
 
 
 def _select_headers(headers, request_id):
--- a/sycamorespoke/decisions/_crash_attribution.py
+++ b/sycamorespoke/decisions/_crash_attribution.py
@@ -4,6 +4,7 @@
 that ended it is the only one on which no response is ever completed.
 """
 
+import collections
 import enum
 
 import attrs
@@ -49,7 +50,7 @@
     Parameters
     ----------
     upstream : str
-        Boot ID of the upstream that ended.
+        Boot ID of the upstream that ended, or its name.
     request : str
         Fingerprint of the request, equal for one that is sent again.
     contents : tuple of Content
@@ -57,12 +58,16 @@
         blocks in order, the request itself last.
     lost_s : float
         When its connection broke, seconds of the boot clock of the host that decides.
+    has_boot_id : bool, default=True
+        Whether ``upstream`` is a boot ID. Under a name, losses in different moments
+        belong to different starts of the upstream.
     """
 
     upstream: str
     request: str
     contents: tuple[Content, ...]
     lost_s: float
+    has_boot_id: bool = True
 
 
 @attrs.frozen
@@ -150,7 +155,7 @@
     >>> find_fatal_content(broken, set(), {bad}) is None
     True
     """
-    broken_requests = list(broken_requests)
+    broken_requests = _distinguish_starts(broken_requests)
     explained = {
         each.upstream
         for each in broken_requests
@@ -192,6 +197,24 @@
     return [broken for broken in remaining if broken.contents]
 
 
+def _distinguish_starts(broken_requests):
+    """Replace the names of upstreams without boot IDs by those of their starts."""
+    begun_s_by_upstream = {}
+    counts_by_upstream = collections.Counter()
+    numbered = []
+    for broken in sorted(broken_requests, key=lambda each: each.lost_s):
+        if broken.has_boot_id:
+            numbered.append(broken)
+            continue
+        name = broken.upstream
+        if broken.lost_s - begun_s_by_upstream.get(name, float("-inf")) > MOMENT_S:
+            begun_s_by_upstream[name] = broken.lost_s
+            counts_by_upstream[name] += 1
+        start = f"{name} {counts_by_upstream[name]}"
+        numbered.append(attrs.evolve(broken, upstream=start))
+    return numbered
+
+
 def _add_evidence(evidence_by_content, broken, sound_contents):
     for position, content in enumerate(broken.contents):
         if content in sound_contents:
--- a/sycamorespoke/entry/_attempt.py
+++ b/sycamorespoke/entry/_attempt.py
@@ -29,6 +29,7 @@
         self.sent_s = sent_s
         self.messages = iter(())
         self.queue_delay_s = None
+        self._started_boot_id = None
         self._stream = None
         self._is_awaiting_first_token = True
         cached_tokens = cached_blocks * domain.BLOCK_TOKENS
@@ -56,6 +57,7 @@
 
     def record_started(self, table, started):
         """Record the first line of the stream in the table."""
+        self._started_boot_id = started.boot_id
         table.record_started(self.candidate.host.name, started, self.request.block_keys)
 
     def record_token(self, table):
@@ -68,6 +70,16 @@
             self.candidate.host.name, self._uncached_tokens, self.request.block_keys
         )
 
+    def record_lost(self, table, crash_watch):
+        """Record that the connection broke, so that the engine may have ended."""
+        host = self.candidate.host
+        if self._started_boot_id is None:
+            # The request may have waited, and its prompt not been processed.
+            crash_watch.record_lost(host, table.get_boot_id(host.name))
+        else:
+            keys = self.request.block_keys
+            crash_watch.record_lost(host, self._started_boot_id, keys)
+
     def finish(self, table, completed_s):
         """Close the stream and record the end of the attempt in the table.
 
--- a/sycamorespoke/entry/_completions.py
+++ b/sycamorespoke/entry/_completions.py
@@ -25,15 +25,27 @@
         Concurrency limits and fair queue of the client accounts.
     metrics : telemetry.Metrics
         Metrics of the daemon.
+    crash_guard : CrashGuard
+        Refuses prompts and requests that end engines.
     """
 
-    def __init__(self, engine_client, pump, chooser, table, admission_control, metrics):
+    def __init__(
+        self,
+        engine_client,
+        pump,
+        chooser,
+        table,
+        admission_control,
+        metrics,
+        crash_guard,
+    ):
         self.engine_client = engine_client
         self.pump = pump
         self.chooser = chooser
         self.table = table
         self.admission_control = admission_control
         self.metrics = metrics
+        self.crash_guard = crash_guard
 
     def handle(self, request, account, view, start_response):
         """Serve one request.
@@ -60,14 +72,28 @@
         route = find_model_route(view.configuration, completion.model)
         if isinstance(route, domain.Refusal):
             return route
+        build_request = _make_request_builder(request, account, completion)
+        crash_watch = self.crash_guard.watch_completion(request, account)
+        quarantined = self._find_quarantine_refusal(crash_watch, build_request, route)
+        if quarantined is not None:
+            return quarantined
         deadline_s = request.compute_deadline(route.deadline_s)
         admitted = _admitted_request.AdmittedRequest.admit(
             self.admission_control, account, route, deadline_s, time.monotonic()
         )
         if isinstance(admitted, domain.Refusal):
             return admitted
-        relay = self._make_relay(
-            request, account, view, completion, route, deadline_s, admitted
+        relay = _relay.CompletionRelay(
+            self.engine_client,
+            self.pump,
+            self.chooser,
+            self.table,
+            build_request,
+            route,
+            deadline_s,
+            admitted,
+            view.configuration.limits.queue_wait_s,
+            crash_watch,
         )
         opened = domain.Refusal(domain.ErrorKind.INTERNAL, "the relay failed")
         try:
@@ -83,35 +109,11 @@
         )
         return response.respond(start_response)
 
-    def _make_relay(
-        self, request, account, view, completion, route, deadline_s, admitted
-    ):
-        def build_request(version):
-            chain = domain.chain_block_keys(
-                account.name, completion.model, version, completion.prompt
-            )
-            return clients.GenerationRequest(
-                request_id=request.request_id,
-                account=account.name,
-                model=completion.model,
-                version=version,
-                prompt=completion.prompt,
-                block_keys=chain.keys,
-                max_tokens=completion.max_tokens,
-                priority=account.priority,
-            )
-
-        return _relay.CompletionRelay(
-            self.engine_client,
-            self.pump,
-            self.chooser,
-            self.table,
-            build_request,
-            route,
-            deadline_s,
-            admitted,
-            view.configuration.limits.queue_wait_s,
-        )
+    def _find_quarantine_refusal(self, crash_watch, build_request, route):
+        if not crash_watch.has_quarantine():
+            return None
+        version = self.chooser.get_target_version(route.group)
+        return crash_watch.find_refusal(build_request(version).block_keys)
 
 
 class CompletionResponse:
@@ -220,6 +222,7 @@
             revision=self.handler.chooser.get_view().configuration.revision,
             error_kind=outcome.kind.value if refused else None,
             attempts=self.relay.attempts,
+            fingerprint=self.relay.crash_watch.fingerprint,
             prompt_tokens=usage.prompt_tokens,
             cached_tokens=usage.cached_tokens,
             completion_tokens=usage.completion_tokens,
@@ -247,3 +250,24 @@
         if route.model and route.model == model:
             return route
     return domain.Refusal(domain.ErrorKind.NO_ROUTE, f"no route serves model {model!r}")
+
+
+def _make_request_builder(request, account, completion):
+    """Return a function that makes the request to an engine for a weight version."""
+
+    def build_request(version):
+        chain = domain.chain_block_keys(
+            account.name, completion.model, version, completion.prompt
+        )
+        return clients.GenerationRequest(
+            request_id=request.request_id,
+            account=account.name,
+            model=completion.model,
+            version=version,
+            prompt=completion.prompt,
+            block_keys=chain.keys,
+            max_tokens=completion.max_tokens,
+            priority=account.priority,
+        )
+
+    return build_request
--- a/sycamorespoke/entry/_program.py
+++ b/sycamorespoke/entry/_program.py
@@ -28,6 +28,7 @@
     _blocks,
     _chooser,
     _completions,
+    _crash_watch,
     _drain,
     _monitor,
     _permits,
@@ -83,6 +84,13 @@
             self._get_view,
             self.table,
         )
+        self.crash_guard = _crash_watch.CrashGuard(
+            entry_settings.name,
+            self.platform_client,
+            self.engine_client,
+            self._get_view,
+            self.metrics,
+        )
         self.chooser = _chooser.Chooser(
             entry_settings.data_centre,
             self._get_view,
@@ -108,6 +116,7 @@
         self.pump.start()
         self.transfers.start()
         self.permits.start()
+        self.crash_guard.start()
         self.server.start()
         loguru.logger.bind(listen=self.settings.listen).info("entry started")
 
@@ -138,6 +147,12 @@
         self._set_upstreams(view)
         self._configure_transfers(view, time.monotonic())
         self.metrics.gauge("calls_running", self.drain.count_running())
+        self._set_quarantine_gauges()
+
+    def _set_quarantine_gauges(self):
+        for kind in decisions.ContentKind:
+            count = self.crash_guard.objects.crashes.count_quarantined(kind)
+            self.metrics.gauge(f"quarantined_{kind.value}s", count)
 
     def apply_configuration(self, view):
         """Apply a configuration to admission before a request is admitted with it.
@@ -177,6 +192,7 @@
         self.claims.stop()
         self.pump.stop()
         self.permits.stop()
+        self.crash_guard.stop()
         self.transfers.close()
         self.monitors.stop()
         self.member.stop()
@@ -229,6 +245,7 @@
             self.table,
             self.admission,
             self.metrics,
+            self.crash_guard,
         )
         services = _services.ServiceHandler(
             clients.ServiceClient(),
@@ -237,6 +254,7 @@
             self.table,
             self.admission,
             self.metrics,
+            self.crash_guard,
         )
         return _application.Application(
             self.settings.data_centre,
@@ -272,6 +290,7 @@
             "transfers": attrs.asdict(self.transfers.stats(now)),
             "shards_held": self.permits.issuer.shards(),
             "claims": attrs.asdict(self.claims.stats()),
+            "quarantined": self.crash_guard.dump(),
         }
 
 
--- a/sycamorespoke/entry/_relay.py
+++ b/sycamorespoke/entry/_relay.py
@@ -3,10 +3,8 @@
 import time
 import uuid
 
-import attrs
-
 from sycamorespoke import clients, decisions, domain, relay
-from sycamorespoke.entry import _attempt
+from sycamorespoke.entry import _attempt, _usage
 
 WAIT_POLL_INTERVAL_S = 0.05
 WAITABLE_KINDS = frozenset(
@@ -14,34 +12,6 @@
 )
 
 
-@attrs.frozen
-class Usage:
-    """Token usage of a completion.
-
-    Parameters
-    ----------
-    prompt_tokens : int
-        Tokens of the prompt.
-    cached_tokens : int
-        Prompt tokens that were served from the cache.
-    completion_tokens : int
-        Generated tokens.
-    """
-
-    prompt_tokens: int
-    cached_tokens: int
-    completion_tokens: int
-
-    def as_json(self):
-        """Return the usage as JSON values of the completions protocol."""
-        return {
-            "prompt_tokens": self.prompt_tokens,
-            "completion_tokens": self.completion_tokens,
-            "total_tokens": self.prompt_tokens + self.completion_tokens,
-            "prompt_tokens_details": {"cached_tokens": self.cached_tokens},
-        }
-
-
 class CompletionRelay:
     """Relays one completion from one or more engines, one attempt after another.
 
@@ -66,6 +36,8 @@
     wait_s : float
         Maximum wait while no upstream has loaded the weight version or all are
         at their limit, in seconds.
+    crash_watch : CrashWatch
+        Checks whether the request ends engines.
 
     Notes
     -----
@@ -85,6 +57,7 @@
         deadline_s,
         admitted,
         wait_s,
+        crash_watch,
     ):
         self.engine_client = engine_client
         self.pump = pump
@@ -95,6 +68,7 @@
         self.deadline_s = deadline_s
         self.admitted = admitted
         self.wait_s = wait_s
+        self.crash_watch = crash_watch
         self.attempts = 0
         self.started = None
         self.request = None
@@ -149,6 +123,7 @@
         while True:
             last = self._attempt.forward(self.pump, write, self.deadline_s)
             if isinstance(last, clients.Done):
+                self.crash_watch.record_whole(self.request.block_keys)
                 self._export_blocks(time.monotonic())
                 self._finish_attempt(time.monotonic(), last)
                 return last
@@ -176,7 +151,7 @@
         Usage
             Completion tokens of all attempts; cached tokens of the first.
         """
-        return Usage(
+        return _usage.Usage(
             self.started.prompt_tokens,
             self.started.cached_tokens,
             len(self._emitted_texts),
@@ -197,6 +172,8 @@
                 domain.ErrorKind.DEADLINE_AFTER_SEND, "the deadline passed"
             )
         host = self._attempt.candidate.host
+        if isinstance(failure, clients.Incomplete):
+            self._attempt.record_lost(self.table, self.crash_watch)
         refusal = domain.Refusal(
             domain.ErrorKind.UPSTREAM_LOST, f"incomplete answer: {failure.reason}"
         )
@@ -229,6 +206,9 @@
         request = clients.replace_request_id(
             self._build_next_request(), uuid.uuid4().hex
         )
+        quarantined = self.crash_watch.find_refusal(request.block_keys)
+        if quarantined is not None:
+            return quarantined
         choice = self.chooser.choose(
             request,
             self.route.group,
@@ -284,6 +264,8 @@
         if isinstance(stream, domain.Refusal):
             if stream.kind is not domain.ErrorKind.UPSTREAM_REFUSED:
                 self.table.record_broken_connection(host.name)
+            if stream.kind is domain.ErrorKind.UPSTREAM_LOST:
+                self._attempt.record_lost(self.table, self.crash_watch)
             return stream
         self._attempt.attach_stream(stream)
         first = next(self._attempt.messages)
@@ -291,6 +273,7 @@
             self._attempt.record_started(self.table, first)
             return first
         self.table.record_broken_connection(host.name)
+        self._attempt.record_lost(self.table, self.crash_watch)
         return domain.Refusal(
             domain.ErrorKind.UPSTREAM_LOST, "the upstream's response has no first line"
         )
--- a/sycamorespoke/entry/_services.py
+++ b/sycamorespoke/entry/_services.py
@@ -6,7 +6,7 @@
 import loguru
 
 from sycamorespoke import claims, decisions, domain
-from sycamorespoke.entry import _admitted_request, _responses
+from sycamorespoke.entry import _admitted_request, _responses, _service_attempts
 
 PRIVATE_HEADERS = frozenset({"authorization", "x-deadline-s"})
 
@@ -28,10 +28,19 @@
         Concurrency limits and fair queue of the client accounts.
     metrics : telemetry.Metrics
         Metrics of the daemon.
+    crash_guard : CrashGuard
+        Refuses requests that end upstreams.
     """
 
     def __init__(
-        self, service_client, claim_client, chooser, table, admission_control, metrics
+        self,
+        service_client,
+        claim_client,
+        chooser,
+        table,
+        admission_control,
+        metrics,
+        crash_guard,
     ):
         self.service_client = service_client
         self.claim_client = claim_client
@@ -39,6 +48,7 @@
         self.table = table
         self.admission_control = admission_control
         self.metrics = metrics
+        self.crash_guard = crash_guard
 
     def handle(self, request, account, view, start_response):
         """Serve one request.
@@ -62,62 +72,51 @@
         route = find_service_route(view.configuration, request.method, request.path)
         if isinstance(route, domain.Refusal):
             return route
+        service_client = self.crash_guard.watch_service_request(
+            request, account, self.service_client
+        )
+        quarantined = service_client.find_refusal()
+        if quarantined is not None:
+            return quarantined
         deadline_s = request.compute_deadline(route.deadline_s)
         admitted = _admitted_request.AdmittedRequest.admit(
             self.admission_control, account, route, deadline_s, time.monotonic()
         )
         if isinstance(admitted, domain.Refusal):
             return admitted
-        attempts = ServiceAttempts(self, route, admitted)
+        attempts = _service_attempts.ServiceAttempts(self, route, admitted)
         result = domain.Refusal(domain.ErrorKind.INTERNAL, "the request failed")
         try:
-            result = self._send(request, account, view, route, deadline_s, attempts)
+            result = self._send(
+                service_client, request, account, view, route, deadline_s, attempts
+            )
         finally:
             attempts.finish(result)
-        self._log(request, account, attempts, result)
+        fingerprint = service_client.watch.fingerprint
+        self._log(request, account, attempts, fingerprint, result)
         if isinstance(result, domain.Refusal):
             return result
         return _send_response(start_response, result, request.request_id)
 
-    def _send(self, request, account, view, route, deadline_s, attempts):
+    def _send(
+        self, service_client, request, account, view, route, deadline_s, attempts
+    ):
         contract = view.configuration.groups_by_name[route.group].contract
         service_request = make_service_request(request, account, route, contract)
         if route.idempotent:
-            return self._send_idempotent(service_request, deadline_s, attempts)
+            return _send_idempotent(
+                service_client, service_request, deadline_s, attempts
+            )
         return claims.run_once(
             self.claim_client,
-            self.service_client,
+            service_client,
             service_request,
             attempts.iterate_hosts(),
             deadline_s,
             time.time(),
         )
 
-    def _send_idempotent(self, service_request, deadline_s, attempts):
-        result = domain.Refusal(
-            domain.ErrorKind.NO_UPSTREAM, "no upstream is available"
-        )
-        combined = None
-        for host in attempts.iterate_hosts():
-            result = self.service_client.send(
-                host,
-                service_request.method,
-                service_request.path,
-                service_request.headers,
-                service_request.body,
-                deadline_s - time.monotonic(),
-                service_request.request_id,
-                is_idempotent=True,
-                echoes_request_id=service_request.echoes_request_id,
-            )
-            if not isinstance(result, domain.Refusal):
-                return result
-            combined = decisions.combine_refusals(combined, result)
-            if not attempts.may_retry(result):
-                return combined
-        return combined or result
-
-    def _log(self, request, account, attempts, result):
+    def _log(self, request, account, attempts, fingerprint, result):
         refused = isinstance(result, domain.Refusal)
         loguru.logger.bind(
             request_id=request.request_id,
@@ -127,86 +126,11 @@
             error_kind=result.kind.value if refused else None,
             status=None if refused else result.status,
             attempts=attempts.count,
+            fingerprint=fingerprint,
             duration_s=round(time.monotonic() - request.arrived_s, 4),
         ).info("service call ended")
 
 
-class ServiceAttempts:
-    """The attempts of one request, counted by admission and in the table.
-
-    Parameters
-    ----------
-    handler : ServiceHandler
-        Handler whose collaborators are used.
-    route : domain.Route
-        Route of the request.
-    admitted : AdmittedRequest
-        The admitted request.
-    """
-
-    def __init__(self, handler, route, admitted):
-        self.handler = handler
-        self.route = route
-        self.admitted = admitted
-        self.count = 0
-        self._host = None
-        self._sent_s = 0.0
-
-    def iterate_hosts(self):
-        """Iterate over the upstreams to try, and count an attempt at each.
-
-        Yields
-        ------
-        domain.Host
-            Next upstream. It is requested only after the previous attempt failed.
-        """
-        excluded = set()
-        while self.count <= self.route.retries:
-            now = time.monotonic()
-            choice = self.handler.chooser.choose_service(
-                self.route.group, excluded, self.admitted.free_names(), now
-            )
-            if isinstance(choice, domain.Refusal):
-                return
-            excluded.add(choice.host.name)
-            if not self.admitted.begin_attempt(choice.host.name):
-                continue
-            self.count += 1
-            self._host = choice.host
-            self._sent_s = now
-            self.handler.table.record_sent(choice.host.name, 0)
-            yield choice.host
-            unreachable = domain.Refusal(
-                domain.ErrorKind.UPSTREAM_UNREACHABLE,
-                "the attempt failed and another upstream is tried",
-            )
-            self._finish_attempt(unreachable)
-
-    def may_retry(self, result):
-        """Return whether an idempotent request is retried after a refusal.
-
-        A retry is taken from the retry budget.
-        """
-        if result.kind not in decisions.RETRYABLE_KINDS:
-            return False
-        return self.count <= self.route.retries and self.admitted.acquire_retry()
-
-    def finish(self, result):
-        """Count the last attempt as ended and release the slot."""
-        delay_s = time.monotonic() - self._sent_s
-        self._finish_attempt(result)
-        self.admitted.release(result, delay_s if self.count else None)
-
-    def _finish_attempt(self, result):
-        if self._host is None:
-            return
-        has_response = not isinstance(result, domain.Refusal)
-        duration_s = time.monotonic() - self._sent_s if has_response else None
-        self.handler.table.record_finished(self._host.name, duration_s)
-        self.admitted.end_attempt(result, duration_s)
-        self._host = None
-
-
 def find_service_route(configuration, method, path):
     """Find the route that serves a request to a plain service.
 
@@ -273,6 +197,29 @@
     )
 
 
+def _send_idempotent(service_client, service_request, deadline_s, attempts):
+    result = domain.Refusal(domain.ErrorKind.NO_UPSTREAM, "no upstream is available")
+    combined = None
+    for host in attempts.iterate_hosts():
+        result = service_client.send(
+            host,
+            service_request.method,
+            service_request.path,
+            service_request.headers,
+            service_request.body,
+            deadline_s - time.monotonic(),
+            service_request.request_id,
+            is_idempotent=True,
+            echoes_request_id=service_request.echoes_request_id,
+        )
+        if not isinstance(result, domain.Refusal):
+            return result
+        combined = decisions.combine_refusals(combined, result)
+        if not attempts.may_retry(result):
+            return combined
+    return combined or result
+
+
 def _matches(route, method, path):
     if route.methods and method not in route.methods:
         return False
--- a/sycamorespoke/entry/_upstreams.py
+++ b/sycamorespoke/entry/_upstreams.py
@@ -124,6 +124,11 @@
             record = self._records_by_name[name]
             return record.boot_id if record.is_warm() else ""
 
+    def get_boot_id(self, name):
+        """Return the boot ID last seen of an upstream, else ``""``."""
+        with self._lock:
+            return self._records_by_name[name].boot_id
+
     def get_report(self, name):
         """Return the latest load report of an upstream, or ``None``."""
         with self._lock:
--- a/sycamorespoke/gateway/_crash_watch.py
+++ b/sycamorespoke/gateway/_crash_watch.py
@@ -5,17 +5,6 @@
 from sycamorespoke import decisions, domain
 from sycamorespoke.gateway import _fingerprint, _requests
 
-_REFUSALS_BY_KIND = {
-    decisions.ContentKind.BLOCK: (
-        domain.ErrorKind.PROMPT_QUARANTINED,
-        "a block of the prompt has ended upstreams",
-    ),
-    decisions.ContentKind.REQUEST: (
-        domain.ErrorKind.REQUEST_QUARANTINED,
-        "the request has ended upstreams",
-    ),
-}
-
 
 class CrashWatch:
     """Checks and reports the contents of one request.
@@ -46,10 +35,7 @@
             return None
         contents = self._list_contents(with_blocks=True)
         quarantined = view.crashes.find_quarantined(contents)
-        if quarantined is None:
-            return None
-        kind, reason = _REFUSALS_BY_KIND[quarantined.content.kind]
-        return domain.Refusal(kind, reason, quarantined.compute_retry_after_s(now))
+        return quarantined.make_refusal(now) if quarantined is not None else None
 
     def record_whole(self, head, now):
         """Record a complete response with a head, which shows the contents sound."""
--- a/sycamorespoke/quarantine/__init__.py
+++ b/sycamorespoke/quarantine/__init__.py
@@ -4,6 +4,7 @@
 and all hosts together decide which contents are the cause (`Quarantine`).
 """
 
+from sycamorespoke.quarantine._fingerprint import compute_fingerprint
 from sycamorespoke.quarantine._monitor import CrashMonitor, is_listening
 from sycamorespoke.quarantine._quarantine import Quarantine
 from sycamorespoke.quarantine._records import (
@@ -20,6 +21,7 @@
     "CrashReport",
     "Quarantine",
     "QuarantinedContent",
+    "compute_fingerprint",
     "is_listening",
     "make_quarantined_content",
     "parse_crash_record",
--- a/sycamorespoke/quarantine/_monitor.py
+++ b/sycamorespoke/quarantine/_monitor.py
@@ -26,6 +26,11 @@
     contents: tuple[decisions.Content, ...]
     lost_s: float
 
+    @property
+    def start(self):
+        """Identifies the start of the upstream, as far as it is known."""
+        return self.upstream.id, self.upstream.boot_id
+
 
 class CrashMonitor:
     """Collects requests that were lost because their upstream ended; thread-safe.
@@ -64,8 +69,9 @@
 
         Parameters
         ----------
-        upstream : Upstream
-            Upstream to which it had been sent.
+        upstream : object
+            Upstream to which it had been sent. Has its ``id``, ``service``,
+            ``address`` and ``boot_id``; the last is empty if its starts have none.
         fingerprint : str
             Fingerprint of the request.
         contents : tuple of decisions.Content
@@ -94,23 +100,23 @@
         with self._lock:
             pending, self._pending = self._pending, []
         pending = [each for each in pending if now - each.lost_s <= MAX_PENDING_S]
-        is_running_by_boot = self._check(pending)
+        is_running_by_start = self._check(pending)
         undecided = [
-            each
-            for each in pending
-            if is_running_by_boot.get(each.upstream.boot_id) is None
+            each for each in pending if is_running_by_start.get(each.start) is None
         ]
         with self._lock:
             self._pending = undecided + self._pending
         ended = [
-            each
-            for each in pending
-            if is_running_by_boot.get(each.upstream.boot_id) is False
+            each for each in pending if is_running_by_start.get(each.start) is False
         ]
         self._log_ends(ended)
         broken_requests = [
             decisions.BrokenRequest(
-                each.upstream.boot_id, each.fingerprint, each.contents, each.lost_s
+                each.upstream.boot_id or each.upstream.id,
+                each.fingerprint,
+                each.contents,
+                each.lost_s,
+                has_boot_id=bool(each.upstream.boot_id),
             )
             for each in ended
         ]
@@ -119,24 +125,23 @@
         return decisions.discard_contents(broken_requests, sound)
 
     def _check(self, pending):
-        """Return whether upstreams run, by boot ID; those unknown are left out."""
-        is_running_by_boot = {}
+        """Return whether upstreams run, by start; those unknown are left out."""
+        is_running_by_start = {}
         checks = 0
-        for upstream in {
-            each.upstream.boot_id: each.upstream for each in pending
-        }.values():
+        upstreams_by_start = {each.start: each.upstream for each in pending}
+        for start, upstream in upstreams_by_start.items():
             if not self.is_registered(upstream):
-                is_running_by_boot[upstream.boot_id] = False
+                is_running_by_start[start] = False
             elif checks < MAX_CHECKS_PER_STEP:
                 checks += 1
-                is_running_by_boot[upstream.boot_id] = self.is_running(upstream)
-        return is_running_by_boot
+                is_running_by_start[start] = self.is_running(upstream)
+        return is_running_by_start
 
     def _log_ends(self, ended):
-        requests_by_boot = {}
+        requests_by_start = {}
         for each in ended:
-            requests_by_boot.setdefault(each.upstream.boot_id, []).append(each)
-        for requests in requests_by_boot.values():
+            requests_by_start.setdefault(each.start, []).append(each)
+        for requests in requests_by_start.values():
             upstream = requests[0].upstream
             self.count_end(upstream.service)
             loguru.logger.bind(
--- a/sycamorespoke/quarantine/_quarantine.py
+++ b/sycamorespoke/quarantine/_quarantine.py
@@ -59,10 +59,21 @@
         self._quarantined_contents = frozenset()
         self._lifted_s_by_content = {}
 
-    def start(self, stop_requested):
-        """Run `step` in a background thread until ``stop_requested`` is set."""
+    def start(self, stop_requested, prepare=lambda now: None):
+        """Run `step` in a background thread until ``stop_requested`` is set.
+
+        Parameters
+        ----------
+        stop_requested : threading.Event
+            Ends the thread.
+        prepare : callable, optional
+            Called with the current time before each step, to update the views.
+        """
         threading.Thread(
-            target=self._run, args=(stop_requested,), name="quarantine", daemon=True
+            target=self._run,
+            args=(stop_requested, prepare),
+            name="quarantine",
+            daemon=True,
         ).start()
 
     def step(self, now):
@@ -79,9 +90,10 @@
         self._lift_disproved(view, now)
         self._remove_expired(view, now)
 
-    def _run(self, stop_requested):
+    def _run(self, stop_requested, prepare):
         while not stop_requested.wait(self._interval_s()):
             try:
+                prepare(serving.read_clock())
                 self.step(serving.read_clock())
             except Exception:
                 loguru.logger.exception("quarantine step failed")
--- a/sycamorespoke/quarantine/_records.py
+++ b/sycamorespoke/quarantine/_records.py
@@ -7,9 +7,19 @@
 import loguru
 import msgspec
 
-from sycamorespoke import decisions
+from sycamorespoke import decisions, domain
 
 QUARANTINE_S = 3600.0
+_REFUSALS_BY_KIND = {
+    decisions.ContentKind.BLOCK: (
+        domain.ErrorKind.PROMPT_QUARANTINED,
+        "a block of the prompt has ended upstreams",
+    ),
+    decisions.ContentKind.REQUEST: (
+        domain.ErrorKind.REQUEST_QUARANTINED,
+        "the request has ended upstreams",
+    ),
+}
 # Key of the JSON value of a `QuarantinedContent`, whose value is the ID.
 QUARANTINED_KEY_BY_KIND = {
     decisions.ContentKind.BLOCK: "quarantined",
@@ -25,10 +35,15 @@
     request: str
     contents: tuple[decisions.Content, ...]
     lost_ago_s: float
+    has_boot_id: bool = True
 
     def make_broken_request(self, now):
         return decisions.BrokenRequest(
-            self.upstream, self.request, self.contents, now - self.lost_ago_s
+            self.upstream,
+            self.request,
+            self.contents,
+            now - self.lost_ago_s,
+            self.has_boot_id,
         )
 
 
@@ -66,7 +81,13 @@
         """Return the report, written at ``now``, as a JSON value."""
         # The boot clocks of two hosts differ, so ages are written.
         losses = [
-            _Loss(each.upstream, each.request, each.contents, now - each.lost_s)
+            _Loss(
+                each.upstream,
+                each.request,
+                each.contents,
+                now - each.lost_s,
+                each.has_boot_id,
+            )
             for each in self.broken_requests
         ]
         return msgspec.to_builtins(
@@ -96,6 +117,11 @@
         """Return the contents as a JSON value."""
         return {QUARANTINED_KEY_BY_KIND[self.content.kind]: self.content.id}
 
+    def make_refusal(self, now):
+        """Return the `domain.Refusal` of a request that has the contents."""
+        kind, reason = _REFUSALS_BY_KIND[self.content.kind]
+        return domain.Refusal(kind, reason, self.compute_retry_after_s(now))
+
     def compute_retry_after_s(self, now):
         """Return after how many seconds the quarantine ends, 1 or more."""
         return max(math.ceil(self.seen_s + QUARANTINE_S - now), 1)
--- a/tests/decisions/test_crash_attribution.py
+++ b/tests/decisions/test_crash_attribution.py
@@ -38,6 +38,39 @@
     return suspicion and suspicion.content
 
 
+def make_unnumbered(upstream, fingerprint, lost_s):
+    """Return a suspected request at an upstream whose starts have no boot IDs."""
+    contents = (request(fingerprint),)
+    return decisions.BrokenRequest(
+        upstream, fingerprint, contents, lost_s, has_boot_id=False
+    )
+
+
+def test_upstream_without_boot_ids_that_ends_in_three_moments_has_had_three_starts():
+    apart_s = 1.5 * decisions.MOMENT_S
+    broken = [make_unnumbered("only", "bad", n * apart_s) for n in range(3)]
+    assert find(broken[:2]) is None
+    assert find(broken) == request("bad")
+    assert find(reversed(broken)) == request("bad")
+
+
+def test_upstream_without_boot_ids_ends_once_in_a_moment():
+    apart_s = 0.1 * decisions.MOMENT_S
+    broken = [make_unnumbered("only", "bad", n * apart_s) for n in range(9)]
+    assert find(broken) is None
+
+
+def test_request_beside_a_quarantined_one_at_an_upstream_without_boot_ids():
+    broken = []
+    for n in range(3):
+        lost_s = 1.5 * decisions.MOMENT_S * n
+        broken.append(make_unnumbered("only", "bad", lost_s))
+        # Another host estimates the time of the same end.
+        broken.append(make_unnumbered("only", "beside", lost_s + 0.3))
+    assert find(broken, quarantined={request("bad")}) is None
+    assert find(broken, sound={request("bad")}) == request("beside")
+
+
 def test_a_prompt_that_was_sent_again_and_again_is_one_observation():
     broken = [make_broken(f"i-{n}", "same", "a") for n in range(9)]
     assert find(broken) is None
--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -69,6 +69,37 @@
             result = self._put(name, text, version)
             return clients.Uncertain(fault) if fault == "lost" else result
 
+    def delete(self, name, version):
+        with self._lock:
+            fault = self._next_fault(name)
+            if fault not in ("ok", "rival"):
+                return clients.Unavailable(fault)
+            if name not in self._values_by_name:
+                return clients.Missing()
+            if self._versions_by_name[name] != version:
+                return clients.Conflict()
+            del self._values_by_name[name], self._versions_by_name[name]
+            return clients.StoredObject(None, 0)
+
+    def list(self, prefix):
+        with self._lock:
+            if self._next_fault() not in ("ok", "stale", "rival"):
+                return clients.Unavailable("down")
+            return {
+                name: version
+                for name, version in self._versions_by_name.items()
+                if name.startswith(prefix)
+            }
+
+    def watch(self, name, after, wait_s):
+        """Return the object if its version differs, without a wait."""
+        if self.is_down:
+            return clients.Unavailable("down")
+        with self._lock:
+            current = self._get(name)
+        version = current.version if isinstance(current, clients.StoredObject) else 0
+        return current if version != after else clients.Unchanged()
+
     def land_late(self):
         """Apply the delayed writes whose preconditions still hold."""
         with self._lock:
