Tests: the check of the quarantine's refusals moves to the records

Change: the check goes through the record's make_refusal in place of a private table: each kind has a refusal, and all have different error kinds.

--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -4,7 +4,6 @@
 import pytest
 
 from sycamorespoke import decisions, quarantine, serving
-from sycamorespoke.gateway import _crash_watch
 from tests.fakes import scripted_upstream
 
 PROMPT = {"X_Sycamorespoke_Prompt_Prefix": "aa:5,bb:5,own:1"}
@@ -109,7 +108,3 @@
     assert b"the request has ended upstreams" in body
     for changes in ({"body": b"good"}, {"method": "PUT", "body": b"bad"}):
         assert gateway.request(path, **changes)[0] == 200
-
-
-def test_every_kind_of_contents_has_a_refusal():
-    assert set(_crash_watch._REFUSALS_BY_KIND) == set(decisions.ContentKind)
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -259,6 +259,13 @@
     assert block.compute_retry_after_s(ends_s + 7.5) == 1
 
 
+def test_every_kind_of_contents_has_a_refusal_of_its_own():
+    contents = [decisions.Content(kind, "bad") for kind in decisions.ContentKind]
+    records = [_records.make_quarantined_content(each) for each in contents]
+    kinds = {record.make_refusal(now=0.0).kind for record in records}
+    assert len(kinds) == len(decisions.ContentKind)
+
+
 def test_report_is_read_back_as_it_was_written():
     contents = make_prompt("a", "b", "own")
     broken = decisions.BrokenRequest("i-1@5", "p", contents, lost_s=4.0)
