Quarantine: a block that sound prompts share with a fatal one stays usable

What callers see: one block ends engines, sound prompts that share the block before it are lost beside them, none of them has been completed in the last 30 s (prompts come back after long gaps), and the shared block goes into quarantine in place of the fatal one: all sound prompts on it are refused for an hour.

Cause: the verdict took the contents with the most ends, and of equal ones those that more requests had. A block has all the ends of the blocks that follow it, and the requests beside them on top, so the shared one always won.

Ruled out: longer memory of complete responses alone; it helps only if there was one.

Change: a block is not suspected while one or two blocks that follow it were at all of its ends; with equal ends, the block that fewer requests had. If it is the cause after all, prompts that go on in a third way show it. The evidence is a module of its own, and the verdict is computed only when the evidence has changed.

--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -53,14 +53,12 @@
     compute_cold_share,
 )
 from sycamorespoke.decisions._crash_attribution import (
-    MOMENT_S,
     BrokenRequest,
-    Content,
-    ContentKind,
     Suspicion,
     discard_contents,
     find_fatal_content,
 )
+from sycamorespoke.decisions._crash_evidence import MOMENT_S, Content, ContentKind
 from sycamorespoke.decisions._ejection import (
     FailureHistory,
     record_failure,
--- a/sycamorespoke/decisions/_crash_attribution.py
+++ b/sycamorespoke/decisions/_crash_attribution.py
@@ -5,42 +5,10 @@
 """
 
 import collections
-import enum
 
 import attrs
 
-# One upstream that ends under the same contents, or two, may be chance.
-MIN_ENDED_UPSTREAMS = 3
-# Different requests with a block, so that one that is sent again does not count anew.
-MIN_BROKEN_REQUESTS = 3
-# Upstreams that end within a moment may have one cause, such as the loss of a data
-# centre. Hosts estimate the times of each other's observations.
-MOMENT_S = 1.0
-MIN_MOMENTS = 3
-
-
-class ContentKind(enum.Enum):
-    """What part of a request its contents are."""
-
-    BLOCK = "block"
-    REQUEST = "request"
-
-
-@attrs.frozen
-class Content:
-    """Contents that several requests may have.
-
-    Parameters
-    ----------
-    kind : ContentKind
-        A block of a prompt, which different requests share, or a whole request, which
-        is sent again.
-    id : str
-        ID of the block, or fingerprint of the request.
-    """
-
-    kind: ContentKind
-    id: str
+from sycamorespoke.decisions import _crash_evidence
 
 
 @attrs.frozen
@@ -65,7 +33,7 @@
 
     upstream: str
     request: str
-    contents: tuple[Content, ...]
+    contents: tuple[_crash_evidence.Content, ...]
     lost_s: float
     has_boot_id: bool = True
 
@@ -83,48 +51,10 @@
         observation may decide between them.
     """
 
-    content: Content
+    content: _crash_evidence.Content
     is_contested: bool = False
 
 
-@attrs.define
-class _Evidence:
-    """What speaks against contents; ``position`` is their last one in a request."""
-
-    content: Content
-    upstreams: set = attrs.field(factory=set)
-    requests: set = attrs.field(factory=set)
-    lost_times_s: list = attrs.field(factory=list)
-    position: int = 0
-
-    @property
-    def is_request(self):
-        return self.content.kind is ContentKind.REQUEST
-
-    @property
-    def is_sufficient(self):
-        if len(self.upstreams) < MIN_ENDED_UPSTREAMS:
-            return False
-        if self.is_request:
-            # One request is at one upstream at a time, and goes to the next after that
-            # has ended.
-            return True
-        has_requests = len(self.requests) >= MIN_BROKEN_REQUESTS
-        return has_requests and _count_moments(self.lost_times_s) >= MIN_MOMENTS
-
-    @property
-    def rank(self):
-        # With equal evidence, the contents that fewer requests have. The ID makes all
-        # hosts choose the same ones.
-        return (
-            len(self.upstreams),
-            self.is_request,
-            len(self.requests),
-            self.position,
-            self.content.id,
-        )
-
-
 def find_fatal_content(broken_requests, sound_contents, quarantined_contents):
     """Find the contents that most likely ended several upstreams.
 
@@ -142,11 +72,13 @@
     -------
     Suspicion or None
         ``None`` unless several upstreams ended under one request, or at different
-        times under different requests with one block.
+        times under different requests with one block. A block is not suspected while
+        one or two blocks that follow it in the prompts explain all of its ends.
 
     Examples
     --------
-    >>> bad = Content(ContentKind.REQUEST, "a1")
+    >>> kind = _crash_evidence.ContentKind.REQUEST
+    >>> bad = _crash_evidence.Content(kind, "a1")
     >>> broken = [BrokenRequest(f"i-{n}", "a1", (bad,), 0.1 * n) for n in range(3)]
     >>> find_fatal_content(broken, set(), set()).content.id
     'a1'
@@ -161,11 +93,12 @@
         for each in broken_requests
         if not set(quarantined_contents).isdisjoint(each.contents)
     }
-    evidence_by_content = {}
-    for broken in broken_requests:
-        if broken.upstream not in explained:
-            _add_evidence(evidence_by_content, broken, sound_contents)
-    candidates = [each for each in evidence_by_content.values() if each.is_sufficient]
+    unexplained = (each for each in broken_requests if each.upstream not in explained)
+    candidates = [
+        each
+        for each in _crash_evidence.collect_evidence(unexplained, sound_contents)
+        if each.is_sufficient and not each.has_fatal_branches
+    ]
     if not candidates:
         return None
     strongest = max(candidates, key=lambda each: each.rank)
@@ -207,7 +140,10 @@
             numbered.append(broken)
             continue
         name = broken.upstream
-        if broken.lost_s - begun_s_by_upstream.get(name, float("-inf")) > MOMENT_S:
+        if (
+            broken.lost_s - begun_s_by_upstream.get(name, float("-inf"))
+            > _crash_evidence.MOMENT_S
+        ):
             begun_s_by_upstream[name] = broken.lost_s
             counts_by_upstream[name] += 1
         start = f"{name} {counts_by_upstream[name]}"
@@ -215,28 +151,6 @@
     return numbered
 
 
-def _add_evidence(evidence_by_content, broken, sound_contents):
-    for position, content in enumerate(broken.contents):
-        if content in sound_contents:
-            continue
-        evidence = evidence_by_content.setdefault(content, _Evidence(content))
-        evidence.upstreams.add(broken.upstream)
-        evidence.requests.add(broken.request)
-        evidence.lost_times_s.append(broken.lost_s)
-        evidence.position = max(evidence.position, position)
-
-
-def _count_moments(times_s):
-    """Return into how many spans of `MOMENT_S` some times fall."""
-    count = 0
-    begun_s = float("-inf")
-    for time_s in sorted(times_s):
-        if time_s - begun_s > MOMENT_S:
-            begun_s = time_s
-            count += 1
-    return count
-
-
 def _is_contested(strongest, candidates):
     return strongest.is_request and any(
         each.is_request
--- a/sycamorespoke/entry/_crash_watch.py
+++ b/sycamorespoke/entry/_crash_watch.py
@@ -7,6 +7,10 @@
 from sycamorespoke import clients, decisions, domain, quarantine, serving
 from sycamorespoke.entry import _crash_objects
 
+# Of a longer prompt, only the first blocks are related to the end of engines, so that
+# reports stay small.
+MAX_BLOCKS = 32
+
 
 @attrs.frozen
 class UpstreamStart:
@@ -155,7 +159,8 @@
 
     def _list_contents(self, block_keys):
         blocks = (
-            decisions.Content(decisions.ContentKind.BLOCK, key) for key in block_keys
+            decisions.Content(decisions.ContentKind.BLOCK, key)
+            for key in block_keys[:MAX_BLOCKS]
         )
         request = decisions.Content(decisions.ContentKind.REQUEST, self.fingerprint)
         return (*blocks, request)
--- a/sycamorespoke/quarantine/_quarantine.py
+++ b/sycamorespoke/quarantine/_quarantine.py
@@ -58,6 +58,8 @@
         self._suspected_since_s_by_content = {}
         self._quarantined_contents = frozenset()
         self._lifted_s_by_content = {}
+        self._judged_evidence = None
+        self._suspicion = None
 
     def start(self, stop_requested, prepare=lambda now: None):
         """Run `step` in a background thread until ``stop_requested`` is set.
@@ -170,11 +172,7 @@
         return tuple(sorted(sound, key=lambda each: (each.kind.value, each.id)))
 
     def _decide(self, view, sound_contents, now):
-        suspicion = decisions.find_fatal_content(
-            self._list_broken_requests(view),
-            sound_contents,
-            view.crashes.quarantined_by_content,
-        )
+        suspicion = self._find_suspicion(view, sound_contents)
         if suspicion is None:
             self._suspected_since_s_by_content.clear()
             return
@@ -193,6 +191,18 @@
             is_written = self.records.write(record.name, record.to_value())
             _log_content("quarantined", content, written=is_written)
 
+    def _find_suspicion(self, view, sound_contents):
+        """Return the suspicion, which is computed only if the evidence has changed."""
+        evidence = (
+            self._list_broken_requests(view),
+            sound_contents,
+            view.crashes.quarantined_by_content.keys(),
+        )
+        if evidence != self._judged_evidence:
+            self._judged_evidence = evidence
+            self._suspicion = decisions.find_fatal_content(*evidence)
+        return self._suspicion
+
     def _lift_disproved(self, view, now):
         """End the quarantine of contents on which this host saw a whole response."""
         quarantined = view.crashes.quarantined_by_content
--- a/tests/decisions/test_crash_attribution.py
+++ b/tests/decisions/test_crash_attribution.py
@@ -1,5 +1,7 @@
 """Attribution of the end of upstreams to contents of requests."""
 
+import itertools
+
 import hypothesis
 from hypothesis import strategies
 
@@ -90,6 +92,45 @@
     assert find(broken, sound={block("bad")}) == block("beside")
 
 
+def test_block_that_requests_beside_the_fatal_ones_share_with_them_is_not_suspected():
+    broken = []
+    for n in range(3):
+        broken.append(make_broken(f"i-{n}", f"p{n}", "sys", "bad"))
+        broken.append(make_broken(f"i-{n}", f"q{n}", "sys", f"doc{n}"))
+    assert find(broken) == block("bad")
+
+
+def test_popular_block_that_was_beside_the_fatal_one_each_time_is_not_suspected():
+    broken = []
+    for n in range(3):
+        broken.append(make_broken(f"i-{n}", f"p{n}", "bad"))
+        broken += [make_broken(f"i-{n}", f"q{n} {m}", "popular") for m in range(2)]
+    assert find(broken) == block("bad")
+
+
+def test_block_that_two_fatal_ones_share_is_not_suspected_in_any_order():
+    for fatal in itertools.product(("bad", "worse"), repeat=7):
+        broken = [
+            make_broken(f"i-{n}", f"p{n}", "sys", block_id)
+            for n, block_id in enumerate(fatal)
+        ]
+        found = [find(broken[:count]) for count in range(1, 8)]
+        assert block("sys") not in found
+        # One of them has ended at least three of the first five.
+        assert found[4] in (block("bad"), block("worse"))
+
+
+def test_fatal_block_is_found_under_prompts_that_go_on_in_three_ways():
+    broken = [make_broken(f"i-{n}", f"p{n}", "bad", f"doc{n}") for n in range(3)]
+    assert find(broken) == block("bad")
+
+
+def test_request_is_found_that_was_sent_again_with_a_block_of_two_fatal_ones():
+    broken = [make_suspected(f"i-{n}", "again", "sys", "bad") for n in range(3)]
+    broken.append(make_suspected("i-3", "p", "sys", "worse"))
+    assert find(broken) == request("again")
+
+
 def test_second_fatal_block_is_found_beside_a_quarantined_one():
     broken = [make_broken(f"i-{n}", f"p{n}", "one") for n in range(3)]
     broken += [make_broken(f"j-{n}", f"q{n}", "two") for n in range(3)]
--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -9,7 +9,7 @@
 
 from sycamorespoke import clients, domain
 from sycamorespoke.clients import _block_checks
-from sycamorespoke.decisions import _crash_attribution
+from sycamorespoke.decisions import _crash_evidence
 from sycamorespoke.gateway import _crash_watch, _stream_body, _table
 from sycamorespoke.quarantine import _quarantine
 from tests import mechanisms_off_run_once
@@ -113,7 +113,7 @@
 
 
 def _count_upstreams_lost_together():
-    _crash_attribution.MIN_MOMENTS = 1
+    _crash_evidence.MIN_MOMENTS = 1
 
 
 def _keep_disproved_quarantine():
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -422,6 +422,41 @@
     assert hosts.list_quarantined() == {frozenset({"bad", "worse"})}
 
 
+@pytest.mark.parametrize("interval_s", [0.5, 1.0, 2.0])
+@pytest.mark.parametrize("branches", [1, 2, 3, 5])
+def test_fatal_block_is_stopped_though_few_blocks_follow_it(branches, interval_s):
+    hosts = Hosts(9)
+    sent_s = []
+
+    def is_refused(contents):
+        crashes = hosts.by_name["h0"].views.get().crashes
+        return crashes.find_quarantined(contents) is not None
+
+    for number in range(60):
+        lost = make_prompt("bad", f"doc{number % branches}", f"own{number}")
+        if not is_refused(lost):
+            hosts.end_at_once({f"i-{number}": {f"h{number % 9}": lost}})
+            sent_s.append(hosts.now)
+        hosts.run(interval_s)
+    bound_s = sent_s[4] + 3.0 if len(sent_s) >= 5 else hosts.now
+    assert sum(each > bound_s for each in sent_s) <= 3
+
+
+def test_sound_prompts_beside_a_fatal_block_stay_usable_though_none_is_completed():
+    hosts = Hosts(9)
+    for n in range(5):
+        hosts.end_upstream(
+            f"i-{n}",
+            {
+                f"h{n}": make_prompt("sys", "bad", f"own{n}"),
+                f"h{n + 1}": make_prompt("sys", "doc", f"p{n}"),
+                f"h{n + 2}": make_prompt("sys", "doc", f"q{n}"),
+            },
+        )
+    hosts.run(VERDICT_S)
+    assert hosts.list_quarantined() == {frozenset({"bad"})}
+
+
 def test_fatal_block_is_quarantined_by_the_hosts_that_reach_the_store():
     hosts = Hosts(8)
     cut_off = {f"h{n}" for n in range(0, 8, 2)}
