Soak: a request that ends upstreams, after the faults

Change: after the faults and the restart of all hosts, one request of a kind drawn by the seed is sent to the hosts for 7 s; each upstream that runs it ends and is back at once under another ID. Guarantee: at most three ends later than 3 s after the third; sound requests are served afterwards (the check of recovery comes after it). During the faults the bound could not be judged: it holds for hosts in touch only.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -96,15 +96,15 @@
             request_id = f"c{self.number}-{count}"
             self.outcomes.append(self.send(host, kind, request_id))
 
-    def send(self, host, kind, request_id):
-        """Send one request and return its `Outcome`."""
+    def send(self, host, kind, request_id, name="x"):
+        """Send one request to the path ``name`` of a kind and return its `Outcome`."""
         sent_s = time.monotonic()
         head, body, is_complete = None, b"", False
         try:
             connection = self._connect(host)
             in_process_gateway.send_request(
                 connection,
-                f"/{kind.value}/x",
+                f"/{kind.value}/{name}",
                 X_Sycamorespoke_Request_Id=request_id,
                 X_Sycamorespoke_Deadline_Ms=str(int(DEADLINE_S * 1000)),
             )
--- a/tests/soak/gateway_deployment.py
+++ b/tests/soak/gateway_deployment.py
@@ -92,7 +92,12 @@
     def __init__(self):
         self.log = upstreams.RunLog()
         self.store = object_store.FakeObjectStore()
-        self.upstreams = [upstreams.Upstream(n, self.log) for n in range(UPSTREAMS)]
+        # Monotonic times at which a request has ended an upstream.
+        self.ended_s = []
+        self.upstreams = [
+            upstreams.Upstream(n, self.log, self.end_under_request)
+            for n in range(UPSTREAMS)
+        ]
         self.version = 0
         self.change_configuration()
         for upstream in self.upstreams:
@@ -132,6 +137,11 @@
         upstream.starts += 1
         self.register(upstream)
 
+    def end_under_request(self, upstream):
+        """End an upstream that runs a fatal request, and start it anew."""
+        self.ended_s.append(time.monotonic())
+        self.restart(upstream)
+
 
 def make_configuration(version):
     """Return a configuration with a route for each kind of request."""
--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -10,6 +10,9 @@
 MIN_SERVED_SHARE = 0.95
 # Bound of the users' platform.
 DRAIN_S = 2.0
+STABILITY_WINDOW_S = 3.0
+COUNTED_ENDS = 3
+MAX_LATE_ENDS = 3
 
 
 def check(outcomes, runs):
@@ -107,6 +110,28 @@
     )
 
 
+def check_fatal(ended_s):
+    """Check that a request which ends upstreams soon reaches no more of them.
+
+    Parameters
+    ----------
+    ended_s : list of float
+        Monotonic times at which it ended an upstream.
+
+    Returns
+    -------
+    list of str
+        One line if it reached too many.
+    """
+    if len(ended_s) < COUNTED_ENDS:
+        return ["the fatal request reached too few upstreams to tell"]
+    bound_s = sorted(ended_s)[COUNTED_ENDS - 1] + STABILITY_WINDOW_S
+    late = sum(each > bound_s for each in ended_s)
+    if late <= MAX_LATE_ENDS:
+        return []
+    return [f"a request ended {late} upstreams more than the window after the third"]
+
+
 def check_recovery(outcomes):
     """Check that requests succeed after the faults have ended."""
     if not outcomes:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,12 +9,14 @@
 
 import attrs
 
-from tests.soak import callers, faults, gateway_deployment, guarantees
+from tests.soak import callers, faults, gateway_deployment, guarantees, upstreams
 
 CALLERS = 6
 # The hosts have current rules and views within this time after the last fault.
 RECOVERY_S = 6.0
 REQUESTS_AFTER_FAULTS = 40
+FATAL_SECONDS = 7.0
+FATAL_INTERVAL_S = 0.1
 # A host exits within this time after SIGTERM.
 STOP_TIMEOUT_S = 9.0
 
@@ -74,6 +76,7 @@
         outcomes = [each for sender in senders for each in sender.outcomes]
         violations = _restart_hosts(deployment)
         time.sleep(RECOVERY_S)
+        _send_fatal_request(deployment, seed)
         after = _send_after_faults(deployment, seed)
         # Requests that a host has abandoned may still reach an upstream, so the
         # log is only read now.
@@ -82,6 +85,7 @@
         violations += guarantees.check_leaving(
             outcomes, runs, {each.name: each.signalled_s for each in deployment.hosts}
         )
+        violations += guarantees.check_fatal(deployment.ended_s)
         violations += guarantees.check_recovery(after)
         served = sum(each.is_complete and each.status == 200 for each in outcomes)
         return Verdict(seed, violations, planned, len(outcomes), served)
@@ -143,6 +147,21 @@
     host.start()
 
 
+def _send_fatal_request(deployment, seed):
+    """Send one request that ends upstreams to the hosts, again and again."""
+    if not deployment.wait_ready():
+        return
+    sender = callers.Caller(CALLERS + 1, deployment.hosts, f"fatal {seed}")
+    kind = sender.generator.choice(list(callers.RequestKind))
+    ends_s = time.monotonic() + FATAL_SECONDS
+    number = 0
+    while time.monotonic() < ends_s:
+        host = sender.generator.choice(deployment.hosts)
+        sender.send(host, kind, f"fatal-{number}", upstreams.FATAL_NAME)
+        number += 1
+        time.sleep(FATAL_INTERVAL_S)
+
+
 def _send_after_faults(deployment, seed):
     if not deployment.wait_ready():
         return []
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -117,3 +117,9 @@
             outcomes, allowed_runs, signalled_s_by_host
         )
         assert violations == []
+
+
+def test_request_that_goes_on_ending_upstreams_is_reported():
+    assert guarantees.check_fatal([1.0, 1.1, 1.2, 4.3, 4.4, 4.5]) == []
+    assert guarantees.check_fatal([1.0, 1.1, 1.2, 4.3, 4.4, 4.5, 4.6])
+    assert guarantees.check_fatal([1.0, 1.1])
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -35,6 +35,7 @@
 ENDLESS_BEHAVIOURS = frozenset({Behaviour.ENDLESS_HEAD, Behaviour.ENDLESS_BODY})
 ENDLESS_PAUSE_S = 0.005
 RATE_LIMIT_PER_S = "3.5"
+FATAL_NAME = "fatal"
 UNFRAMED_BEHAVIOURS = frozenset({Behaviour.UNFRAMED, Behaviour.CUT_UNFRAMED})
 
 
@@ -85,11 +86,14 @@
         restart has another ID.
     log : RunLog
         Log to which the upstream adds its runs.
+    end : callable
+        Called with the upstream when a request ends it.
     """
 
-    def __init__(self, number, log):
+    def __init__(self, number, log, end):
         self.number = number
         self.log = log
+        self.end = end
         self.starts = 1
         self.behaviour = Behaviour.NORMAL
         self.is_leaving = False
@@ -124,6 +128,9 @@
         if expected != upstream_id:
             scripted_upstream.respond(request, 421, b"", X_Sycamorespoke_Not_Run="1")
             return
+        if request.path.endswith(FATAL_NAME):
+            self.end(self)
+            scripted_upstream.abort(request)
         headers = self._make_headers()
         if self.behaviour is Behaviour.FULL:
             headers["X-Sycamorespoke-Not-Run"] = "1"
