Soak: a resumed stream says nothing of the upstream that ends it

Cause, from h0's log: no upstream 2 was planned to say that it leaves, and none did. The stream c3-58 got its head, with the statement, from i-3-1 at 14:51:17.206, i-3-1 was restarted, and the stream was resumed at i-2-1. The check attributed the statement to the last upstream that the request had reached.

Ruled out: a fault of the gateway (it logged the statement for i-3-1 and sent that start nothing more).

Change: upstreams log whether the response to a run says that they leave; the check takes the one that did. As strict otherwise; if two upstreams of one request say it, the caller cannot tell whose head it got, and neither is taken (before: the last).

--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -82,23 +82,26 @@
     list of str
         One line for each request that reached a leaving upstream too late.
     """
-    upstreams_by_request = collections.defaultdict(list)
+    runs_by_request = collections.defaultdict(list)
     for run in runs:
-        upstreams_by_request[run.request_id].append(run.upstream)
+        runs_by_request[run.request_id].append(run)
     told_times_by_pair = collections.defaultdict(list)
     violations = []
     for outcome in sorted(outcomes, key=lambda each: each.ended_s):
-        reached = upstreams_by_request[outcome.request_id]
+        reached = runs_by_request[outcome.request_id]
         signalled_s = signalled_s_by_host.get(outcome.host, ())
-        for upstream in reached:
+        for upstream in [run.upstream for run in reached]:
             told_times_s = told_times_by_pair[outcome.host, upstream]
             if _is_too_late(outcome, told_times_s, signalled_s):
                 violations.append(
                     f"{outcome.request_id} at {outcome.host} reached {upstream} "
                     f"later than {DRAIN_S} s after it said that it leaves"
                 )
-        if outcome.says_leaving and reached:
-            told_times_by_pair[outcome.host, reached[-1]].append(outcome.ended_s)
+        # A resumed stream has the head of another upstream than its end. Of two that
+        # say it, the caller cannot tell whose head it got.
+        leaving = {run.upstream for run in reached if run.says_leaving}
+        if outcome.says_leaving and len(leaving) == 1:
+            told_times_by_pair[outcome.host, leaving.pop()].append(outcome.ended_s)
     return violations
 
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -104,13 +104,14 @@
 def test_request_at_an_upstream_that_told_its_host_before_is_reported():
     told = attrs.evolve(OUTCOME, says_leaving=True)
     later = attrs.evolve(OUTCOME, request_id="c1-2", sent_s=4.1, ended_s=4.2)
-    runs = [RUN, attrs.evolve(RUN, request_id="c1-2", at_s=4.1)]
+    said = attrs.evolve(RUN, says_leaving=True)
+    runs = [said, attrs.evolve(RUN, request_id="c1-2", at_s=4.1)]
     assert len(guarantees.check_leaving([told, later], runs, {})) == 1
     # In time, at another host, at another start, and after a signal of the host.
     for outcomes, allowed_runs, signalled_s_by_host in (
         ([told, attrs.evolve(later, sent_s=3.9)], runs, {}),
         ([told, attrs.evolve(later, host="h1")], runs, {}),
-        ([told, later], [RUN, attrs.evolve(runs[1], upstream="i-1-2")], {}),
+        ([told, later], [said, attrs.evolve(runs[1], upstream="i-1-2")], {}),
         ([told, later], runs, {"h0": [3.0]}),
     ):
         violations = guarantees.check_leaving(
@@ -119,6 +120,19 @@
         assert violations == []
 
 
+def test_stream_resumed_elsewhere_says_nothing_of_the_second_upstream():
+    told = attrs.evolve(STREAM, says_leaving=True)
+    later = attrs.evolve(OUTCOME, request_id="c1-2", sent_s=4.1, ended_s=4.2)
+    runs = [
+        attrs.evolve(RUN, says_leaving=True),
+        attrs.evolve(RUN, upstream="i-2-1"),
+        attrs.evolve(RUN, request_id="c1-2", upstream="i-2-1", at_s=4.1),
+    ]
+    assert guarantees.check_leaving([told, later], runs, {}) == []
+    at_first = attrs.evolve(runs[2], upstream="i-1-1")
+    assert guarantees.check_leaving([told, later], [*runs[:2], at_first], {})
+
+
 def test_request_that_goes_on_ending_upstreams_is_reported():
     assert guarantees.check_fatal([1.0, 1.1, 1.2, 4.3, 4.4, 4.5]) == []
     assert guarantees.check_fatal([1.0, 1.1, 1.2, 4.3, 4.4, 4.5, 4.6])
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -36,6 +36,7 @@
 ENDLESS_PAUSE_S = 0.005
 RATE_LIMIT_PER_S = "3.5"
 FATAL_NAME = "fatal"
+LEAVING_HEADER = "Server-Leaving"
 UNFRAMED_BEHAVIOURS = frozenset({Behaviour.UNFRAMED, Behaviour.CUT_UNFRAMED})
 
 
@@ -51,11 +52,14 @@
         ID of the upstream.
     at_s : float
         Monotonic time of the start, in seconds.
+    says_leaving : bool
+        Whether the response says that the upstream leaves.
     """
 
     request_id: str
     upstream: str
     at_s: float
+    says_leaving: bool = False
 
 
 class RunLog:
@@ -137,7 +141,8 @@
             scripted_upstream.respond(request, 503, b"", **headers)
             return
         request_id = request.headers["X-Sycamorespoke-Request-Id"]
-        self.log.add(Run(request_id, upstream_id, time.monotonic()))
+        says_leaving = LEAVING_HEADER in headers
+        self.log.add(Run(request_id, upstream_id, time.monotonic(), says_leaving))
         if self.behaviour is Behaviour.ERROR:
             scripted_upstream.respond(request, 500, b"fault", **headers)
             return
@@ -150,7 +155,7 @@
             if self.behaviour in UNFRAMED_BEHAVIOURS:
                 self._stream_unframed(request, request_id)
             else:
-                self._stream(request, request_id)
+                self._stream(request, request_id, headers)
         elif self.behaviour is Behaviour.UNFRAMED:
             _send_cut_head(request, request_id, rest=b"\r\n" + make_body(request_id))
         elif self.behaviour in (Behaviour.CUT, Behaviour.CUT_UNFRAMED):
@@ -164,7 +169,7 @@
         if self.behaviour is Behaviour.RATE_LIMIT:
             headers["Server-Limit"] = RATE_LIMIT_PER_S
         if self.is_leaving:
-            headers["Server-Leaving"] = "1"
+            headers[LEAVING_HEADER] = "1"
         return headers
 
     def _send_endless(self, request, request_id):
@@ -189,8 +194,8 @@
             request.wfile.write(event)
             time.sleep(EVENT_PAUSE_S)
 
-    def _stream(self, request, request_id):
-        scripted_upstream.start_stream(request, **self._make_headers())
+    def _stream(self, request, request_id, headers):
+        scripted_upstream.start_stream(request, **headers)
         first = int(request.headers.get("Last-Event-Id") or 0) + 1
         for number in range(first, EVENT_COUNT + 1):
             if self.behaviour is Behaviour.CUT and number == EVENT_COUNT:
