Scenarios: a stream that an overloaded host refuses comes back when it says

With the test process (engines, platform and callers) stopped for 0.6 s six times, it fails with 503 overloaded, not_run, "the estimated wait for an upstream is too long"; with the engines alone standing still the new scenario fails the same way, 2 of 2. The concurrency limits fall when first tokens are late, and six callers then wait longer than the host accepts.

The check was wrong: such a refusal is true, allowed and says when to return; bookings of the same scenario did return, streams did not.

--- a/scenarios/steps.py
+++ b/scenarios/steps.py
@@ -180,6 +180,25 @@
     return result
 
 
+@pytest_bdd.when("callers return when an overloaded host tells them to")
+def return_when_overloaded(callers):
+    callers.returns_when_overloaded = True
+
+
+@pytest_bdd.when(
+    pytest_bdd.parsers.parse(
+        "all engines stand still for {stall_s:g} s, {count:d} times with {pause_s:g} s "
+        "between"
+    )
+)
+def stall_engines(cluster, stall_s, count, pause_s):
+    engines = [name for name in cluster.upstreams_by_name if name.startswith("scribe")]
+    for _ in range(count):
+        for name in engines:
+            cluster.set_faults(name, freeze_s=stall_s)
+        time.sleep(stall_s + pause_s)
+
+
 @pytest_bdd.when(pytest_bdd.parsers.parse('"{name}" gets SIGTERM after {delay_s:g} s'))
 def terminate_entry(cluster, name, delay_s):
     time.sleep(delay_s)
--- a/scenarios/together.feature
+++ b/scenarios/together.feature
@@ -24,12 +24,20 @@
   Scenario: a data centre leaves and returns under load
     Given engines "scribe-1, scribe-2, scribe-3" and entry hosts "entry-1, entry-2"
     When callers stream 10 tokens and book for 10 s through the balancer
+    And callers return when an overloaded host tells them to
     And the data centre "seeb" is taken out
     Then "entry-1" tells the balancer within 3 s that it takes no callers
     And "scribe-1" starts nothing from 3 s on for 2 s
     And "scribe-1" starts something within 5 s after "seeb" is brought back
     And every stream is whole and every booking landed once
 
+  Scenario: engines stand still again and again under load
+    Given engines "scribe-1" and entry hosts "entry-1, entry-2"
+    When callers stream 10 tokens and book for 10 s through the balancer
+    And callers return when an overloaded host tells them to
+    And all engines stand still for 0.6 s, 6 times with 1 s between
+    Then every stream is whole and every booking landed once
+
   @data_centre_out
   Scenario: an entry host is frozen while a data centre is taken out
     Given engines "scribe-1, scribe-2" and entry hosts "entry-1, entry-2"
