Entry hosts: a booking whose key has run is not called not run by the quarantine

What a caller would see: a booking with an idempotency key ended its upstream (502, unknown); sent again with the same key after the verdict, it got 503 request_quarantined, not_run, although it may have run.

Cause: asked the quarantine before admission, and so before the claim of the key. Found on reading the diff.

Evidence: the scenario of bookings that end upstreams sends the first key again: not_run before, unknown now.

--- a/scenarios/test_crashing_requests.py
+++ b/scenarios/test_crashing_requests.py
@@ -160,6 +160,9 @@
     for entry in ENTRIES:
         assert small.send_booking(entry, FATAL_SLOT, f"last {entry}").status == 503
         assert small.send_booking(entry, 1, f"sound {entry}").status == 201
+        # The booking with this key has reached an upstream before.
+        again = small.send_booking(entry, FATAL_SLOT, "fatal 0")
+        assert again.json()["error"]["execution"] == "unknown"
 
 
 def test_prompt_that_ends_engines_stops_reaching_them_from_entry_hosts(
--- a/sycamorespoke/entry/_crash_objects.py
+++ b/sycamorespoke/entry/_crash_objects.py
@@ -41,7 +41,9 @@
 
 
 class CrashObjects:
-    """Reads and writes the records of all hosts; used by one thread, but for `get`.
+    """Reads and writes the records of all hosts.
+
+    Used by one thread, but for `get`, `crashes` and `watch_once`.
 
     Parameters
     ----------
--- a/sycamorespoke/entry/_services.py
+++ b/sycamorespoke/entry/_services.py
@@ -75,9 +75,12 @@
         service_client = self.crash_guard.watch_service_request(
             request, account, self.service_client
         )
-        quarantined = service_client.find_refusal()
-        if quarantined is not None:
-            return quarantined
+        # A request whose idempotency key is claimed may have run before. Its claim is
+        # checked first, and the quarantine before each attempt.
+        if route.idempotent or not request.idempotency_key:
+            quarantined = service_client.find_refusal()
+            if quarantined is not None:
+                return quarantined
         deadline_s = request.compute_deadline(route.deadline_s)
         admitted = _admitted_request.AdmittedRequest.admit(
             self.admission_control, account, route, deadline_s, time.monotonic()
