--- a/scenarios/test_crashing_requests.py
+++ b/scenarios/test_crashing_requests.py
@@ -46,6 +46,22 @@
     name: str
     arrived_s: list
 
+    def install_behind_proxy(self, is_fatal):
+        """End it behind a proxy that accepts connections and closes them."""
+        standin = self.cluster.standin(self.name)
+        run = standin._run
+
+        def run_or_end(request):
+            if is_fatal(request):
+                self.arrived_s.append(time.monotonic())
+                standin.set_faults({"down": True, "turn_cold": True})
+                restart = threading.Timer(RESTART_S, standin.set_faults, ({},))
+                restart.daemon = True
+                restart.start()
+            return run(request)
+
+        standin._run = run_or_end
+
     def install(self, is_fatal, responds=False):
         """Replace the handling of requests for which ``is_fatal`` returns true.
 
@@ -137,6 +153,24 @@
         )
 
 
+def test_request_that_ends_upstreams_behind_proxies_stops_reaching_them(
+    make_deployment,
+):
+    small = start_small(make_deployment, services=SERVICES)
+    arrived_s = []
+    for name in SERVICES:
+        FatalUpstream(small, name, arrived_s).install_behind_proxy(
+            lambda request: request.path == FATAL_PATH
+        )
+    entries = itertools.cycle(ENTRIES)
+
+    def send_fatal():
+        entry = next(entries)
+        return small.send_request(entry, "GET", FATAL_PATH, None, "pickup").status
+
+    assert count_late_arrivals(arrived_s, send_fatal) <= MAX_ARRIVALS
+
+
 def test_booking_that_ends_upstreams_stops_reaching_them_from_entry_hosts(
     make_deployment,
 ):
