Gateway: that an upstream asks a host to back off is logged

No line showed that a 503 had named a time. What a response states about its upstream (leaving, rate limit, backoff) is now one type, read in one place of the adapter for responses of requests and reports alike, and recorded and logged by one class; the time is kept per start of the upstream and shown in the dump. No decision changes. Statements of another upstream that has taken over the address do not count; before, its rate limit did.

--- a/sycamorespoke/clients/__init__.py
+++ b/sycamorespoke/clients/__init__.py
@@ -35,6 +35,13 @@
     encode_envelope,
     parse_envelope,
 )
+from sycamorespoke.clients._header_values import (
+    is_event_stream,
+    parse_connection_options,
+    parse_decimal,
+    parse_integer,
+    parse_keep_alive,
+)
 from sycamorespoke.clients._orders import OrderAccepted, OrderClient
 from sycamorespoke.clients._platform import (
     Conflict,
@@ -94,7 +101,12 @@
     "Unchanged",
     "encode_envelope",
     "find_block_error",
+    "is_event_stream",
     "make_continuation",
+    "parse_connection_options",
+    "parse_decimal",
     "parse_envelope",
+    "parse_integer",
+    "parse_keep_alive",
     "replace_request_id",
 ]
--- a/sycamorespoke/gateway/__init__.py
+++ b/sycamorespoke/gateway/__init__.py
@@ -39,6 +39,7 @@
     Listing,
     Unavailable,
 )
+from sycamorespoke.gateway._statements import Statements
 from sycamorespoke.gateway._store_index import StoreEvent, StoreEvents
 
 __all__ = [
@@ -71,6 +72,7 @@
     "Route",
     "RouteKind",
     "Service",
+    "Statements",
     "StoreEvent",
     "StoreEvents",
     "TargetVersion",
--- a/sycamorespoke/gateway/_attempt_log.py
+++ b/sycamorespoke/gateway/_attempt_log.py
@@ -85,14 +85,9 @@
         """Record that a failure of a kind ejected an upstream."""
         self._log("upstream left out", upstream, cause=kind.value)
 
-    def record_rate_limit(self, upstream, limit_per_s):
-        """Record that an upstream stated another rate limit, or none any more."""
-        self._log("upstream rate limit", upstream, limit_per_s=limit_per_s)
-
-    def record_leaving(self, upstream):
-        """Record that an upstream stated that it is leaving, which was not known."""
-        boot_ids = self.gateway.views.get().list_boot_ids()
-        self._log("upstream leaving", upstream, listed=upstream.boot_id in boot_ids)
+    def record_statement(self, event, upstream, **fields):
+        """Record what an upstream stated about itself, if that was not known."""
+        self._log(event, upstream, **fields)
 
     def _count(self, outcome, upstream):
         self.gateway.request_metrics.record_attempt(outcome, upstream.service)
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -236,15 +236,18 @@
 
     def _record_statements(self, exchange, result):
         """Record what the upstream states about itself in its response."""
-        table, upstream = self.gateway.table, exchange.upstream
+        if exchange.head is None:
+            return
         head = result if isinstance(result, _requests.ResponseHead) else result.head
-        if head is not None:
-            _statements.record_rate_limit(table, self.log, upstream, head)
-        # The head of a response that belongs to another request comes from the same
-        # upstream.
-        if exchange.head is not None:
-            now = self.gateway.read_clock()
-            _statements.record_leaving(table, self.log, upstream, exchange.head, now)
+        recorder = _statements.StatementRecorder(self.gateway.table, self.gateway.views)
+        recorder.record(
+            exchange.upstream,
+            exchange.head.statements,
+            self.gateway.read_clock(),
+            self.log.record_statement,
+            # A response that belongs to another request comes from the same upstream.
+            is_current=head is not None,
+        )
 
     def record_first_event(self):
         """Record the time at which the first event of the stream arrived."""
@@ -279,7 +282,7 @@
             self._exclude_reached(upstream)
             self.gateway.table.record_full(upstream, now + FULL_AVOIDANCE_S)
             return
-        is_expected = head.upstream_id in ("", upstream.id)
+        is_expected = head.statements.upstream_id in ("", upstream.id)
         if not is_expected or head.weight_version in (None, choice.weight_version):
             self._excluded_boot_ids.add(upstream.boot_id)
             return
--- a/sycamorespoke/gateway/_orders.py
+++ b/sycamorespoke/gateway/_orders.py
@@ -5,6 +5,8 @@
 import attrs
 import cattrs
 
+from sycamorespoke.gateway import _statements
+
 
 class RolloutMode(enum.Enum):
     """What an engine does with its running requests when it accepts an order."""
@@ -62,14 +64,14 @@
         Whether the engine is executing an order.
     versions_by_model : dict of str to int
         Weight versions that it has loaded.
-    is_leaving : bool, default=False
-        Whether the engine is about to stop.
+    statements : Statements
+        What the engine states about itself in the response.
     """
 
     orders: int
     is_loading: bool
     versions_by_model: dict[str, int]
-    is_leaving: bool = False
+    statements: _statements.Statements = attrs.field(factory=_statements.Statements)
 
 
 @attrs.frozen
--- a/sycamorespoke/gateway/_requests.py
+++ b/sycamorespoke/gateway/_requests.py
@@ -5,6 +5,7 @@
 import attrs
 
 from sycamorespoke import decisions, domain
+from sycamorespoke.gateway import _statements
 
 
 @attrs.define
@@ -188,17 +189,10 @@
     is_wrong_upstream : bool
         Whether the upstream refused because it is not the expected one or holds
         another weight version.
-    upstream_id : str
-        ID of the upstream that responded; empty if not stated.
+    statements : Statements
+        What the upstream states about itself.
     weight_version : int or None
         Weight version that the upstream holds, if stated.
-    rate_limit_per_s : float or None
-        Requests per second that the upstream accepts from all hosts together, if it
-        states a limit.
-    is_leaving : bool
-        Whether the upstream states that it is about to stop.
-    retry_after_s : float or None
-        Time after which to retry, seconds.
     keep_alive_s : float or None
         Time for which the upstream keeps an idle connection, seconds.
     closes_connection : bool
@@ -213,11 +207,8 @@
     request_id: str = ""
     is_not_run: bool = False
     is_wrong_upstream: bool = False
-    upstream_id: str = ""
+    statements: _statements.Statements = attrs.field(factory=_statements.Statements)
     weight_version: int | None = None
-    rate_limit_per_s: float | None = None
-    is_leaving: bool = False
-    retry_after_s: float | None = None
     keep_alive_s: float | None = None
     closes_connection: bool = False
 
--- a/sycamorespoke/gateway/_rollout.py
+++ b/sycamorespoke/gateway/_rollout.py
@@ -8,7 +8,7 @@
 import pykka
 
 from sycamorespoke import decisions, serving
-from sycamorespoke.gateway import _chooser, _orders, _source
+from sycamorespoke.gateway import _chooser, _orders, _source, _statements
 
 LEASE_NAME = "weights"
 # Object that lists the loading engines, so that hosts send them no new requests.
@@ -62,6 +62,7 @@
         self.task_lease = task_lease
         self.views = views
         self.table = table
+        self.recorder = _statements.StatementRecorder(table, views)
         self.engines = engines
         self.leases = leases
         self._executor = concurrent.futures.ThreadPoolExecutor(MAX_LOADS, "load")
@@ -243,8 +244,13 @@
             if isinstance(report, _source.Unavailable):
                 self._log("engine does not report", reason=report.reason)
                 return False
-            if report.is_leaving:
-                self.rollout.table.record_leaving(self.upstream, serving.read_clock())
+            self.rollout.recorder.record(
+                self.upstream,
+                report.statements,
+                serving.read_clock(),
+                self._log_statement,
+            )
+            if report.statements.is_leaving:
                 self._log("engine leaving")
                 return False
             target_version = self._get_target_version()
@@ -295,6 +301,9 @@
             self._ordered_s = now
         return outcome is not _orders.OrderOutcome.REFUSED
 
+    def _log_statement(self, event, upstream, **fields):
+        self._log(event, **fields)
+
     def _log(self, event, **fields):
         loguru.logger.bind(upstream=self.upstream.id, model=self.model, **fields).info(
             event
--- a/sycamorespoke/gateway/_table.py
+++ b/sycamorespoke/gateway/_table.py
@@ -201,6 +201,28 @@
             state.rate_limit_per_s = rate_limit_per_s
             return has_changed
 
+    def record_backoff(self, upstream, until_s):
+        """Record that an upstream wants no requests from this host for some time.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            The upstream.
+        until_s : float
+            End of that time, seconds of the boot clock.
+
+        Returns
+        -------
+        bool
+            Whether this is later than the end known before.
+        """
+        with self._lock:
+            state = self._get_state(upstream.boot_id)
+            if until_s <= state.backoff_until_s:
+                return False
+            state.backoff_until_s = until_s
+            return True
+
     def record_leaving(self, upstream, now):
         """Record that this boot of an upstream is about to stop.
 
@@ -277,6 +299,7 @@
                     "failure_rate": round(state.failures.failure_rate, 3),
                     "ejected": state.failures.is_ejected(now),
                     "rate_limit_per_s": state.rate_limit_per_s,
+                    "backoff_s": round(max(state.backoff_until_s - now, 0.0), 3),
                     "leaving": state.is_leaving,
                     "versions": dict(state.versions_by_model),
                 }
--- a/sycamorespoke/gateway/_upstream_state.py
+++ b/sycamorespoke/gateway/_upstream_state.py
@@ -35,6 +35,9 @@
     rate_limit_per_s : float or None, default=None
         Requests per second that the upstream accepts from all hosts together, as its
         last response stated.
+    backoff_until_s : float, default=-inf
+        Time until which the upstream wants no requests from this host, seconds of
+        the boot clock.
     leaving_since_s : float or None, default=None
         When it was first known to be about to stop, seconds of the boot clock.
     """
@@ -47,6 +50,7 @@
     expected_s_by_request: dict[object, float] = attrs.field(factory=dict)
     full_until_s: float = float("-inf")
     rate_limit_per_s: float | None = None
+    backoff_until_s: float = float("-inf")
     leaving_since_s: float | None = None
 
     @property
--- a/sycamorespoke/platform/_engines.py
+++ b/sycamorespoke/platform/_engines.py
@@ -65,7 +65,7 @@
                 versions_by_model={
                     model["Name"]: model["Version"] for model in value["Models"]
                 },
-                is_leaving=_protocol.is_leaving(response.headers),
+                statements=_protocol.parse_statements(response),
             )
         except (msgspec.DecodeError, KeyError, TypeError) as error:
             return gateway.Unavailable(f"malformed report: {error!r}")
--- a/sycamorespoke/platform/_protocol.py
+++ b/sycamorespoke/platform/_protocol.py
@@ -5,7 +5,7 @@
 
 import urllib3
 
-from sycamorespoke import domain, gateway
+from sycamorespoke import clients, domain, gateway
 from sycamorespoke.platform import _names
 
 BEARER_PREFIX = "bearer "
@@ -13,9 +13,7 @@
 # the route applies.
 MAX_REMAINING_S = 86400.0
 STATUS_WRONG_UPSTREAM = 421
-EVENT_STREAM_TYPE = "text/event-stream"
-_INTEGER = re.compile(r"[0-9]{1,15}")
-_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+STATUS_OVERLOADED = 503
 _HTTP_TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _TARGET = re.compile(r"/[\x21-\x7e]*")
 
@@ -58,7 +56,9 @@
         deadline_s=deadline_s,
         api_key=_parse_api_key(headers_by_name),
         prompt=prompt,
-        last_event_id=_parse_int(headers_by_name.get(_names.LAST_EVENT_ID.lower())),
+        last_event_id=clients.parse_integer(
+            headers_by_name.get(_names.LAST_EVENT_ID.lower())
+        ),
     )
 
 
@@ -121,7 +121,7 @@
     """
     headers = response.headers
     is_wrong_upstream = response.status == STATUS_WRONG_UPSTREAM
-    connection_options = _parse_connection_options(headers.get("Connection", ""))
+    connection_options = clients.parse_connection_options(headers.get("Connection", ""))
     forwarded = tuple(
         (name, text)
         for name, text in headers.items()
@@ -133,23 +133,45 @@
         reason=response.reason or "",
         headers=forwarded,
         framing=_parse_framing(response),
-        is_event_stream=_is_event_stream(headers),
+        is_event_stream=clients.is_event_stream(headers.get("Content-Type", "")),
         request_id=headers.get(_names.REQUEST_ID, ""),
         is_not_run=is_wrong_upstream or _names.NOT_RUN in headers,
         is_wrong_upstream=is_wrong_upstream,
-        upstream_id=headers.get(_names.INSTANCE_ID, ""),
-        weight_version=_parse_int(headers.get(_names.WEIGHT_VERSIONS)),
-        rate_limit_per_s=_parse_decimal(headers.get(_names.SERVER_LIMIT)),
-        is_leaving=is_leaving(headers),
-        retry_after_s=_parse_decimal(headers.get("Retry-After")),
-        keep_alive_s=_parse_keep_alive(headers.get("Keep-Alive", "")),
+        statements=parse_statements(response),
+        weight_version=clients.parse_integer(headers.get(_names.WEIGHT_VERSIONS)),
+        keep_alive_s=clients.parse_keep_alive(headers.get("Keep-Alive", "")),
         closes_connection="close" in connection_options,
     )
 
 
-def is_leaving(headers):
-    """Return whether the headers of a response say that its upstream is leaving."""
-    return headers.get(_names.SERVER_LEAVING, "").strip() == "1"
+def parse_statements(response):
+    """Parse what an upstream states about itself in a response.
+
+    Parameters
+    ----------
+    response : urllib3.HTTPResponse
+        Response to any kind of request; its body need not have been read.
+
+    Returns
+    -------
+    gateway.Statements
+        A time that cannot be read is reported as such, other malformed statements
+        as absent.
+    """
+    headers = response.headers
+    retry_after = headers.get("Retry-After")
+    # Only an overloaded upstream asks this host for a backoff with the header.
+    asks_for_backoff = response.status == STATUS_OVERLOADED and retry_after is not None
+    backoff_s = None
+    if asks_for_backoff:
+        backoff_s = clients.parse_decimal(retry_after, largest=math.inf)
+    return gateway.Statements(
+        upstream_id=headers.get(_names.INSTANCE_ID, ""),
+        is_leaving=headers.get(_names.SERVER_LEAVING, "").strip() == "1",
+        rate_limit_per_s=clients.parse_decimal(headers.get(_names.SERVER_LIMIT)),
+        backoff_s=backoff_s,
+        has_unreadable_backoff=asks_for_backoff and backoff_s is None,
+    )
 
 
 def build_refusal_headers(refusal, request_id):
@@ -188,7 +210,7 @@
 
 
 def _select_forwarded_headers(headers_by_name):
-    connection_options = _parse_connection_options(
+    connection_options = clients.parse_connection_options(
         headers_by_name.get("connection", "")
     )
     return tuple(
@@ -200,11 +222,6 @@
     )
 
 
-def _is_event_stream(headers):
-    media_type = headers.get("Content-Type", "").partition(";")[0]
-    return media_type.strip().lower() == EVENT_STREAM_TYPE
-
-
 def _parse_framing(response):
     if response.chunked:
         return gateway.Framing.CHUNKS
@@ -213,15 +230,11 @@
     return gateway.Framing.LENGTH
 
 
-def _parse_connection_options(text):
-    return {name.strip().lower() for name in text.split(",") if name.strip()}
-
-
 def _parse_deadline(headers_by_name, now):
     text = headers_by_name.get(_names.DEADLINE_MS.lower())
     if text is None:
         return None
-    remaining_ms = _parse_int(text)
+    remaining_ms = clients.parse_integer(text)
     if remaining_ms is None:
         return _refuse(f"{_names.DEADLINE_MS} is not a whole number of milliseconds")
     return now + min(remaining_ms / 1000, MAX_REMAINING_S)
@@ -233,11 +246,11 @@
     blocks = []
     for entry in headers_by_name[_names.PROMPT_PREFIX.lower()].split(","):
         block_id, _, tokens = entry.strip().rpartition(":")
-        if not block_id or _parse_int(tokens) is None:
+        if not block_id or clients.parse_integer(tokens) is None:
             return _refuse(f"{_names.PROMPT_PREFIX} is not a list of ID:TOKENS")
         blocks.append(gateway.PromptBlock(block_id, int(tokens)))
     counts = headers_by_name.get(_names.TOKEN_COUNT.lower(), "").split(",")
-    numbers = [_parse_int(count.strip()) or 0 for count in counts]
+    numbers = [clients.parse_integer(count.strip()) or 0 for count in counts]
     return gateway.Prompt(
         model=headers_by_name.get(_names.MODEL.lower(), ""),
         blocks=tuple(blocks),
@@ -253,26 +266,5 @@
     return text[len(BEARER_PREFIX) :].strip()
 
 
-def _parse_keep_alive(text):
-    for parameter in text.split(","):
-        name, _, value = parameter.strip().partition("=")
-        if name.lower() == "timeout":
-            return _parse_decimal(value.strip())
-    return None
-
-
-def _parse_int(text):
-    if text is None or _INTEGER.fullmatch(text.strip()) is None:
-        return None
-    return int(text)
-
-
-def _parse_decimal(text):
-    if text is None or _DECIMAL.fullmatch(text.strip()) is None:
-        return None
-    number = float(text)
-    return number if math.isfinite(number) else None
-
-
 def _refuse(reason):
     return domain.Refusal(domain.ErrorKind.BAD_REQUEST, reason)
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -123,7 +123,8 @@
 def test_malformed_limit_is_none(text):
     headers = urllib3.HTTPHeaderDict({"Server-Limit": text})
     response = urllib3.HTTPResponse(b"", headers=headers, status=200)
-    assert _protocol.parse_response_head(response).rate_limit_per_s is None
+    head = _protocol.parse_response_head(response)
+    assert head.statements.rate_limit_per_s is None
 
 
 def test_requests_beyond_the_limit_go_to_other_upstreams(harness):
--- a/tests/gateway/test_rollout.py
+++ b/tests/gateway/test_rollout.py
@@ -11,6 +11,7 @@
     _orders,
     _rollout,
     _source,
+    _statements,
     _table,
     _task_lease,
     _views as views_module,
@@ -40,9 +41,8 @@
         if engine.is_unreachable:
             return _source.Unavailable("unreachable")
         versions_by_model = {MODEL: engine.version}
-        return _orders.EngineReport(
-            engine.orders, False, versions_by_model, engine.is_leaving
-        )
+        statements = _statements.Statements(is_leaving=engine.is_leaving)
+        return _orders.EngineReport(engine.orders, False, versions_by_model, statements)
 
     def order_version(self, upstream, order):
         engine = self.by_id[upstream.id]
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -23,4 +23,5 @@
         report = _engines.EngineClient("h1").read_report(upstream)
     finally:
         server.close()
-    assert report == gateway.EngineReport(3, False, {"m": 2}, is_leaving)
+    statements = gateway.Statements(is_leaving=is_leaving)
+    assert report == gateway.EngineReport(3, False, {"m": 2}, statements)
--- a/tests/platform/test_protocol.py
+++ b/tests/platform/test_protocol.py
@@ -116,7 +116,7 @@
         True,
         True,
     )
-    assert (head.retry_after_s, head.keep_alive_s) == (0.25, 5.0)
+    assert (head.statements.backoff_s, head.keep_alive_s) == (0.25, 5.0)
     names = {name for name, _ in head.headers}
     assert "X-Kept" in names
     assert not names & {"X-Private", "Connection", "Keep-Alive"}
