--- a/tests/fakes/upstream_fleet.py
+++ b/tests/fakes/upstream_fleet.py
@@ -83,6 +83,8 @@
     leaving_ids : set of str
         Upstreams that state in their responses that they are leaving; the store lists
         them as ready.
+    backoffs_by_id : dict of str to str
+        Times that upstreams name when they refuse requests, which they do with all.
     """
 
     def __init__(
@@ -99,6 +101,7 @@
         self.answer_s = answer_s
         self.rate_limits_by_id = {}
         self.leaving_ids = set()
+        self.backoffs_by_id = {}
         self.arrivals = []
         self.crashes = []
         self.store = object_store.FakeObjectStore()
@@ -187,6 +190,11 @@
         self.arrivals.append(
             Arrival(upstream_id, blocks, at_s, request_id, request.body)
         )
+        if upstream_id in self.backoffs_by_id:
+            backoff = self.backoffs_by_id[upstream_id]
+            refusal = {"X-Sycamorespoke-Not-Run": "1", "Retry-After": backoff}
+            scripted_upstream.respond(request, 503, b"", **refusal)
+            return
         if request.body in self.fatal_bodies:
             time.sleep(CRASH_DELAY_S)
             self.crash(upstream_id)
