Gateway: no request goes to an upstream before its Retry-After has passed

What was seen: an upstream that had answered a host 503 with Retry-After got further requests of that host within that time.

Cause: the adapter parsed the time and nothing used it; a refusal made a host prefer other upstreams for 0.1 s, and only while there were any. Ruled out as needed for it: repeats, fallbacks and resumed streams (the failing test has none). Found on reading: a request that waits for its connection while the 503 arrives is sent all the same, and reports and orders drop the header.

Change: one pure function, decisions.assess_upstream, says what stands against an upstream and until when; the list, leaving, data centres out of service, backoff, ejection, loading and full go through it, and the metric of states too. The chooser asks it for every attempt, the exchange again right before the first byte, the rollout before each report and order; block stores keep their backoff in their index. If every upstream wants a backoff, callers are refused at once, and Retry-After is the time until the first of them ends.

--- a/sycamorespoke/gateway/__init__.py
+++ b/sycamorespoke/gateway/__init__.py
@@ -18,6 +18,7 @@
     EngineReport,
     LeaseUpdate,
     OrderOutcome,
+    OrderResult,
     RolloutMode,
     VersionOrder,
 )
@@ -63,6 +64,7 @@
     "ObjectKind",
     "ObjectKinds",
     "OrderOutcome",
+    "OrderResult",
     "Prompt",
     "PromptBlock",
     "Request",
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -10,6 +10,7 @@
     _model,
     _requests,
     _statements,
+    _upstream_gate,
 )
 
 # How strongly a failure of each kind indicates a fault of the upstream, 0 to 1.
@@ -21,7 +22,11 @@
 }
 # Kinds of failures after which nothing has been sent to the upstream.
 NOT_SENT_KINDS = frozenset(
-    {domain.ErrorKind.UPSTREAM_UNREACHABLE, domain.ErrorKind.OVERLOADED}
+    {
+        domain.ErrorKind.UPSTREAM_UNREACHABLE,
+        domain.ErrorKind.OVERLOADED,
+        domain.ErrorKind.NO_UPSTREAM,
+    }
 )
 SERVER_ERROR_WEIGHT = 0.5
 SERVER_ERROR_STATUS = 500
@@ -65,6 +70,7 @@
         self._deposited_services = set()
         # Upstreams that received the request, whether or not they ran it.
         self._reached_boot_ids = set()
+        self.gate = _upstream_gate.UpstreamGate(gateway.views, gateway.table)
         self._dispatcher = _dispatcher.Dispatcher(
             gateway, request, route, account, deadline_s
         )
@@ -217,6 +223,7 @@
             self.request,
             dispatch,
             self.deadline_s,
+            self.gate,
         )
         self.exchange = exchange
         if self.cancelled:
@@ -246,7 +253,7 @@
             self.gateway.read_clock(),
             self.log.record_statement,
             # A response that belongs to another request comes from the same upstream.
-            is_current=head is not None,
+            ends_rate_limit=head is not None,
         )
 
     def record_first_event(self):
--- a/sycamorespoke/gateway/_chooser.py
+++ b/sycamorespoke/gateway/_chooser.py
@@ -5,7 +5,7 @@
 import attrs
 
 from sycamorespoke import decisions, domain
-from sycamorespoke.gateway import _rate_limiter
+from sycamorespoke.gateway import _rate_limiter, _upstream_gate
 
 # Prompt tokens that cost an engine as much as one generated token.
 PROMPT_TOKENS_PER_OUTPUT_TOKEN = 10.0
@@ -125,6 +125,35 @@
             refusal = result or refusal
         return refusal
 
+    def find_opening_s(self, view, route, now):
+        """Find when an upstream of a route may get requests.
+
+        Parameters
+        ----------
+        view : View
+            Current view of the deployment.
+        route : Route
+            The route.
+        now : float
+            Current time, seconds of the boot clock.
+
+        Returns
+        -------
+        float
+            Seconds of the boot clock; ``inf`` if that is not known.
+        """
+        upstreams = [
+            upstream
+            for service in route.weights_by_service
+            for upstream in view.list_upstreams(service)
+        ]
+        states_by_boot = self.table.read(upstreams)
+        availability_by_boot = _assess_all(view, upstreams, states_by_boot, now)
+        return min(
+            (each.compute_opening_s() for each in availability_by_boot.values()),
+            default=float("inf"),
+        )
+
     def _rank_services(self, route, request):
         weights_by_service = route.weights_by_service
         if len(weights_by_service) == 1:
@@ -147,9 +176,12 @@
             if upstream.boot_id not in excluded
         ]
         states_by_boot = self.table.read(upstreams)
-        # No fallback below may return an upstream that is about to stop.
+        availability_by_boot = _assess_all(view, upstreams, states_by_boot, now)
+        # No fallback below may return an upstream that must not get the request.
         upstreams = [
-            each for each in upstreams if not states_by_boot[each.boot_id].is_leaving
+            each
+            for each in upstreams
+            if availability_by_boot[each.boot_id].find_bar() is None
         ]
         upstreams = self._filter_by_target_version(
             view, upstreams, states_by_boot, request, now
@@ -159,8 +191,9 @@
                 domain.ErrorKind.VERSION_LOADING,
                 "the upstreams are loading a new weight version",
             )
-        not_loading = [each for each in upstreams if not view.is_loading(each, now)]
-        upstreams = _filter_eligible(not_loading or upstreams, states_by_boot, now)
+        upstreams = _select_preferred(
+            upstreams, states_by_boot, availability_by_boot, now
+        )
         while upstreams:
             upstream = self._place(view, upstreams, states_by_boot, request, now)
             limit_per_s = states_by_boot[upstream.boot_id].rate_limit_per_s
@@ -288,13 +321,30 @@
     return max(seen, upstream.versions_by_model.get(model, 0))
 
 
-def _filter_eligible(upstreams, states_by_boot, now):
+def _assess_all(view, upstreams, states_by_boot, now):
+    return {
+        each.boot_id: _upstream_gate.assess(
+            view, each, states_by_boot[each.boot_id], now
+        )
+        for each in upstreams
+    }
+
+
+def _select_preferred(upstreams, states_by_boot, availability_by_boot, now):
+    """Select the upstreams that are not loading, ejected or full, if there are any."""
+
+    def select_without(obstacle, candidates):
+        preferred = [
+            each
+            for each in candidates
+            if not availability_by_boot[each.boot_id].has(obstacle)
+        ]
+        return preferred or candidates
+
+    upstreams = select_without(decisions.Obstacle.LOADING, upstreams)
     histories_by_boot = {
         each.boot_id: states_by_boot[each.boot_id].failures for each in upstreams
     }
     not_ejected_ids = set(decisions.select_not_ejected(histories_by_boot, now))
-    not_ejected = [each for each in upstreams if each.boot_id in not_ejected_ids]
-    not_full = [
-        each for each in not_ejected if states_by_boot[each.boot_id].full_until_s <= now
-    ]
-    return not_full or not_ejected
+    upstreams = [each for each in upstreams if each.boot_id in not_ejected_ids]
+    return select_without(decisions.Obstacle.FULL, upstreams)
--- a/sycamorespoke/gateway/_exchange.py
+++ b/sycamorespoke/gateway/_exchange.py
@@ -42,15 +42,18 @@
         Upstream that gets the request, and the instructions for it.
     deadline_s : float
         Deadline of the request, seconds of the boot clock.
+    gate : UpstreamGate
+        Answers whether the request may still go to the upstream.
     """
 
-    def __init__(self, protocol, pool, read_clock, request, dispatch, deadline_s):
+    def __init__(self, protocol, pool, read_clock, request, dispatch, deadline_s, gate):
         self.protocol = protocol
         self.pool = pool
         self.read_clock = read_clock
         self.request = request
         self.dispatch = dispatch
         self.deadline_s = deadline_s
+        self.gate = gate
         self.head = None
         self._connection = None
         self._response = None
@@ -189,9 +192,15 @@
         return None
 
     def _send(self, connection):
-        # The deadline is checked immediately before sending because the host may
-        # have been suspended since the last check.
-        remaining_s = self.deadline_s - self.read_clock()
+        # Checked immediately before sending, because the connection may have taken
+        # long and the host may have been suspended since the last check.
+        now = self.read_clock()
+        obstacle = self.gate.find_bar(self.upstream, now)
+        if obstacle is not None:
+            self.close()
+            reason = f"the upstream gets no requests any more: {obstacle.value}"
+            return _make_failure(domain.ErrorKind.NO_UPSTREAM, reason)
+        remaining_s = self.deadline_s - now
         if remaining_s <= 0:
             self.close()
             return _make_failure(
--- a/sycamorespoke/gateway/_gateway.py
+++ b/sycamorespoke/gateway/_gateway.py
@@ -130,8 +130,19 @@
 
     def _refuse_attempts(self, start_response, attempts, refusal):
         attempts.finish()
+        refusal = self._state_backoff(refusal, attempts.route)
         return self._refuse(start_response, attempts.request, attempts.route, refusal)
 
+    def _state_backoff(self, refusal, route):
+        """Add when to retry to a refusal if every upstream wants a backoff."""
+        if not refusal.error_response().retry_after_s or refusal.retry_after_s:
+            return refusal
+        now = self.read_clock()
+        opening_s = self.chooser.find_opening_s(self.views.get(), route, now)
+        if not now < opening_s < float("inf"):
+            return refusal
+        return attrs.evolve(refusal, retry_after_s=opening_s - now)
+
     def _refuse(self, start_response, request, route, refusal):
         now = self.read_clock()
         refusal = _set_retry_after(refusal, request, now)
--- a/sycamorespoke/gateway/_orders.py
+++ b/sycamorespoke/gateway/_orders.py
@@ -27,6 +27,22 @@
     UNKNOWN = "unknown"
 
 
+@attrs.frozen
+class OrderResult:
+    """Response of an engine to an order.
+
+    Parameters
+    ----------
+    outcome : OrderOutcome
+        What became of the order.
+    statements : Statements or None, default=None
+        What the engine states about itself, if it responded.
+    """
+
+    outcome: OrderOutcome
+    statements: _statements.Statements | None = None
+
+
 @attrs.frozen
 class VersionOrder:
     """An order to load a weight version.
--- a/sycamorespoke/gateway/_retirement.py
+++ b/sycamorespoke/gateway/_retirement.py
@@ -4,7 +4,7 @@
 import pykka
 
 from sycamorespoke import decisions, serving
-from sycamorespoke.gateway import _orders, _rollout
+from sycamorespoke.gateway import _orders, _rollout, _source
 
 LEASE_NAME = "stores"
 BLOCKS_PER_REQUEST = 200
@@ -28,7 +28,8 @@
     blocks : BlockPlanner
         Indexes of the block stores.
     client : object
-        Has ``free(address, keys, epoch, until_ms)``.
+        Has ``free(address, keys, epoch, until_ms)``, which returns `Unavailable`
+        if the store does not confirm.
     """
 
     use_daemon_thread = True
@@ -84,17 +85,19 @@
     def _free(self, index, retired):
         for start in range(0, len(retired), BLOCKS_PER_REQUEST):
             now = serving.read_clock()
-            if not self.task_lease.is_held():
+            if not self.task_lease.is_held() or index.get_backoff_s(now) > 0:
                 return
             keys = retired[start : start + BLOCKS_PER_REQUEST]
             until_ms = int(
                 index.compute_store_clock_ms(now) + REQUEST_VALIDITY_S * 1000
             )
             address = index.store.address
-            is_done = self.client.free(address, keys, index.epoch, until_ms)
+            result = self.client.free(address, keys, index.epoch, until_ms)
+            is_done = not isinstance(result, _source.Unavailable)
             loguru.logger.bind(store=address, parts=len(keys), done=is_done).info(
                 "old blocks freed"
             )
             if not is_done:
+                index.record_unavailable(result, now)
                 return
             index.remove(keys)
--- a/sycamorespoke/gateway/_rollout.py
+++ b/sycamorespoke/gateway/_rollout.py
@@ -8,7 +8,13 @@
 import pykka
 
 from sycamorespoke import decisions, serving
-from sycamorespoke.gateway import _chooser, _orders, _source, _statements
+from sycamorespoke.gateway import (
+    _chooser,
+    _orders,
+    _source,
+    _statements,
+    _upstream_gate,
+)
 
 LEASE_NAME = "weights"
 # Object that lists the loading engines, so that hosts send them no new requests.
@@ -62,6 +68,7 @@
         self.task_lease = task_lease
         self.views = views
         self.table = table
+        self.gate = _upstream_gate.UpstreamGate(views, table)
         self.recorder = _statements.StatementRecorder(table, views)
         self.engines = engines
         self.leases = leases
@@ -96,7 +103,7 @@
             Current time, seconds of the boot clock.
         """
         view = self.views.get()
-        engines = self._list_engines(view)
+        engines = self._list_engines(view, now)
         self._discard_deregistered({engine.boot_id for engine in engines})
         targets_by_model = {
             model: target.version
@@ -115,16 +122,17 @@
             return
         self._start_loads(view, engines, targets_by_model, now)
 
-    def _list_engines(self, view):
+    def _find_bar(self, upstream, now):
+        return self.gate.find_bar(upstream, now, decisions.Purpose.ORDER)
+
+    def _list_engines(self, view, now):
         upstreams = [
             upstream
             for upstream in (view.upstreams_by_id or {}).values()
-            if upstream.versions_by_model and not upstream.is_draining
+            if upstream.versions_by_model
+            and self._find_bar(upstream, now) is not decisions.Obstacle.LEAVING
         ]
         states_by_boot = self.table.read(upstreams)
-        upstreams = [
-            each for each in upstreams if not states_by_boot[each.boot_id].is_leaving
-        ]
         return [
             decisions.EngineVersion(
                 upstream.boot_id,
@@ -151,6 +159,11 @@
         upstreams_by_boot = {
             upstream.boot_id: upstream for upstream in view.upstreams_by_id.values()
         }
+        deferred |= {
+            engine.boot_id
+            for engine in engines
+            if self._find_bar(upstreams_by_boot[engine.boot_id], now) is not None
+        }
         number = self.task_lease.fencing_number
         loads_by_boot = {}
         for engine in decisions.select_engines_to_load(
@@ -240,16 +253,13 @@
         """
         deadline_s = serving.read_clock() + LOAD_TIMEOUT_S
         while serving.read_clock() < deadline_s:
+            if self._is_barred():
+                return False
             report = self.rollout.engines.read_report(self.upstream)
+            self._record_statements(report.statements)
             if isinstance(report, _source.Unavailable):
                 self._log("engine does not report", reason=report.reason)
                 return False
-            self.rollout.recorder.record(
-                self.upstream,
-                report.statements,
-                serving.read_clock(),
-                self._log_statement,
-            )
             if report.statements.is_leaving:
                 self._log("engine leaving")
                 return False
@@ -281,12 +291,14 @@
         """Send the order; return whether to continue the load."""
         # Checked immediately before the order, since the host may have been suspended.
         now = serving.read_clock()
-        if not self.rollout.task_lease.is_held():
+        if not self.rollout.task_lease.is_held() or self._is_barred():
             return False
         order = _orders.VersionOrder(
             self.model, version, self.fencing_number, report.orders
         )
-        outcome = self.rollout.engines.order_version(self.upstream, order)
+        result = self.rollout.engines.order_version(self.upstream, order)
+        self._record_statements(result.statements)
+        outcome = result.outcome
         self._log(
             "engine ordered",
             version=version,
@@ -301,6 +313,24 @@
             self._ordered_s = now
         return outcome is not _orders.OrderOutcome.REFUSED
 
+    def _is_barred(self):
+        now = serving.read_clock()
+        obstacle = self.rollout.gate.find_bar(
+            self.upstream, now, decisions.Purpose.ORDER
+        )
+        if obstacle is None:
+            return False
+        self._log("engine load held", obstacle=obstacle.value)
+        return True
+
+    def _record_statements(self, statements):
+        if statements is None:
+            return
+        now = serving.read_clock()
+        self.rollout.recorder.record(
+            self.upstream, statements, now, self._log_statement, ends_rate_limit=False
+        )
+
     def _log_statement(self, event, upstream, **fields):
         self._log(event, **fields)
 
--- a/sycamorespoke/gateway/_source.py
+++ b/sycamorespoke/gateway/_source.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from sycamorespoke.gateway import _statements
+
 
 @attrs.frozen
 class Listing:
@@ -74,11 +76,14 @@
         HTTP status, if there was a response.
     content : object, default=None
         JSON value of the response.
+    statements : Statements or None, default=None
+        What an upstream states about itself in the response, if it sent one.
     """
 
     reason: str
     status: int | None = None
     content: object = None
+    statements: _statements.Statements | None = None
 
 
 def get_name(value):
--- a/sycamorespoke/gateway/_statements.py
+++ b/sycamorespoke/gateway/_statements.py
@@ -49,7 +49,7 @@
         self.table = table
         self.views = views
 
-    def record(self, upstream, statements, now, log, is_current=True):
+    def record(self, upstream, statements, now, log, ends_rate_limit=True):
         """Record the statements of one response.
 
         Parameters
@@ -62,12 +62,13 @@
             Current time, seconds of the boot clock.
         log : callable
             Called with the event, the upstream and the fields of each log line.
-        is_current : bool, default=True
-            Whether the response belongs to the request; otherwise it is older.
+        ends_rate_limit : bool, default=True
+            Whether the response says that there is a rate limit no more if it states
+            none. Those to reports and orders do not, nor does an older response.
         """
         if statements.upstream_id not in ("", upstream.id):
             return
-        if is_current:
+        if ends_rate_limit:
             self._record_rate_limit(upstream, statements.rate_limit_per_s, log)
         if statements.is_leaving and self.table.record_leaving(upstream, now):
             is_listed = upstream.boot_id in self.views.get().list_boot_ids()
--- a/sycamorespoke/gateway/_store_follower.py
+++ b/sycamorespoke/gateway/_store_follower.py
@@ -41,10 +41,14 @@
 
     def step(self):
         """Request events once; return the seconds to wait before the next step."""
+        backoff_s = self.index.get_backoff_s(serving.read_clock())
+        if backoff_s > 0:
+            return backoff_s
         address = self.index.store.address
         page = self.client.read_events(address, self.index.next_number, POLL_S)
         if isinstance(page, _source.Unavailable):
             self.index.invalidate()
+            self.index.record_unavailable(page, serving.read_clock())
             if not self._was_unavailable:
                 self._was_unavailable = True
                 self._log("store of parts lost", reason=page.reason)
--- a/sycamorespoke/gateway/_store_index.py
+++ b/sycamorespoke/gateway/_store_index.py
@@ -4,8 +4,10 @@
 import threading
 
 import attrs
+import loguru
 
 from sycamorespoke import messages, serving
+from sycamorespoke.gateway import _statements
 
 # The index is valid for this long after the last response of the store: less than a
 # restart of the store takes, after which a block may be half written.
@@ -80,6 +82,7 @@
         self._tokens_by_key = {}
         self._indexed_s_by_key = {}
         self._confirmed_s = float("-inf")
+        self._backoff_until_s = float("-inf")
         self._clock_offset_ms = 0.0
         self._lock = threading.Lock()
 
@@ -189,6 +192,31 @@
         with self._lock:
             self._confirmed_s = float("-inf")
 
+    def record_unavailable(self, unavailable, now):
+        """Record that the store refused a request, and the backoff that it wants.
+
+        Parameters
+        ----------
+        unavailable : Unavailable
+            Why there is no usable response.
+        now : float
+            Current time, seconds of the boot clock.
+        """
+        statements = unavailable.statements
+        if statements is None or statements.backoff_s is None:
+            return
+        backoff_s = min(statements.backoff_s, _statements.MAX_BACKOFF_S)
+        self._backoff_until_s = max(self._backoff_until_s, now + backoff_s)
+        loguru.logger.bind(
+            store=self.store.address,
+            asked_s=statements.backoff_s,
+            backoff_s=backoff_s,
+        ).info("store backoff")
+
+    def get_backoff_s(self, now):
+        """Return for how long the store wants no requests of this host, seconds."""
+        return max(self._backoff_until_s - now, 0.0)
+
     def is_current(self, now):
         """Return whether the index is valid at ``now``."""
         return now - self._confirmed_s <= MAX_UNCONFIRMED_S
--- a/sycamorespoke/gateway/_table.py
+++ b/sycamorespoke/gateway/_table.py
@@ -5,15 +5,15 @@
 import attrs
 
 from sycamorespoke import decisions
-from sycamorespoke.gateway import _upstream_state
+from sycamorespoke.gateway import _upstream_gate, _upstream_state
 
-DRAINING = "draining"
-EJECTED = "left_out"
-LOADING = "loading"
+DRAINING = decisions.Obstacle.LEAVING.value
+EJECTED = decisions.Obstacle.EJECTED.value
+LOADING = decisions.Obstacle.LOADING.value
+FULL = decisions.Obstacle.FULL.value
 COLD = "cold"
-FULL = "full"
 READY = "ready"
-STATES = (DRAINING, EJECTED, LOADING, COLD, FULL, READY)
+STATES = (*(obstacle.value for obstacle in decisions.Obstacle), COLD, READY)
 
 
 class UpstreamTable:
@@ -315,12 +315,9 @@
 
 def _classify(upstream, state, view, now):
     """Return the state that most restricts the use of an upstream."""
-    if upstream.is_draining or state.is_leaving:
-        return DRAINING
-    if state.failures.is_ejected(now):
-        return EJECTED
-    if view.is_loading(upstream, now):
-        return LOADING
+    obstacle = _upstream_gate.assess(view, upstream, state, now).strongest
+    if obstacle not in (None, decisions.Obstacle.FULL):
+        return obstacle.value
     if upstream.is_cold(now):
         return COLD
-    return FULL if now < state.full_until_s else READY
+    return READY if obstacle is None else FULL
--- a/sycamorespoke/gateway/_views.py
+++ b/sycamorespoke/gateway/_views.py
@@ -71,25 +71,9 @@
         return self.confirmed_s_by_section.get(VERSIONS, float("-inf"))
 
     def list_upstreams(self, service):
-        """Return the upstreams of a service that may get new requests.
-
-        Parameters
-        ----------
-        service : str
-            Name of the service.
-
-        Returns
-        -------
-        list of Upstream
-            Upstreams that neither drain nor are in a data centre out of service.
-        """
-        return [
-            upstream
-            for upstream in (self.upstreams_by_id or {}).values()
-            if upstream.service == service
-            and not upstream.is_draining
-            and upstream.data_centre not in (self.data_centres_out or ())
-        ]
+        """Return the registered upstreams of a service as a list."""
+        upstreams = (self.upstreams_by_id or {}).values()
+        return [upstream for upstream in upstreams if upstream.service == service]
 
     def is_loading(self, upstream, now):
         """Return whether an engine is announced to load weights at ``now``."""
--- a/sycamorespoke/platform/_block_stores.py
+++ b/sycamorespoke/platform/_block_stores.py
@@ -4,7 +4,7 @@
 import urllib3
 
 from sycamorespoke import clients, gateway
-from sycamorespoke.platform import _names
+from sycamorespoke.platform import _names, _protocol
 
 CONNECT_TIMEOUT_S = 0.3
 # Margin of the read timeout: without events, the store responds only after the whole
@@ -78,14 +78,14 @@
 
         Returns
         -------
-        bool
-            Whether the store confirmed that the blocks are freed.
+        gateway.Unavailable or None
+            ``None`` if the store confirmed that the blocks are freed.
         """
         request = {"parts": keys, "Epoch": epoch, "until_ms": until_ms}
         content = self._send(
             "POST", address, _names.KV_FREE_PATH, request, JSON_HEADERS, READ_TIMEOUT_S
         )
-        return not isinstance(content, gateway.Unavailable)
+        return content if isinstance(content, gateway.Unavailable) else None
 
     def _send(self, method, address, path, content, headers, timeout_s):
         body = None if content is None else msgspec.json.encode(content)
@@ -99,7 +99,10 @@
                 timeout=timeout,
             )
             if response.status >= 300:
-                return gateway.Unavailable(f"status {response.status}", response.status)
+                statements = _protocol.parse_statements(response)
+                return gateway.Unavailable(
+                    f"status {response.status}", response.status, statements=statements
+                )
             return msgspec.json.decode(response.data) if response.data else {}
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return gateway.Unavailable(f"no response: {type(error).__name__}")
--- a/sycamorespoke/platform/_engines.py
+++ b/sycamorespoke/platform/_engines.py
@@ -53,8 +53,11 @@
         response = self._send("GET", upstream, _names.REPORT_PATH)
         if isinstance(response, gateway.Unavailable):
             return response
+        statements = _protocol.parse_statements(response)
         if response.status != 200:
-            return gateway.Unavailable(f"status {response.status}", response.status)
+            return gateway.Unavailable(
+                f"status {response.status}", response.status, statements=statements
+            )
         try:
             value = msgspec.json.decode(response.data)
             return gateway.EngineReport(
@@ -65,7 +68,7 @@
                 versions_by_model={
                     model["Name"]: model["Version"] for model in value["Models"]
                 },
-                statements=_protocol.parse_statements(response),
+                statements=statements,
             )
         except (msgspec.DecodeError, KeyError, TypeError) as error:
             return gateway.Unavailable(f"malformed report: {error!r}")
@@ -82,9 +85,9 @@
 
         Returns
         -------
-        gateway.OrderOutcome
-            `gateway.OrderOutcome.UNKNOWN` if there was no response; the engine may
-            have accepted the order.
+        gateway.OrderResult
+            Its outcome is `gateway.OrderOutcome.UNKNOWN` if there was no response;
+            the engine may have accepted the order.
         """
         content = {
             "Op": "Version",
@@ -100,8 +103,11 @@
         headers = {_names.EXPECT_INSTANCE: upstream.id}
         response = self._send("POST", upstream, _names.ORDER_PATH, content, headers)
         if isinstance(response, gateway.Unavailable):
-            return gateway.OrderOutcome.UNKNOWN
-        return OUTCOME_BY_STATUS.get(response.status, gateway.OrderOutcome.REFUSED)
+            return gateway.OrderResult(gateway.OrderOutcome.UNKNOWN)
+        return gateway.OrderResult(
+            OUTCOME_BY_STATUS.get(response.status, gateway.OrderOutcome.REFUSED),
+            _protocol.parse_statements(response),
+        )
 
     def _send(self, method, upstream, path, content=None, headers=None):
         body = None if content is None else msgspec.json.encode(content)
--- a/tests/gateway/test_retirement.py
+++ b/tests/gateway/test_retirement.py
@@ -8,6 +8,8 @@
     _model,
     _retirement,
     _rollout,
+    _source,
+    _statements,
     _store_index,
     _task_lease,
     _views as views_module,
@@ -111,3 +113,13 @@
         actor.tell(_rollout.Tick(begun_s + number))
     actor.proxy().task_lease.get(timeout=5.0)
     assert len(client.freed) == 1
+
+
+def test_overloaded_store_frees_nothing_before_its_backoff_has_ended(start):
+    index = make_index(("v1 m", "old"))
+    client = StoreClient()
+    statements = _statements.Statements(backoff_s=600.0)
+    overloaded = _source.Unavailable("status 503", 503, statements=statements)
+    index.record_unavailable(overloaded, serving.read_clock())
+    step(start(index, client))
+    assert client.freed == []
--- a/tests/gateway/test_rollout.py
+++ b/tests/gateway/test_rollout.py
@@ -29,6 +29,10 @@
     is_unreachable: bool = False
     is_fenced: bool = False
     is_leaving: bool = False
+    # Wanted once, in the response to the first report or order.
+    report_backoff_s: float | None = None
+    order_backoff_s: float | None = None
+    calls: int = 0
     received_orders: list = attrs.field(factory=list)
 
 
@@ -38,6 +42,11 @@
 
     def read_report(self, upstream):
         engine = self.by_id[upstream.id]
+        engine.calls += 1
+        if engine.report_backoff_s is not None:
+            statements = _statements.Statements(backoff_s=engine.report_backoff_s)
+            engine.report_backoff_s = None
+            return _source.Unavailable("status 503", 503, statements=statements)
         if engine.is_unreachable:
             return _source.Unavailable("unreachable")
         versions_by_model = {MODEL: engine.version}
@@ -46,17 +55,22 @@
 
     def order_version(self, upstream, order):
         engine = self.by_id[upstream.id]
+        engine.calls += 1
         engine.received_orders.append(order)
+        if engine.order_backoff_s is not None:
+            statements = _statements.Statements(backoff_s=engine.order_backoff_s)
+            engine.order_backoff_s = None
+            return _orders.OrderResult(_orders.OrderOutcome.REFUSED, statements)
         if engine.is_fenced:
-            return _orders.OrderOutcome.FENCED
+            return _orders.OrderResult(_orders.OrderOutcome.FENCED)
         if engine.lost_orders:
             engine.lost_orders -= 1
-            return _orders.OrderOutcome.UNKNOWN
+            return _orders.OrderResult(_orders.OrderOutcome.UNKNOWN)
         if order.after_orders != engine.orders:
-            return _orders.OrderOutcome.BUSY
+            return _orders.OrderResult(_orders.OrderOutcome.BUSY)
         engine.orders += 1
         engine.version = order.version
-        return _orders.OrderOutcome.ACCEPTED
+        return _orders.OrderResult(_orders.OrderOutcome.ACCEPTED)
 
 
 @pytest.fixture
@@ -189,3 +203,26 @@
     table = actor.proxy().table.get()
     assert run_until(actor, lambda: table.dump(0.0).get("i1@1", {}).get("leaving"))
     assert engines.by_id["i1"].received_orders == []
+
+
+@pytest.mark.parametrize(
+    ("field", "calls"), [("report_backoff_s", 1), ("order_backoff_s", 2)]
+)
+def test_engine_gets_no_report_or_order_before_its_backoff_has_ended(
+    start, field, calls
+):
+    engines = FakeEngines(i1=FakeEngine(**{field: 1.5}), i2=FakeEngine())
+    actor = start(engines, lease_objects.FakeLeaseStore())
+    engine = engines.by_id["i1"]
+    assert run_until(actor, lambda: engine.calls == calls)
+    assert not run_until(actor, lambda: engine.calls > calls, timeout_s=1.2)
+    assert run_until(actor, lambda: engine.version == 2)
+
+
+def test_engine_with_a_backoff_for_callers_gets_no_report_or_order(start):
+    engines = FakeEngines(i1=FakeEngine(), i2=FakeEngine())
+    actor = start(engines, lease_objects.FakeLeaseStore())
+    upstream = actor.proxy().views.get().get().upstreams_by_id["i1"]
+    actor.proxy().table.get().record_backoff(upstream, serving.read_clock() + 600.0)
+    assert run_until(actor, lambda: engines.by_id["i2"].version == 2)
+    assert engines.by_id["i1"].calls == 0
--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -98,6 +98,10 @@
     _table.UpstreamTable.record_leaving = lambda *_: False
 
 
+def _ignore_backoff():
+    _table.UpstreamTable.record_backoff = lambda *_: False
+
+
 def _ignore_quarantine():
     _crash_watch.CrashWatch.find_refusal = lambda *_: None
 
@@ -132,6 +136,7 @@
     "export-checks": _skip_export_checks,
     "version-of-import": _import_under_version_of_engine,
     "leaving": _ignore_leaving,
+    "backoff": _ignore_backoff,
     "quarantine": _ignore_quarantine,
     "lost-before-response": _ignore_requests_lost_before_a_response,
     "moments": _count_upstreams_lost_together,
