Soak: upstreams refuse requests with a time for which they want no others

A behaviour of upstreams (503 with Retry-After: 2) and a guarantee: at most two requests of a host reach the upstream between half a second and the end of that time, by the users' rule, unless the host was signalled or the link to the upstream disturbed, which may lose the refusal.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -131,7 +131,7 @@
     elif fault is Fault.STORE_DISCARDS_HISTORY:
         deployment.store.discard_history()
     elif fault is Fault.UPSTREAM_LINK:
-        deployment.upstreams[target].proxy.set_mode(variant)
+        deployment.upstreams[target].disturb_link(variant)
     elif fault is Fault.UPSTREAM_MISBEHAVES:
         deployment.upstreams[target].behaviour = variant
     elif fault is Fault.UPSTREAM_RESTART:
@@ -156,7 +156,7 @@
     elif fault is Fault.STORE_DROPS_RESPONSES:
         deployment.store.drops_responses = False
     elif fault is Fault.UPSTREAM_LINK:
-        deployment.upstreams[target].proxy.set_mode(proxy.Mode.PASS)
+        deployment.upstreams[target].restore_link()
     elif fault is Fault.UPSTREAM_MISBEHAVES:
         deployment.upstreams[target].behaviour = upstreams.Behaviour.NORMAL
     elif fault in (Fault.UPSTREAM_DRAINS, Fault.UPSTREAM_SAYS_IT_LEAVES):
--- a/tests/soak/gateway_deployment.py
+++ b/tests/soak/gateway_deployment.py
@@ -137,6 +137,14 @@
         upstream.starts += 1
         self.register(upstream)
 
+    def list_link_faults_by_id(self):
+        """Return the faults of the link to each start of an upstream, by ID."""
+        return {
+            f"i-{upstream.number}-{start}": upstream.link_faults
+            for upstream in self.upstreams
+            for start in range(1, upstream.starts + 1)
+        }
+
     def end_under_request(self, upstream):
         """End an upstream that runs a fatal request, and start it anew."""
         self.ended_s.append(time.monotonic())
--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -10,6 +10,8 @@
 MIN_SERVED_SHARE = 0.95
 # Bound of the users' platform.
 DRAIN_S = 2.0
+BACKOFF_UNBOUND_S = 0.5
+MAX_REQUESTS_IN_BACKOFF = 2
 STABILITY_WINDOW_S = 3.0
 COUNTED_ENDS = 3
 MAX_LATE_ENDS = 3
@@ -112,6 +114,58 @@
     )
 
 
+def check_backoff(outcomes, runs, refusals, signalled_s_by_host, link_faults_by_id):
+    """Check that hosts leave upstreams alone for the time that a refusal names.
+
+    Parameters
+    ----------
+    outcomes : list of callers.Outcome
+        Outcomes that the callers observed.
+    runs : list of upstreams.Run
+        Requests that the upstreams ran.
+    refusals : list of upstreams.Refusal
+        Requests that the upstreams refused, each with a time.
+    signalled_s_by_host : dict of str to list of float
+        When each host was signalled; it need not remember what it was told before.
+    link_faults_by_id : dict of str to list of (float, float)
+        Faults of the link to each upstream, which may have lost a refusal.
+
+    Returns
+    -------
+    list of str
+        One line for each refusal after which too many requests followed.
+    """
+    host_by_request = {each.request_id: each.host for each in outcomes}
+    times_by_pair = collections.defaultdict(list)
+    for each in [*runs, *refusals]:
+        pair = host_by_request.get(each.request_id), each.upstream
+        times_by_pair[pair].append(each.at_s)
+    violations = []
+    for refusal in refusals:
+        host = host_by_request.get(refusal.request_id)
+        ends_s = refusal.at_s + upstreams.BACKOFF_S
+        is_excused = host is None or _overlaps(
+            refusal.at_s - callers.DEADLINE_S,
+            ends_s,
+            [(each, each) for each in signalled_s_by_host.get(host, ())]
+            + [tuple(each) for each in link_faults_by_id.get(refusal.upstream, ())],
+        )
+        count = sum(
+            refusal.at_s + BACKOFF_UNBOUND_S < at_s < ends_s
+            for at_s in times_by_pair[host, refusal.upstream]
+        )
+        if count > MAX_REQUESTS_IN_BACKOFF and not is_excused:
+            violations.append(
+                f"{count} requests of {host} reached {refusal.upstream} before the "
+                f"end of its backoff, told with {refusal.request_id}"
+            )
+    return violations
+
+
+def _overlaps(begins_s, ends_s, intervals):
+    return any(first <= ends_s and last >= begins_s for first, last in intervals)
+
+
 def check_fatal(ended_s):
     """Check that a request which ends upstreams soon reaches no more of them.
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -85,6 +85,13 @@
         violations += guarantees.check_leaving(
             outcomes, runs, {each.name: each.signalled_s for each in deployment.hosts}
         )
+        violations += guarantees.check_backoff(
+            outcomes,
+            runs,
+            deployment.log.list_refusals(),
+            {each.name: each.signalled_s for each in deployment.hosts},
+            deployment.list_link_faults_by_id(),
+        )
         violations += guarantees.check_fatal(deployment.ended_s)
         violations += guarantees.check_recovery(after)
         served = sum(each.is_complete and each.status == 200 for each in outcomes)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -137,3 +137,31 @@
     assert guarantees.check_fatal([1.0, 1.1, 1.2, 4.3, 4.4, 4.5]) == []
     assert guarantees.check_fatal([1.0, 1.1, 1.2, 4.3, 4.4, 4.5, 4.6])
     assert guarantees.check_fatal([1.0, 1.1])
+
+
+def test_requests_within_the_time_that_a_refusal_names_are_reported():
+    requests = [attrs.evolve(OUTCOME, request_id=f"c1-{n}") for n in range(4)]
+    refusal = upstreams.Refusal("c1-0", "i-1-1", 1.5)
+    runs = [attrs.evolve(RUN, request_id=f"c1-{n}", at_s=2.1) for n in range(1, 4)]
+    assert len(guarantees.check_backoff(requests, runs, [refusal], {}, {})) == 1
+    # Two are tolerated; before and after the time, at another host or start, after a
+    # signal of the host or beside a fault of the link.
+    early = [attrs.evolve(run, at_s=1.9) for run in runs]
+    late = [attrs.evolve(run, at_s=3.6) for run in runs]
+    elsewhere = [attrs.evolve(run, upstream="i-1-2") for run in runs]
+    other_host = [requests[0]] + [
+        attrs.evolve(each, host="h1") for each in requests[1:]
+    ]
+    for outcomes, allowed_runs, signalled_s_by_host, link_faults_by_id in (
+        (requests, runs[1:], {}, {}),
+        (requests, early, {}, {}),
+        (requests, late, {}, {}),
+        (requests, elsewhere, {}, {}),
+        (other_host, runs, {}, {}),
+        (requests, runs, {"h0": [2.0]}, {}),
+        (requests, runs, {}, {"i-1-1": [[0.5, 1.0]]}),
+    ):
+        violations = guarantees.check_backoff(
+            outcomes, allowed_runs, [refusal], signalled_s_by_host, link_faults_by_id
+        )
+        assert violations == []
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -30,11 +30,13 @@
     ENDLESS_HEAD = "endless head"
     ENDLESS_BODY = "endless body"
     RATE_LIMIT = "rate limit"
+    OVERLOADED = "overloaded"
 
 
 ENDLESS_BEHAVIOURS = frozenset({Behaviour.ENDLESS_HEAD, Behaviour.ENDLESS_BODY})
 ENDLESS_PAUSE_S = 0.005
 RATE_LIMIT_PER_S = "3.5"
+BACKOFF_S = 2.0
 FATAL_NAME = "fatal"
 LEAVING_HEADER = "Server-Leaving"
 UNFRAMED_BEHAVIOURS = frozenset({Behaviour.UNFRAMED, Behaviour.CUT_UNFRAMED})
@@ -62,12 +64,42 @@
     says_leaving: bool = False
 
 
+@attrs.frozen
+class Refusal:
+    """Request that an upstream refused, with a time for which it wants no others.
+
+    Parameters
+    ----------
+    request_id : str
+        ID of the request.
+    upstream : str
+        ID of the upstream.
+    at_s : float
+        Monotonic time, in seconds.
+    """
+
+    request_id: str
+    upstream: str
+    at_s: float
+
+
 class RunLog:
-    """Thread-safe log of the runs of all upstreams."""
+    """Thread-safe log of the runs and refusals of all upstreams."""
 
     def __init__(self):
         self._lock = threading.Lock()
         self._runs = []
+        self._refusals = []
+
+    def add_refusal(self, refusal):
+        """Add a refusal."""
+        with self._lock:
+            self._refusals.append(refusal)
+
+    def list_refusals(self):
+        """Return a copy of the refusals so far."""
+        with self._lock:
+            return list(self._refusals)
 
     def add(self, run):
         """Add a run."""
@@ -101,6 +133,8 @@
         self.starts = 1
         self.behaviour = Behaviour.NORMAL
         self.is_leaving = False
+        # Start and end of each fault of the link, monotonic times in seconds.
+        self.link_faults = []
         self.server = scripted_upstream.ScriptedUpstream(self._handle_request)
         self.proxy = proxy.LoopbackProxy(self.server.address)
 
@@ -121,6 +155,17 @@
             "born": self.starts,
         }
 
+    def disturb_link(self, mode):
+        """Begin a fault of the link."""
+        self.link_faults.append([time.monotonic(), float("inf")])
+        self.proxy.set_mode(mode)
+
+    def restore_link(self):
+        """End the faults of the link."""
+        self.proxy.set_mode(proxy.Mode.PASS)
+        for fault in self.link_faults:
+            fault[1] = min(fault[1], time.monotonic())
+
     def close(self):
         """Close the proxy and the server."""
         self.proxy.close()
@@ -141,6 +186,11 @@
             scripted_upstream.respond(request, 503, b"", **headers)
             return
         request_id = request.headers["X-Sycamorespoke-Request-Id"]
+        if self.behaviour is Behaviour.OVERLOADED:
+            self.log.add_refusal(Refusal(request_id, upstream_id, time.monotonic()))
+            headers |= {"X-Sycamorespoke-Not-Run": "1", "Retry-After": str(BACKOFF_S)}
+            scripted_upstream.respond(request, 503, b"", **headers)
+            return
         says_leaving = LEAVING_HEADER in headers
         self.log.add(Run(request_id, upstream_id, time.monotonic(), says_leaving))
         if self.behaviour is Behaviour.ERROR:
