Gateway: lines name the software version of upstreams and the request a caller resumes

No line said which version of its software an upstream has, nor which try a caller takes up. The adapter reads both (Version of the list, Resumes of the caller). No decision changes, except that an entry without a readable Version names no upstream, as the contract says of missing fields; two cases of the test of malformed entries are new.

--- a/sycamorespoke/clients/__init__.py
+++ b/sycamorespoke/clients/__init__.py
@@ -42,6 +42,12 @@
     parse_integer,
     parse_keep_alive,
 )
+from sycamorespoke.clients._json_fields import (
+    MalformedFieldError,
+    check_number,
+    check_type,
+    read_field,
+)
 from sycamorespoke.clients._orders import OrderAccepted, OrderClient
 from sycamorespoke.clients._platform import (
     Conflict,
@@ -82,6 +88,7 @@
     "GenerationRequest",
     "Incomplete",
     "Invalid",
+    "MalformedFieldError",
     "Mismatch",
     "Missing",
     "OrderAccepted",
@@ -99,6 +106,8 @@
     "Unavailable",
     "Uncertain",
     "Unchanged",
+    "check_number",
+    "check_type",
     "encode_envelope",
     "find_block_error",
     "is_event_stream",
@@ -108,5 +117,6 @@
     "parse_envelope",
     "parse_integer",
     "parse_keep_alive",
+    "read_field",
     "replace_request_id",
 ]
--- a/sycamorespoke/gateway/_attempt_log.py
+++ b/sycamorespoke/gateway/_attempt_log.py
@@ -57,6 +57,8 @@
             fetched=sum(address is not None for address in plan.import_from),
             saved=sum(address is not None for address in plan.export_to),
             resumed_after=dispatch.last_event_id,
+            caller_resumes_after=self.request.last_event_id,
+            resumed_request=self.request.resumed_request_id,
         )
 
     def record_failed(self, upstream, reason):
@@ -109,6 +111,7 @@
             request_id=self.request.id,
             route=self.route.name,
             upstream=upstream.id,
+            software_version=upstream.software_version,
             reached=len(self.reached_boot_ids),
             left_ms=int((self.deadline_s - now) * 1000),
             urgent=self.dispatcher.has_full_priority,
--- a/sycamorespoke/gateway/_model.py
+++ b/sycamorespoke/gateway/_model.py
@@ -263,6 +263,8 @@
         When the registration was received, seconds of the boot clock.
     versions_by_model : dict of str to int
         Weight versions that it holds.
+    software_version : str, default=""
+        Version of its software, which has no order; empty if unknown.
     """
 
     id: str
@@ -275,6 +277,7 @@
     cold_s: float = 0.0
     seen_s: float = 0.0
     versions_by_model: dict[str, int] = attrs.field(factory=dict)
+    software_version: str = ""
 
     @property
     def boot_id(self):
--- a/sycamorespoke/gateway/_requests.py
+++ b/sycamorespoke/gateway/_requests.py
@@ -98,6 +98,9 @@
         Description of the prompt, if the request carries one.
     last_event_id : int or None
         ID of the last event of the stream that the caller has received.
+    resumed_request_id : str
+        ID of the request that brought the first event of the stream that this
+        request continues; empty if not stated.
     """
 
     id: str
@@ -111,6 +114,7 @@
     api_key: str | None = attrs.field(default=None, repr=False)
     prompt: Prompt | None = None
     last_event_id: int | None = None
+    resumed_request_id: str = ""
 
     @property
     def path(self):
--- a/sycamorespoke/gateway/_view_updater.py
+++ b/sycamorespoke/gateway/_view_updater.py
@@ -182,6 +182,7 @@
         draining=upstream.is_draining,
         cold_s=upstream.cold_s,
         versions=upstream.versions_by_model,
+        software_version=upstream.software_version,
     ).info("upstream changed")
 
 
--- a/sycamorespoke/platform/_names.py
+++ b/sycamorespoke/platform/_names.py
@@ -38,6 +38,8 @@
 KV_UNTIL = HEADER_PREFIX + "Kv-Until"
 COLD_MS = HEADER_PREFIX + "Cold-Ms"
 LAST_EVENT_ID = "Last-Event-Id"
+# ID of the caller's request that brought the first event of the stream.
+RESUMES = "Resumes"
 # Requests per second that the upstream accepts from all hosts together.
 SERVER_LIMIT = "Server-Limit"
 # "1" in all responses of an upstream that is about to stop.
--- a/sycamorespoke/platform/_objects.py
+++ b/sycamorespoke/platform/_objects.py
@@ -2,10 +2,14 @@
 
 import attrs
 
-from sycamorespoke import gateway, serving
+from sycamorespoke import clients, gateway, serving
 
 MS_PER_S = 1000.0
 BITS_PER_MBIT = 1_000_000.0
+MalformedObjectError = clients.MalformedFieldError
+_field = clients.read_field
+_check_type = clients.check_type
+_number = clients.check_number
 UPSTREAM_STATES = ("ready", "draining")
 ROUTE_KIND_BY_NAME = {
     "safe": gateway.RouteKind.SAFE,
@@ -14,10 +18,6 @@
 }
 
 
-class MalformedObjectError(ValueError):
-    """An object of the store has a missing, mistyped or invalid field."""
-
-
 @attrs.frozen
 class StoredObject:
     """Object of the store.
@@ -45,7 +45,7 @@
     MalformedObjectError
         If the object has no name or revision.
     """
-    metadata = _dict_field(value, "Metadata")
+    metadata = _field(value, "Metadata", dict)
     return StoredObject(
         name=_field(metadata, "Name", str),
         revision=_field(metadata, "Revision", int),
@@ -126,6 +126,8 @@
         cold_s=cold_ms / MS_PER_S,
         seen_s=now,
         versions_by_model=_parse_versions(spec.get("Models") or []),
+        # "Version" is that of the software, not of the weights.
+        software_version=_field(spec, "Version", str),
     )
 
 
@@ -277,28 +279,3 @@
     if not host or not separator or not port.isascii() or not port.isdigit():
         raise MalformedObjectError("an address is not an IP address and a port")
     return text
-
-
-def _dict_field(value, key):
-    return _field(_check_type(value, dict, "object"), key, dict)
-
-
-def _field(value, key, expected_type):
-    _check_type(value, dict, "entry")
-    if key not in value:
-        raise MalformedObjectError(f"{key} is missing")
-    return _check_type(value[key], expected_type, key)
-
-
-def _check_type(value, expected_type, key):
-    if not isinstance(value, expected_type) or (
-        expected_type is int and isinstance(value, bool)
-    ):
-        raise MalformedObjectError(f"{key} has the wrong type")
-    return value
-
-
-def _number(value, key):
-    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
-        raise MalformedObjectError(f"{key} is not a number of 0 or more")
-    return value
--- a/sycamorespoke/platform/_protocol.py
+++ b/sycamorespoke/platform/_protocol.py
@@ -56,6 +56,7 @@
         deadline_s=deadline_s,
         api_key=_parse_api_key(headers_by_name),
         prompt=prompt,
+        resumed_request_id=headers_by_name.get(_names.RESUMES.lower(), "").strip(),
         last_event_id=clients.parse_integer(
             headers_by_name.get(_names.LAST_EVENT_ID.lower())
         ),
--- a/tests/fakes/upstream_fleet.py
+++ b/tests/fakes/upstream_fleet.py
@@ -179,7 +179,7 @@
             )
             self._servers_by_id[upstream_id] = server
         spec = {"Service": "s", "Address": server.address, "Zone": "dc-1", "Slots": 8}
-        ready = {"State": "ready", "ColdRemainingMs": 0}
+        ready = {"State": "ready", "Version": "v1", "ColdRemainingMs": 0}
         self.store.put("servers", upstream_id, {**spec, **ready})
 
     def _serve(self, upstream_id, request):
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -43,6 +43,7 @@
     "Zone": "z",
     "Slots": 64,
     "State": "ready",
+    "Version": "v1",
     "ColdRemainingMs": 1500,
     "Models": [{"Name": "m", "Version": 3, "Adapters": []}],
     "Seq": 4,
@@ -106,6 +107,8 @@
 @pytest.mark.parametrize(
     ("key", "value"),
     [
+        ("Version", 1),
+        ("Version", None),
         ("State", "asleep"),
         ("State", None),
         ("Service", 4),
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -125,7 +125,11 @@
 def register_service(fake_store, upstream):
     fake_store.put("config", "main", CONFIGURATION)
     spec = {"Service": "s", "Address": upstream.address, "Zone": "dc-1", "Slots": 4}
-    fake_store.put("servers", "i-1", {**spec, "State": "ready", "ColdRemainingMs": 0})
+    fake_store.put(
+        "servers",
+        "i-1",
+        {**spec, "State": "ready", "Version": "v1", "ColdRemainingMs": 0},
+    )
 
 
 def test_a_gateway_is_ready_once_configured_and_finishes_streams_on_shutdown(
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -151,6 +151,7 @@
             "Zone": "dc-1",
             "Slots": 16,
             "State": state,
+            "Version": "v1",
             "ColdRemainingMs": 0,
             "born": self.starts,
         }
