--- a/tests/fakes/upstream_fleet.py
+++ b/tests/fakes/upstream_fleet.py
@@ -11,6 +11,10 @@
 # Routes of plain services, whose requests have no prompt.
 SAFE_ROUTE = "lookups"
 UNSAFE_ROUTE = "bookings"
+# Routes whose streams may resume: within a response, or only by their callers.
+RESUMABLE_ROUTE = "drafts"
+BROKEN_ROUTE = "letters"
+EVENTS = 4
 PROMPT_PREFIX = "X-Sycamorespoke-Prompt-Prefix"
 REQUEST_ID = "X-Sycamorespoke-Request-Id"
 # Between the first bytes of the response and the end of the process.
@@ -34,6 +38,8 @@
         ID that the caller chose.
     body : bytes
         Body of the request.
+    resumed_after : str or None, default=None
+        ID of the event after which a stream goes on.
     """
 
     upstream: str
@@ -41,6 +47,7 @@
     at_s: float
     request_id: str
     body: bytes
+    resumed_after: str | None = None
 
 
 @attrs.frozen
@@ -75,6 +82,8 @@
         Time after which an upstream is back, under another ID, seconds.
     answer_s : float
         Time from the head of a response to its end, seconds.
+    software_versions : sequence of str
+        Versions of the upstreams' software, which they have in turn.
 
     Attributes
     ----------
@@ -94,7 +103,10 @@
         fatal_bodies=frozenset(),
         restart_s=1.0,
         answer_s=ANSWER_S,
+        software_versions=("v1",),
     ):
+        self.software_versions = software_versions
+        self.versions_by_id = {}
         self.fatal_blocks = fatal_blocks
         self.fatal_bodies = fatal_bodies
         self.restart_s = restart_s
@@ -179,7 +191,9 @@
             )
             self._servers_by_id[upstream_id] = server
         spec = {"Service": "s", "Address": server.address, "Zone": "dc-1", "Slots": 8}
-        ready = {"State": "ready", "Version": "v1", "ColdRemainingMs": 0}
+        version = self.software_versions[self._starts % len(self.software_versions)]
+        self.versions_by_id[upstream_id] = version
+        ready = {"State": "ready", "Version": version, "ColdRemainingMs": 0}
         self.store.put("servers", upstream_id, {**spec, **ready})
 
     def _serve(self, upstream_id, request):
@@ -188,8 +202,18 @@
         request_id = request.headers[REQUEST_ID]
         at_s = time.monotonic()
         self.arrivals.append(
-            Arrival(upstream_id, blocks, at_s, request_id, request.body)
+            Arrival(
+                upstream_id,
+                blocks,
+                at_s,
+                request_id,
+                request.body,
+                request.headers.get("Last-Event-Id"),
+            )
         )
+        if request.path.startswith((f"/{RESUMABLE_ROUTE}/", f"/{BROKEN_ROUTE}/")):
+            _serve_resumable(request)
+            return
         if upstream_id in self.backoffs_by_id:
             backoff = self.backoffs_by_id[upstream_id]
             refusal = {"X-Sycamorespoke-Not-Run": "1", "Retry-After": backoff}
@@ -218,6 +242,18 @@
         scripted_upstream.send_chunk(request, b"")
 
 
+def _serve_resumable(request):
+    """Break a stream off after half of its events; send the rest if it goes on."""
+    first = int(request.headers.get("Last-Event-Id") or 0) + 1
+    scripted_upstream.start_stream(request)
+    if first == 1:
+        scripted_upstream.send_events(request, 1, EVENTS // 2)
+        scripted_upstream.abort(request)
+        return
+    scripted_upstream.send_events(request, first, EVENTS)
+    scripted_upstream.send_chunk(request, b"")
+
+
 def _make_route(name, kind, **changes):
     return {
         "Name": name,
@@ -240,6 +276,8 @@
             _make_route(ROUTE, "streaming", Sticky=True),
             _make_route(SAFE_ROUTE, "safe", MaxAttempts=2),
             _make_route(UNSAFE_ROUTE, "unsafe"),
+            _make_route(RESUMABLE_ROUTE, "streaming", Resumable=True, MaxAttempts=5),
+            _make_route(BROKEN_ROUTE, "streaming", Resumable=True),
         ],
         "Services": [{"Name": "s", "MaxConns": 200}],
         "Tenants": [{"Name": "t", "ApiKeys": [in_process_gateway.API_KEY]}],
