Gateway: a stream goes on only at the software version that began it

What was seen: streams held events of upstreams of two software versions, within a response and over the tries of a caller, also at a host that had not begun them.

Cause: software versions were not read, and hosts knew nothing of each other's streams; a broken stream resumed at any upstream of the service. Class of fault: a continuation that carries no identity of what it continues (weights had one). Ruled out as needed for it: a start with other software under its old ID; the failing tests have none (the exchange checks it all the same, where the list shows it).

Change: the service and software version of the upstream that sent the first event are the stream's origin. Within a response the chooser considers only upstreams of it. For callers that take a stream up, the host records the origin under the request's ID, and at three other hosts chosen by the ID, in different data centres; the host that a caller reaches asks those, 0.4 s at most. Who cannot know refuses with 503 (stream_unknown, not run).

Mechanisms off: 5 and 4 tests fail.

--- a/scenarios/test_not_run.py
+++ b/scenarios/test_not_run.py
@@ -25,6 +25,7 @@
     "request_quarantined",
     "cancelled",
     "internal",
+    "stream_unknown",
     "version_loading",
 }
 SHORT_WAIT_S = 0.3
--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -183,6 +183,11 @@
     StoreCandidate,
     choose_store,
 )
+from sycamorespoke.decisions._stream_origins import (
+    StreamOrigin,
+    choose_origin_keepers,
+    choose_origin_sources,
+)
 from sycamorespoke.decisions._upstream_limit import (
     AttemptOutcome,
     UpstreamLimit,
@@ -263,6 +268,7 @@
     "StoreState",
     "StoredRules",
     "StoredServiceState",
+    "StreamOrigin",
     "Suspicion",
     "TokenBucket",
     "TurnShare",
@@ -277,6 +283,8 @@
     "begin_transfer",
     "choose_neighbours",
     "choose_newer_revision",
+    "choose_origin_keepers",
+    "choose_origin_sources",
     "choose_retry_after_s",
     "choose_shards",
     "choose_store",
--- a/sycamorespoke/decisions/_placement.py
+++ b/sycamorespoke/decisions/_placement.py
@@ -73,6 +73,37 @@
     )
 
 
+def rank_spread(key, data_centres_by_name):
+    """Rank names for a key so that any first few are spread over the data centres.
+
+    Parameters
+    ----------
+    key : str
+        Items with the same key get the same ranking.
+    data_centres_by_name : dict of str to str
+        Data centre of each name.
+
+    Returns
+    -------
+    list of str
+        The best of each data centre first, then the second of each, and so on.
+
+    Examples
+    --------
+    >>> names = {f"h{n}": f"dc{n % 3}" for n in range(9)}
+    >>> {names[name] for name in rank_spread("key", names)[:3]} == set(names.values())
+    True
+    """
+    turns_by_data_centre = {}
+    order = []
+    for rank, name in enumerate(rank_by_key(key, data_centres_by_name)):
+        data_centre = data_centres_by_name[name]
+        turn = turns_by_data_centre.get(data_centre, 0)
+        turns_by_data_centre[data_centre] = turn + 1
+        order.append((turn, rank, name))
+    return [name for _, _, name in sorted(order)]
+
+
 def rank_weighted(key, weights_by_name):
     """Rank names for a key by weighted rendezvous hashing.
 
--- a/sycamorespoke/decisions/_readers.py
+++ b/sycamorespoke/decisions/_readers.py
@@ -100,12 +100,5 @@
 
 
 def _choose_readers(data_centres_by_host, max_readers):
-    ranked = _placement.rank_by_key(READER_RANKING_KEY, data_centres_by_host)
-    turns_by_data_centre = {}
-    order = []
-    for rank, host in enumerate(ranked):
-        data_centre = data_centres_by_host[host]
-        turn = turns_by_data_centre.get(data_centre, 0)
-        turns_by_data_centre[data_centre] = turn + 1
-        order.append((turn, rank, host))
-    return {host for _, _, host in sorted(order)[:max_readers]}
+    ranked = _placement.rank_spread(READER_RANKING_KEY, data_centres_by_host)
+    return set(ranked[:max_readers])
--- a/sycamorespoke/domain/_errors.py
+++ b/sycamorespoke/domain/_errors.py
@@ -28,6 +28,7 @@
     PROMPT_QUARANTINED = "prompt_quarantined"
     REQUEST_QUARANTINED = "request_quarantined"
     VERSION_LOADING = "version_loading"
+    STREAM_UNKNOWN = "stream_unknown"
     NOT_READY = "not_ready"
     DRAINING = "draining"
     CLAIMS_UNAVAILABLE = "claims_unavailable"
@@ -76,6 +77,7 @@
     ErrorKind.PROMPT_QUARANTINED: ErrorResponse(503, Execution.NOT_RUN, 3600),
     ErrorKind.REQUEST_QUARANTINED: ErrorResponse(503, Execution.NOT_RUN, 3600),
     ErrorKind.VERSION_LOADING: ErrorResponse(503, Execution.NOT_RUN, 1),
+    ErrorKind.STREAM_UNKNOWN: ErrorResponse(503, Execution.NOT_RUN, 1),
     ErrorKind.NOT_READY: ErrorResponse(503, Execution.NOT_RUN, 1),
     ErrorKind.DRAINING: ErrorResponse(503, Execution.NOT_RUN, 1),
     ErrorKind.CLAIMS_UNAVAILABLE: ErrorResponse(503, Execution.NOT_RUN, 5),
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -63,6 +63,8 @@
         self.deadline_s = deadline_s
         self.cancelled = False
         self.exchange = None
+        # Upstreams that may continue the stream, once it has begun.
+        self.origin = None
         self._excluded_boot_ids = set()
         self._work = _chooser.estimate_work(request.prompt) if request.prompt else 1.0
         self._active_upstream = None
@@ -209,7 +211,7 @@
         if refusal is not None:
             return refusal
         return self.gateway.chooser.choose(
-            view, self.route, self.request, self._excluded_boot_ids, now
+            view, self.route, self.request, self._excluded_boot_ids, now, self.origin
         )
 
     def _attempt(self, choice, last_event_id):
@@ -259,8 +261,16 @@
     def record_first_event(self):
         """Record the time at which the first event of the stream arrived."""
         now = self.gateway.read_clock()
+        upstream = self.exchange.upstream
         self.timing.first_event_s = now
-        self.gateway.table.record_first_event(self.exchange.upstream, self, now)
+        self.gateway.table.record_first_event(upstream, self, now)
+        self.origin = decisions.StreamOrigin(
+            upstream.service, upstream.software_version
+        )
+        if self.route.is_resumable:
+            self.gateway.stream_versions.record_begin(
+                self.request, self.origin, self.deadline_s, now
+            )
 
     def _handle_failure(self, choice, failure):
         """Handle a failed attempt; return a refusal if no other attempt follows."""
--- a/sycamorespoke/gateway/_chooser.py
+++ b/sycamorespoke/gateway/_chooser.py
@@ -94,7 +94,7 @@
         self.loads = loads
         self.generator = generator or random.Random()
 
-    def choose(self, view, route, request, excluded, now):
+    def choose(self, view, route, request, excluded, now, origin=None):
         """Choose the upstream of the next attempt.
 
         Parameters
@@ -109,6 +109,8 @@
             Boot IDs of upstreams that are not tried again.
         now : float
             Current time, seconds of the boot clock.
+        origin : decisions.StreamOrigin or None, default=None
+            Upstreams that may continue the stream, if the request continues one.
 
         Returns
         -------
@@ -119,7 +121,13 @@
             domain.ErrorKind.NO_UPSTREAM, "no upstream is available for the request"
         )
         for service in self._rank_services(route, request):
-            result = self._choose_in_service(view, service, request, excluded, now)
+            upstreams = [
+                upstream
+                for upstream in view.list_upstreams(service)
+                if upstream.boot_id not in excluded
+                and (origin is None or _may_continue(origin, upstream))
+            ]
+            result = self._choose_among(view, upstreams, request, now)
             if isinstance(result, Choice):
                 return result
             refusal = result or refusal
@@ -169,12 +177,7 @@
             return request.id
         return affinity_key(request.prompt)
 
-    def _choose_in_service(self, view, service, request, excluded, now):
-        upstreams = [
-            upstream
-            for upstream in view.list_upstreams(service)
-            if upstream.boot_id not in excluded
-        ]
+    def _choose_among(self, view, upstreams, request, now):
         states_by_boot = self.table.read(upstreams)
         availability_by_boot = _assess_all(view, upstreams, states_by_boot, now)
         # No fallback below may return an upstream that must not get the request.
@@ -321,6 +324,10 @@
     return max(seen, upstream.versions_by_model.get(model, 0))
 
 
+def _may_continue(origin, upstream):
+    return origin.allows(upstream.service, upstream.software_version)
+
+
 def _assess_all(view, upstreams, states_by_boot, now):
     return {
         each.boot_id: _upstream_gate.assess(
--- a/sycamorespoke/gateway/_gateway.py
+++ b/sycamorespoke/gateway/_gateway.py
@@ -34,6 +34,8 @@
         Plans imports and exports of blocks.
     crash_monitor : CrashMonitor
         Observes under which requests upstreams end.
+    stream_versions : StreamVersions
+        Keeps each stream at the software version that began it.
     budgets : RetryBudgets
         Limits the retries of each service.
     request_metrics : RequestMetrics
@@ -49,6 +51,7 @@
     pool: object
     block_planner: object
     crash_monitor: object
+    stream_versions: object
     budgets: object
     request_metrics: object
     read_clock: object
@@ -72,7 +75,13 @@
         deadline_s = request.arrived_s + route.timeout_s
         if request.deadline_s is not None:
             deadline_s = min(deadline_s, request.deadline_s)
+        origin = None
+        if route.kind is _model.RouteKind.STREAM and request.continues_stream:
+            origin = self.stream_versions.find_origin(request, route, self.read_clock())
+            if isinstance(origin, domain.Refusal):
+                return self._refuse(start_response, request, route, origin)
         attempts = _attempts.Attempts(self, request, route, account, deadline_s)
+        attempts.origin = origin
         set_on_disconnect = environ.get("caller.on_leave")
         if set_on_disconnect is not None:
             set_on_disconnect(attempts.cancel)
--- a/sycamorespoke/gateway/_model.py
+++ b/sycamorespoke/gateway/_model.py
@@ -284,6 +284,11 @@
         """Boot ID: identifies one start of the upstream by its ID and start time."""
         return f"{self.id}@{self.started_ms}"
 
+    def is_same_start(self, other):
+        """Return whether another entry is of the same start, with the same software."""
+        is_same_software = self.software_version == other.software_version
+        return self.boot_id == other.boot_id and is_same_software
+
     def is_cold(self, now):
         """Return whether it is cold at ``now``, seconds of the boot clock."""
         return self.cold_s > 0 and now < self.seen_s + self.cold_s
--- a/sycamorespoke/gateway/_peering.py
+++ b/sycamorespoke/gateway/_peering.py
@@ -1,5 +1,6 @@
 """Registers this host and plans which hosts read the sources for the others."""
 
+import functools
 import secrets
 import threading
 
@@ -36,6 +37,8 @@
         Work of the other hosts.
     table : UpstreamTable
         Holds this host's work.
+    directory : OriginDirectory
+        Records of streams, exchanged with other hosts.
     """
 
     host: _model.Host
@@ -45,6 +48,7 @@
     blocks: object
     loads: object
     table: object
+    directory: object
     _plan: decisions.ReaderPlan = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -118,6 +122,7 @@
         messages.Server(
             self.host.peer_address, key, self._handle_request, REPLY_THREADS
         )
+        self.directory.start(messages.Codec(key))
         _relay.UpdateRequester(
             self.host.name,
             self.blocks.list_indexes,
@@ -129,9 +134,17 @@
         ).start()
         return True
 
+    @functools.singledispatchmethod
     def _handle_request(self, message):
-        if not isinstance(message, messages.UpdatesRequest):
-            return None
+        """Return the reply to a message; ``None`` if hosts do not send its type."""
+        return None
+
+    @_handle_request.register
+    def _(self, message: messages.OriginsRequest):
+        return self.directory.handle(message, serving.read_clock())
+
+    @_handle_request.register
+    def _(self, message: messages.UpdatesRequest):
         return _relay.make_reply(
             self.blocks.list_indexes(),
             self.source,
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -11,6 +11,7 @@
     _connections,
     _gateway,
     _model,
+    _origin_directory,
     _peer_loads,
     _peering,
     _readiness,
@@ -19,6 +20,8 @@
     _retry_budgets,
     _rollout,
     _shared_source,
+    _software_versions,
+    _stream_versions,
     _table,
     _task_lease,
     _view_updater,
@@ -76,6 +79,10 @@
             self.crash_monitor,
             deployment.crash_records,
         )
+        self.directory = _origin_directory.OriginDirectory(
+            gateway_settings.name, self.views
+        )
+        self.software_versions = _software_versions.SoftwareVersions()
         self.stop_requested = threading.Event()
         self._limits = serving.CallerLimits()
         self._usable_files = max(gateway_settings.files - RESERVED_FILES, 64)
@@ -154,6 +161,7 @@
         self.table.retain(boot_ids, now)
         self.gateway.chooser.rate_limiter.retain(boot_ids)
         self.peering.update_plan(view)
+        self.directory.retain()
         self.block_planner.forget_old_exports(now)
         if view.configuration and view.configuration.limits != self._limits:
             self._limits = view.configuration.limits
@@ -254,6 +262,9 @@
             pool=self.pool,
             block_planner=self.block_planner,
             crash_monitor=self.crash_monitor,
+            stream_versions=_stream_versions.StreamVersions(
+                self.directory, self.software_versions, self.views, self.metrics
+            ),
             budgets=_retry_budgets.RetryBudgets(
                 settings.retry_ratio, settings.retry_slack
             ),
@@ -292,6 +303,7 @@
             self.block_planner,
             self.loads,
             self.table,
+            self.directory,
         )
 
     def _make_view_updater(self):
@@ -305,6 +317,7 @@
             self.views,
             actors_by_lease,
             self.table,
+            self.software_versions,
             self.peering.choose_timing,
             self.peering.update_plan,
         )
--- a/sycamorespoke/gateway/_requests.py
+++ b/sycamorespoke/gateway/_requests.py
@@ -101,6 +101,9 @@
     resumed_request_id : str
         ID of the request that brought the first event of the stream that this
         request continues; empty if not stated.
+    continues_stream : bool
+        Whether the caller takes up a stream, also if the ID of its last event cannot
+        be read.
     """
 
     id: str
@@ -115,6 +118,7 @@
     prompt: Prompt | None = None
     last_event_id: int | None = None
     resumed_request_id: str = ""
+    continues_stream: bool = False
 
     @property
     def path(self):
--- a/sycamorespoke/gateway/_upstream_gate.py
+++ b/sycamorespoke/gateway/_upstream_gate.py
@@ -23,7 +23,7 @@
         What stands against it.
     """
     listed = (view.upstreams_by_id or {}).get(upstream.id)
-    is_listed = listed is not None and listed.boot_id == upstream.boot_id
+    is_listed = listed is not None and listed.is_same_start(upstream)
     signals = decisions.UpstreamSignals(
         is_listed=is_listed,
         is_leaving=state.is_leaving or (is_listed and listed.is_draining),
--- a/sycamorespoke/gateway/_view_updater.py
+++ b/sycamorespoke/gateway/_view_updater.py
@@ -40,6 +40,8 @@
     table : UpstreamTable
         Records the weight versions that engines are announced to have loaded, and the
         upstreams that are draining.
+    software_versions : SoftwareVersions
+        Records which software versions are listed.
     choose_timing : callable
         Takes the `decisions.Freshness` of a section and returns its
         `decisions.WatchTiming`.
@@ -54,6 +56,7 @@
         views,
         actors_by_lease,
         table,
+        software_versions,
         choose_timing,
         on_configuration,
     ):
@@ -62,6 +65,7 @@
         self.views = views
         self.actors_by_lease = actors_by_lease
         self.table = table
+        self.software_versions = software_versions
         self.choose_timing = choose_timing
         self.on_configuration = on_configuration
         self._announced = None
@@ -115,6 +119,7 @@
         for upstream in items_by_name.values():
             if upstream.is_draining:
                 self.table.record_leaving(upstream, now)
+        self.software_versions.record(items_by_name.values(), now)
         self.views.replace_fields(upstreams_by_id=items_by_name)
         for name in previous.keys() - items_by_name.keys():
             loguru.logger.bind(upstream=name).info("upstream gone")
--- a/sycamorespoke/messages/__init__.py
+++ b/sycamorespoke/messages/__init__.py
@@ -5,6 +5,12 @@
 """
 
 from sycamorespoke.messages._frame import Codec, Direction, Dropped, Frame
+from sycamorespoke.messages._message import Message
+from sycamorespoke.messages._origin_messages import (
+    OriginsReply,
+    OriginsRequest,
+    StreamOriginRecord,
+)
 from sycamorespoke.messages._peer import NoReply, Peer, send_request
 from sycamorespoke.messages._server import Server
 from sycamorespoke.messages._types import (
@@ -18,7 +24,6 @@
     HeartbeatReply,
     InForceReply,
     InForceRequest,
-    Message,
     ObjectsPage,
     PermitReply,
     PermitRequest,
@@ -46,12 +51,15 @@
     "Message",
     "NoReply",
     "ObjectsPage",
+    "OriginsReply",
+    "OriginsRequest",
     "Peer",
     "PermitReply",
     "PermitRequest",
     "PermitReturn",
     "Server",
     "StorePage",
+    "StreamOriginRecord",
     "UpdatesReply",
     "UpdatesRequest",
     "send_request",
--- a/sycamorespoke/messages/_frame.py
+++ b/sycamorespoke/messages/_frame.py
@@ -9,7 +9,7 @@
 import attrs
 import msgspec
 
-from sycamorespoke.messages import _types
+from sycamorespoke.messages import _message, _types
 
 PROTOCOL_VERSION = 1
 DIGEST_BYTES = 16
@@ -41,7 +41,7 @@
     """
 
     nonce: bytes
-    message: _types.Message
+    message: _message.Message
 
 
 @attrs.frozen
--- a/sycamorespoke/messages/_types.py
+++ b/sycamorespoke/messages/_types.py
@@ -7,7 +7,7 @@
 import enum
 import typing
 
-import msgspec
+from sycamorespoke.messages import _message, _origin_messages
 
 
 class DocumentKind(enum.Enum):
@@ -18,13 +18,7 @@
     HOSTS = "hosts"
 
 
-class Message(
-    msgspec.Struct, array_like=True, frozen=True, omit_defaults=True, tag=True
-):
-    """Base class of all messages."""
-
-
-class Heartbeat(Message, tag="h"):
+class Heartbeat(_message.Message, tag="h"):
     """State of a host, sent to a peer that replies with its own state.
 
     Parameters
@@ -75,7 +69,7 @@
     """Reply to a heartbeat; does not include the running requests."""
 
 
-class DocumentRequest(Message, tag="d"):
+class DocumentRequest(_message.Message, tag="d"):
     """Request a document.
 
     Parameters
@@ -87,7 +81,7 @@
     kind: DocumentKind
 
 
-class DocumentReply(Message, tag="D"):
+class DocumentReply(_message.Message, tag="D"):
     """Copy of a document at the replying host.
 
     Parameters
@@ -105,11 +99,11 @@
     value: typing.Any = None
 
 
-class InForceRequest(Message, tag="i"):
+class InForceRequest(_message.Message, tag="i"):
     """Request the revisions in force at a host."""
 
 
-class InForceReply(Message, tag="I"):
+class InForceReply(_message.Message, tag="I"):
     """Revisions in force at one host.
 
     Parameters
@@ -132,11 +126,11 @@
     hosts: int
 
 
-class DumpRequest(Message, tag="u"):
+class DumpRequest(_message.Message, tag="u"):
     """Request the state of a process."""
 
 
-class DumpReply(Message, tag="U"):
+class DumpReply(_message.Message, tag="U"):
     """State of a process.
 
     Parameters
@@ -148,7 +142,7 @@
     state: dict[str, typing.Any]
 
 
-class PermitRequest(Message, tag="p"):
+class PermitRequest(_message.Message, tag="p"):
     """Ask the owner of a cold upstream for a permit to send requests to it.
 
     Parameters
@@ -175,7 +169,7 @@
     running: int = 0
 
 
-class PermitReply(Message, tag="P"):
+class PermitReply(_message.Message, tag="P"):
     """Reply of the owner to a request for a permit.
 
     Parameters
@@ -202,7 +196,7 @@
     owner: str = ""
 
 
-class PermitReturn(Message, tag="r"):
+class PermitReturn(_message.Message, tag="r"):
     """Return a permit before it expires.
 
     The reply is a `PermitReply` that grants 0 requests.
@@ -219,7 +213,7 @@
     upstream: str
 
 
-class UpdatesRequest(Message, tag="s"):
+class UpdatesRequest(_message.Message, tag="s"):
     """Request the changes that a host has read on behalf of others.
 
     Parameters
@@ -244,7 +238,7 @@
     work_by_upstream: dict[str, float] = {}
 
 
-class StorePage(Message, tag="sp"):
+class StorePage(_message.Message, tag="sp"):
     """Events of one block store, or all blocks in it.
 
     Parameters
@@ -271,7 +265,7 @@
     clock_ms: float
 
 
-class ObjectsPage(Message, tag="op"):
+class ObjectsPage(_message.Message, tag="op"):
     """Changes of one kind of shared objects, or all objects of the kind.
 
     Parameters
@@ -299,7 +293,7 @@
     age_s: float
 
 
-class UpdatesReply(Message, tag="sr"):
+class UpdatesReply(_message.Message, tag="sr"):
     """Changes that a host has read on behalf of others.
 
     Parameters
@@ -335,4 +329,6 @@
     PermitReturn,
     UpdatesRequest,
     UpdatesReply,
+    _origin_messages.OriginsRequest,
+    _origin_messages.OriginsReply,
 )
--- a/sycamorespoke/platform/_protocol.py
+++ b/sycamorespoke/platform/_protocol.py
@@ -45,6 +45,8 @@
     prompt = _parse_prompt(headers_by_name)
     if isinstance(prompt, domain.Refusal):
         return prompt
+    resumed_request_id = headers_by_name.get(_names.RESUMES.lower(), "").strip()
+    last_event_id = headers_by_name.get(_names.LAST_EVENT_ID.lower(), "")
     return gateway.Request(
         id=headers_by_name.get(_names.REQUEST_ID.lower(), ""),
         host=headers_by_name.get("host", ""),
@@ -56,10 +58,9 @@
         deadline_s=deadline_s,
         api_key=_parse_api_key(headers_by_name),
         prompt=prompt,
-        resumed_request_id=headers_by_name.get(_names.RESUMES.lower(), "").strip(),
-        last_event_id=clients.parse_integer(
-            headers_by_name.get(_names.LAST_EVENT_ID.lower())
-        ),
+        resumed_request_id=resumed_request_id,
+        continues_stream=bool(last_event_id.strip() or resumed_request_id),
+        last_event_id=clients.parse_integer(last_event_id),
     )
 
 
--- a/tests/fakes/in_process_gateway.py
+++ b/tests/fakes/in_process_gateway.py
@@ -9,9 +9,12 @@
     _connections,
     _gateway,
     _model,
+    _origin_directory,
     _peer_loads,
     _request_metrics,
     _retry_budgets,
+    _software_versions,
+    _stream_versions,
     _table,
     _views,
 )
@@ -48,6 +51,7 @@
     """Gateway on a free port whose ``upstreams`` all belong to the service ``s``."""
 
     def __init__(self, upstreams=(), routes=ROUTES, threads=8):
+        self.versions_by_name = {}
         self.views = _views.Views()
         self.table = _table.UpstreamTable()
         self.pool = _connections.ConnectionPool()
@@ -55,6 +59,8 @@
         self.crash_monitor = quarantine.CrashMonitor(
             self.views.is_registered, lambda service: None, quarantine.is_listening
         )
+        self.directory = _origin_directory.OriginDirectory("host-1", self.views)
+        self.software_versions = _software_versions.SoftwareVersions()
         limits = _chooser.UpstreamLimits(1.5, 5.0, 6.0)
         self.gateway = _gateway.Gateway(
             protocol=_protocol,
@@ -66,6 +72,9 @@
             pool=self.pool,
             block_planner=_blocks.BlockPlanner(None),
             crash_monitor=self.crash_monitor,
+            stream_versions=_stream_versions.StreamVersions(
+                self.directory, self.software_versions, self.views, self.metrics
+            ),
             budgets=_retry_budgets.RetryBudgets(0.2, 100.0),
             request_metrics=_request_metrics.RequestMetrics(self.metrics),
             read_clock=serving.read_clock,
@@ -92,7 +101,13 @@
         upstreams_by_id = {}
         for upstream in upstreams:
             upstreams_by_id[upstream.name] = _model.Upstream(
-                upstream.name, 1, "s", upstream.address, "dc-1", slots=8
+                upstream.name,
+                1,
+                "s",
+                upstream.address,
+                "dc-1",
+                slots=8,
+                software_version=self.versions_by_name.get(upstream.name, "v1"),
             )
         self.views.replace_fields(upstreams_by_id=upstreams_by_id)
 
--- a/tests/gateway/test_view_updater.py
+++ b/tests/gateway/test_view_updater.py
@@ -10,6 +10,7 @@
     _model,
     _orders,
     _rollout,
+    _software_versions,
     _source,
     _table,
     _view_updater,
@@ -48,12 +49,14 @@
                 )
             )
         )
+        self.software_versions = _software_versions.SoftwareVersions()
         self.updater = _view_updater.ViewUpdater(
             kinds,
             self,
             self.views,
             {_rollout.LEASE_NAME: self.weights},
             self.table,
+            self.software_versions,
             lambda freshness: decisions.WatchTiming(2.5, 0.0),
             lambda view: None,
         )
--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -7,10 +7,15 @@
 
 import attrs
 
-from sycamorespoke import clients, domain
+from sycamorespoke import clients, decisions, domain
 from sycamorespoke.clients import _block_checks
 from sycamorespoke.decisions import _crash_evidence
-from sycamorespoke.gateway import _crash_watch, _stream_body, _table
+from sycamorespoke.gateway import (
+    _crash_watch,
+    _origin_directory,
+    _stream_body,
+    _table,
+)
 from sycamorespoke.quarantine import _quarantine
 from tests import mechanisms_off_run_once
 
@@ -98,6 +103,14 @@
     _table.UpstreamTable.record_leaving = lambda *_: False
 
 
+def _ignore_software_versions():
+    decisions.StreamOrigin.allows = lambda *_: True
+
+
+def _ask_no_host():
+    _origin_directory.OriginDirectory._list_links = lambda *_: []
+
+
 def _ignore_backoff():
     _table.UpstreamTable.record_backoff = lambda *_: False
 
@@ -137,6 +150,8 @@
     "version-of-import": _import_under_version_of_engine,
     "leaving": _ignore_leaving,
     "backoff": _ignore_backoff,
+    "stream-versions": _ignore_software_versions,
+    "stream-records": _ask_no_host,
     "quarantine": _ignore_quarantine,
     "lost-before-response": _ignore_requests_lost_before_a_response,
     "moments": _count_upstreams_lost_together,
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -2,12 +2,14 @@
 
 import http.client
 import itertools
+import json
 import re
 import time
 
 import pytest
 
 from tests.fakes import in_process_gateway, upstream_fleet
+from tests.platform import test_program
 
 pytestmark = pytest.mark.processes
 STREAMS = 24
@@ -54,6 +56,20 @@
     )
 
 
+def start_acquainted(start_hosts, fleet):
+    """Start hosts and wait until each knows the others."""
+    gateways = start_hosts(fleet)
+
+    def count_hosts(gateway):
+        return len(json.loads(gateway.get("operators", "/dump")[1])["hosts"])
+
+    for gateway in gateways:
+        assert test_program.wait_until(
+            lambda each=gateway: count_hosts(each) == len(gateways)
+        )
+    return gateways
+
+
 def list_versions(fleet, request_id):
     """Return the versions of the upstreams that a request reached."""
     return {
@@ -105,7 +121,7 @@
     start_fleet, start_hosts
 ):
     fleet = start_fleet(software_versions=VERSIONS)
-    gateways = start_hosts(fleet)
+    gateways = start_acquainted(start_hosts, fleet)
 
     def choose_next(host):
         return gateways[(gateways.index(host) + 1) % len(gateways)]
@@ -118,7 +134,7 @@
     start_fleet, start_hosts
 ):
     fleet = start_fleet(software_versions=VERSIONS)
-    gateways = start_hosts(fleet)
+    gateways = start_acquainted(start_hosts, fleet)
     firsts = begin_streams(fleet, gateways[:1])
     fleet.store.is_unavailable = True
     gateways[0].process.kill()
