Soak: upstreams of two software versions, and callers that take streams up

Each start of an upstream has another of two versions, which its events name. Callers take a resumable stream that breaks off up at any host, as the users' do. Guarantee: all events that callers hold of one stream are of one version. Plans do not change.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -14,6 +14,7 @@
 # A host that sends nothing for this long after the deadline hangs.
 HANG_MARGIN_S = 2.0
 REQUEST_INTERVAL_S = 0.03
+EVENT_END = b"\n\n"
 
 
 class RequestKind(enum.Enum):
@@ -49,6 +50,10 @@
         Whether the response was received completely.
     says_leaving : bool
         Whether the response states that its upstream is leaving.
+    resumes : str
+        ID of the request that began the stream which this one takes up, or empty.
+    last_event_id : int
+        Last event that the caller had before, 0 for none.
     """
 
     request_id: str
@@ -61,6 +66,13 @@
     body: bytes = b""
     is_complete: bool = False
     says_leaving: bool = False
+    resumes: str = ""
+    last_event_id: int = 0
+
+    @property
+    def received_event_id(self):
+        """Last complete event of the stream that the caller has, 0 for none."""
+        return self.last_event_id + self.body.count(EVENT_END)
 
 
 class Caller(threading.Thread):
@@ -94,10 +106,30 @@
             host = self.generator.choice(self.hosts)
             kind = self.generator.choice(list(RequestKind))
             request_id = f"c{self.number}-{count}"
-            self.outcomes.append(self.send(host, kind, request_id))
+            outcome = self.send(host, kind, request_id)
+            self.outcomes.append(outcome)
+            if may_take_up(outcome):
+                self.outcomes.append(self._take_up(outcome, f"{request_id}-next"))
+
+    def _take_up(self, outcome, request_id):
+        """Take up a stream that broke off, at any host."""
+        host = self.generator.choice(self.hosts)
+        return self.send(
+            host,
+            outcome.kind,
+            request_id,
+            resumes=outcome.request_id,
+            last_event_id=outcome.received_event_id,
+        )
 
-    def send(self, host, kind, request_id, name="x"):
-        """Send one request to the path ``name`` of a kind and return its `Outcome`."""
+    def send(self, host, kind, request_id, name="x", resumes="", last_event_id=0):
+        """Send one request to the path ``name`` of a kind and return its `Outcome`.
+
+        With ``resumes`` it takes up the stream that this request began.
+        """
+        taken_up = {}
+        if resumes:
+            taken_up = {"Resumes": resumes, "Last_Event_Id": str(last_event_id)}
         sent_s = time.monotonic()
         head, body, is_complete = None, b"", False
         try:
@@ -107,6 +139,7 @@
                 f"/{kind.value}/{name}",
                 X_Sycamorespoke_Request_Id=request_id,
                 X_Sycamorespoke_Deadline_Ms=str(int(DEADLINE_S * 1000)),
+                **taken_up,
             )
             head = connection.getresponse()
             while chunk := head.read1(4096):
@@ -127,6 +160,8 @@
             body,
             is_complete,
             bool(head and head.headers.get("Server-Leaving")),
+            resumes,
+            last_event_id,
         )
 
     def _connect(self, host):
@@ -144,3 +179,10 @@
         if self._connection is not None:
             self._connection.close()
             self._connection = None
+
+
+def may_take_up(outcome):
+    """Return whether a stream broke off that its caller may take up."""
+    is_begun = outcome.status == 200 and outcome.received_event_id > 0
+    is_broken = not outcome.is_complete
+    return outcome.kind is RequestKind.STREAM and is_begun and is_broken
--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -114,6 +114,30 @@
     )
 
 
+def check_versions(outcomes):
+    """Check that the events of a stream are all of one software version.
+
+    Parameters
+    ----------
+    outcomes : list of callers.Outcome
+        Outcomes that the callers observed; some take up the stream of another one.
+
+    Returns
+    -------
+    list of str
+        One line for each stream that holds events of several versions.
+    """
+    versions_by_first = collections.defaultdict(set)
+    for outcome in outcomes:
+        first = outcome.resumes or outcome.request_id
+        versions_by_first[first] |= upstreams.list_versions(outcome.body)
+    return [
+        f"the stream of {first} holds events of {sorted(versions)}"
+        for first, versions in versions_by_first.items()
+        if len(versions) > 1
+    ]
+
+
 def check_backoff(outcomes, runs, refusals, signalled_s_by_host, link_faults_by_id):
     """Check that hosts leave upstreams alone for the time that a refusal names.
 
@@ -205,5 +229,9 @@
 
 def _expected(outcome):
     if outcome.kind in (callers.RequestKind.STREAM, callers.RequestKind.ONCE):
-        return upstreams.make_stream(outcome.request_id)
+        first = outcome.last_event_id + 1
+        versions = upstreams.list_versions(outcome.body) or {b"v1"}
+        # Of several versions one makes the body wrong, and another check reports it.
+        version = min(versions).decode()
+        return upstreams.make_stream(outcome.request_id, first, version)
     return upstreams.make_body(outcome.request_id)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -35,6 +35,8 @@
         Faults of the run.
     requests, served : int
         Number of requests, and of those with status 200 and a complete response.
+    taken_up, went_on : int, default=0
+        Number of streams that callers took up, and of those that were completed.
     """
 
     seed: int
@@ -42,6 +44,8 @@
     planned: list[faults.PlannedFault]
     requests: int
     served: int
+    taken_up: int = 0
+    went_on: int = 0
 
 
 def run_seed(seed, seconds):
@@ -85,6 +89,7 @@
         violations += guarantees.check_leaving(
             outcomes, runs, {each.name: each.signalled_s for each in deployment.hosts}
         )
+        violations += guarantees.check_versions(outcomes)
         violations += guarantees.check_backoff(
             outcomes,
             runs,
@@ -95,7 +100,11 @@
         violations += guarantees.check_fatal(deployment.ended_s)
         violations += guarantees.check_recovery(after)
         served = sum(each.is_complete and each.status == 200 for each in outcomes)
-        return Verdict(seed, violations, planned, len(outcomes), served)
+        taken_up = [each for each in outcomes if each.resumes]
+        went_on = sum(each.is_complete and each.status == 200 for each in taken_up)
+        return Verdict(
+            seed, violations, planned, len(outcomes), served, len(taken_up), went_on
+        )
 
 
 def _inject_faults(deployment, planned):
@@ -205,7 +214,8 @@
         print(
             f"seed {seed}: {len(verdict.violations)} violations, "
             f"{len(verdict.planned)} faults, "
-            f"{verdict.served} of {verdict.requests} requests served",
+            f"{verdict.served} of {verdict.requests} requests served, "
+            f"{verdict.went_on} of {verdict.taken_up} streams went on",
             flush=True,
         )
         if verdict.violations:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -62,10 +62,10 @@
         (attrs.evolve(OUTCOME, status=401, has_stamp=False, body=b""), []),
         (attrs.evolve(OUTCOME, has_stamp=False), [RUN]),
         (attrs.evolve(OUTCOME, body=upstreams.make_body("c1-2")), [RUN]),
-        (attrs.evolve(STREAM, body=upstreams.encode_event("c1-1", 1)), [RUN]),
+        (attrs.evolve(STREAM, body=upstreams.encode_event("c1-1", 1, "v1")), [RUN]),
         (
             attrs.evolve(
-                STREAM, body=upstreams.encode_event("c1-1", 2), is_complete=False
+                STREAM, body=upstreams.encode_event("c1-1", 2, "v1"), is_complete=False
             ),
             [RUN],
         ),
@@ -165,3 +165,36 @@
             outcomes, allowed_runs, [refusal], signalled_s_by_host, link_faults_by_id
         )
         assert violations == []
+
+
+def test_stream_with_events_of_two_software_versions_is_reported():
+    begun = attrs.evolve(
+        STREAM, body=upstreams.encode_event("c1-1", 1, "v1"), is_complete=False
+    )
+    taken_up = {"request_id": "c1-2", "resumes": "c1-1", "last_event_id": 1}
+    same, other = (
+        attrs.evolve(begun, body=upstreams.make_stream("c1-2", 2, version), **taken_up)
+        for version in ("v1", "v2")
+    )
+    assert guarantees.check_versions([begun, same]) == []
+    assert len(guarantees.check_versions([begun, other])) == 1
+    assert guarantees.check_versions([begun, attrs.evolve(other, resumes="")]) == []
+    complete = attrs.evolve(same, is_complete=True)
+    run_of_it = attrs.evolve(RUN, request_id="c1-2")
+    assert guarantees.check([complete], [run_of_it]) == []
+    within = begun.body + upstreams.encode_event("c1-1", 2, "v2")
+    assert guarantees.check_versions([attrs.evolve(begun, body=within)])
+
+
+def test_only_broken_streams_that_may_resume_are_taken_up():
+    begun = attrs.evolve(
+        STREAM,
+        kind=callers.RequestKind.STREAM,
+        body=upstreams.encode_event("c1-1", 1, "v1"),
+        is_complete=False,
+    )
+    assert callers.may_take_up(begun)
+    assert begun.received_event_id == 1
+    assert not callers.may_take_up(attrs.evolve(begun, is_complete=True))
+    assert not callers.may_take_up(attrs.evolve(begun, body=b"id: 1"))
+    assert not callers.may_take_up(attrs.evolve(begun, kind=callers.RequestKind.ONCE))
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -2,6 +2,7 @@
 
 import enum
 import random
+import re
 import threading
 import time
 
@@ -143,6 +144,11 @@
         """ID of the upstream since its last restart."""
         return f"i-{self.number}-{self.starts}"
 
+    @property
+    def software_version(self):
+        """Software version, which changes with each start."""
+        return f"v{(self.number + self.starts) % 2 + 1}"
+
     def make_registration(self, state="ready"):
         """Return the object that registers the upstream in the platform's store."""
         return {
@@ -151,7 +157,7 @@
             "Zone": "dc-1",
             "Slots": 16,
             "State": state,
-            "Version": "v1",
+            "Version": self.software_version,
             "ColdRemainingMs": 0,
             "born": self.starts,
         }
@@ -232,13 +238,14 @@
             time.sleep(ENDLESS_PAUSE_S)
 
     def _stream_unframed(self, request, request_id):
+        version = self.software_version
         scripted_upstream.start_unframed_stream(request)
         first = int(request.headers.get("Last-Event-Id") or 0) + 1
         # The cut is at any byte of any event, but not between two events.
         generator = random.Random(request_id)
         cut_number = generator.randint(first, EVENT_COUNT)
         for number in range(first, EVENT_COUNT + 1):
-            event = encode_event(request_id, number)
+            event = encode_event(request_id, number, version)
             if self.behaviour is Behaviour.CUT_UNFRAMED and number == cut_number:
                 request.wfile.write(event[: generator.randrange(1, len(event))])
                 return
@@ -246,13 +253,15 @@
             time.sleep(EVENT_PAUSE_S)
 
     def _stream(self, request, request_id, headers):
+        version = self.software_version
         scripted_upstream.start_stream(request, **headers)
         first = int(request.headers.get("Last-Event-Id") or 0) + 1
         for number in range(first, EVENT_COUNT + 1):
             if self.behaviour is Behaviour.CUT and number == EVENT_COUNT:
                 scripted_upstream.send_chunk(request, b"id: ")
                 scripted_upstream.abort(request)
-            scripted_upstream.send_chunk(request, encode_event(request_id, number))
+            event = encode_event(request_id, number, version)
+            scripted_upstream.send_chunk(request, event)
             time.sleep(EVENT_PAUSE_S)
         scripted_upstream.send_chunk(request, b"")
 
@@ -274,13 +283,19 @@
     return f"answer to {request_id}".encode()
 
 
-def encode_event(request_id, number):
-    """Return one event of the stream of a request."""
-    return f"id: {number}\ndata: {request_id}\n\n".encode()
+def encode_event(request_id, number, version):
+    """Return one event of the stream of a request, with the software version."""
+    return f"id: {number}\ndata: {request_id} {version}\n\n".encode()
+
+
+def list_versions(body):
+    """Return the software versions in the events of a stream as a set."""
+    return set(re.findall(rb" (v\d)\n", body))
 
 
-def make_stream(request_id):
-    """Return the complete stream of a request."""
+def make_stream(request_id, first=1, version="v1"):
+    """Return the complete stream of a request from an event on."""
     return b"".join(
-        encode_event(request_id, each) for each in range(1, EVENT_COUNT + 1)
+        encode_event(request_id, number, version)
+        for number in range(first, EVENT_COUNT + 1)
     )
