Entry hosts: no request goes to an upstream before its Retry-After has passed

The same cause as the gateway's, looked for elsewhere: an entry host passed the time that a plain service names on to one caller and sent the next request there at once; that of an engine was not read. If every upstream of a group wants a backoff, the refusal has the time until the first is open. One parser of Retry-After in place of two; it rounds fractions up.

Load reports, cache events and the steward's orders still do not read Retry-After (docs/design/upstream-availability.md).

--- a/sycamorespoke/clients/_engine.py
+++ b/sycamorespoke/clients/_engine.py
@@ -4,11 +4,17 @@
 import urllib3
 
 from sycamorespoke import domain
-from sycamorespoke.clients import _boot, _checked_http, _engine_stream
+from sycamorespoke.clients import (
+    _boot,
+    _checked_http,
+    _engine_stream,
+    _header_values,
+)
 
 CONNECT_TIMEOUT_S = 0.5
 CANCEL_TIMEOUT_S = 1.0
 REPORT_TIMEOUT_S = 1.0
+STATUS_OVERLOADED = 503
 
 
 class GenerationRequest(msgspec.Struct, kw_only=True):
@@ -235,8 +241,11 @@
     response.drain_conn()
     response.release_conn()
     if status in (409, 429, 503):
+        is_overloaded = status == STATUS_OVERLOADED
         return domain.Refusal(
-            domain.ErrorKind.UPSTREAM_REFUSED, f"the upstream refused with {status}"
+            domain.ErrorKind.UPSTREAM_REFUSED,
+            f"the upstream refused with {status}",
+            _header_values.parse_retry_after(response) if is_overloaded else None,
         )
     return domain.Refusal(
         domain.ErrorKind.UPSTREAM_LOST, f"the upstream returned {status}"
--- a/sycamorespoke/clients/_header_values.py
+++ b/sycamorespoke/clients/_header_values.py
@@ -1,9 +1,11 @@
 """Parses values of HTTP headers."""
 
+import math
 import re
 
 EVENT_STREAM_TYPE = "text/event-stream"
 LARGEST_DECIMAL = 999_999_999.0
+MAX_RETRY_AFTER_S = 3600
 _INTEGER = re.compile(r"[0-9]{1,15}")
 # With so many digits the number is still finite.
 _DECIMAL = re.compile(r"[0-9]{1,300}(\.[0-9]{1,300})?")
@@ -48,6 +50,20 @@
     return number if number <= largest else None
 
 
+def parse_retry_after(response):
+    """Return the time that a response names in ``Retry-After``.
+
+    Returns
+    -------
+    int or None
+        Seconds, rounded up, 1 to `MAX_RETRY_AFTER_S`; ``None`` if absent or malformed.
+    """
+    seconds = parse_decimal(response.headers.get("Retry-After"), largest=math.inf)
+    if seconds is None:
+        return None
+    return math.ceil(min(max(seconds, 1.0), MAX_RETRY_AFTER_S))
+
+
 def parse_connection_options(text):
     """Return the options of a ``Connection`` header in lower case.
 
--- a/sycamorespoke/clients/_service.py
+++ b/sycamorespoke/clients/_service.py
@@ -7,11 +7,10 @@
 import urllib3
 
 from sycamorespoke import domain
-from sycamorespoke.clients import _checked_http
+from sycamorespoke.clients import _checked_http, _header_values
 
 CONNECT_TIMEOUT_S = 0.5
 READ_BYTES = 65536
-MAX_RETRY_AFTER_S = 3600
 HOP_BY_HOP_HEADERS = frozenset(
     (
         "connection",
@@ -208,7 +207,7 @@
         return domain.Refusal(
             domain.ErrorKind.UPSTREAM_REFUSED,
             "the upstream refused the request before running it",
-            _parse_retry_after(response),
+            _header_values.parse_retry_after(response),
         )
     headers = tuple(
         (name, text)
@@ -239,13 +238,6 @@
     )
 
 
-def _parse_retry_after(response):
-    text = response.headers.get("Retry-After", "")
-    if not re.fullmatch(r"[0-9]{1,6}", text):
-        return None
-    return min(max(int(text), 1), MAX_RETRY_AFTER_S)
-
-
 def _refuse_deadline_exceeded():
     return domain.Refusal(
         domain.ErrorKind.DEADLINE_AFTER_SEND,
--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -73,6 +73,7 @@
     select_not_ejected,
 )
 from sycamorespoke.decisions._eligibility import (
+    assess_host,
     is_ready_for_traffic,
     is_upstream_eligible,
 )
@@ -279,6 +280,7 @@
     "apply_change",
     "apply_claim_operations",
     "apply_load_report",
+    "assess_host",
     "assess_upstream",
     "begin_transfer",
     "choose_neighbours",
--- a/sycamorespoke/entry/_chooser.py
+++ b/sycamorespoke/entry/_chooser.py
@@ -1,5 +1,7 @@
 """Chooses the upstream for each attempt of a request."""
 
+import math
+
 import attrs
 
 from sycamorespoke import decisions, domain, membership
@@ -145,10 +147,54 @@
         """
         if choice.permit is not None and not self.permits.is_usable(choice.permit, now):
             return False
+        return self.is_open(choice.candidate.host, now)
+
+    def is_open(self, host, now):
+        """Return whether a request may go to an upstream now.
+
+        Parameters
+        ----------
+        host : domain.Host
+            The upstream.
+        now : float
+            Current monotonic time, in seconds.
+        """
         return decisions.is_upstream_eligible(
-            choice.candidate.host, self.get_view(), now
+            host, self.get_view(), now, self.table.get_backoff_until_s(host.name)
         )
 
+    def state_backoff(self, refusal, group_name, now):
+        """Add when to retry to a refusal if every upstream of a group wants a backoff.
+
+        Parameters
+        ----------
+        refusal : domain.Refusal
+            Refusal for the caller.
+        group_name : str
+            Name of the group that serves the request.
+        now : float
+            Current monotonic time, in seconds.
+
+        Returns
+        -------
+        domain.Refusal
+            Unchanged if an upstream may get requests, or if no end is known.
+        """
+        if refusal.kind is not domain.ErrorKind.NO_UPSTREAM:
+            return refusal
+        view = self.get_view()
+        openings_s = [
+            decisions.assess_host(
+                host, view, now, self.table.get_backoff_until_s(host.name)
+            ).compute_opening_s()
+            for host in view.hosts.select(domain.HostRole.UPSTREAM)
+            if host.group == group_name
+        ]
+        opening_s = min(openings_s, default=math.inf)
+        if not now < opening_s < math.inf:
+            return refusal
+        return attrs.evolve(refusal, retry_after_s=math.ceil(opening_s - now))
+
     def release(self, choice):
         """Release the permit of a choice after the attempt has ended.
 
@@ -245,7 +291,7 @@
             for host in view.hosts.select(domain.HostRole.UPSTREAM)
             if host.group == group_name
             and host.name not in excluded
-            and decisions.is_upstream_eligible(host, view, now)
+            and self.is_open(host, now)
         ]
 
     def _add_data_centre(self, candidate, view):
--- a/sycamorespoke/entry/_completions.py
+++ b/sycamorespoke/entry/_completions.py
@@ -103,7 +103,7 @@
                 relay.close()
                 admitted.release(opened)
         if isinstance(opened, domain.Refusal):
-            return opened
+            return self.chooser.state_backoff(opened, route.group, time.monotonic())
         response = CompletionResponse(
             self, request, account, completion, relay, admitted
         )
--- a/sycamorespoke/entry/_relay.py
+++ b/sycamorespoke/entry/_relay.py
@@ -235,6 +235,7 @@
         if isinstance(result, clients.Started):
             return result
         self._finish_attempt(None, result)
+        self.table.record_refusal(candidate.host.name, result, time.monotonic())
         self._excluded.add(candidate.host.name)
         return result
 
--- a/sycamorespoke/entry/_services.py
+++ b/sycamorespoke/entry/_services.py
@@ -6,7 +6,12 @@
 import loguru
 
 from sycamorespoke import claims, decisions, domain
-from sycamorespoke.entry import _admitted_request, _responses, _service_attempts
+from sycamorespoke.entry import (
+    _admitted_request,
+    _responses,
+    _service_attempts,
+    _service_gate,
+)
 
 PRIVATE_HEADERS = frozenset({"authorization", "x-deadline-s"})
 
@@ -42,7 +47,9 @@
         metrics,
         crash_guard,
     ):
-        self.service_client = service_client
+        self.service_client = _service_gate.GatedServiceClient(
+            service_client, chooser, table
+        )
         self.claim_client = claim_client
         self.chooser = chooser
         self.table = table
@@ -98,7 +105,7 @@
         fingerprint = service_client.watch.fingerprint
         self._log(request, account, attempts, fingerprint, result)
         if isinstance(result, domain.Refusal):
-            return result
+            return self.chooser.state_backoff(result, route.group, time.monotonic())
         return _send_response(start_response, result, request.request_id)
 
     def _send(
--- a/sycamorespoke/entry/_upstreams.py
+++ b/sycamorespoke/entry/_upstreams.py
@@ -7,6 +7,7 @@
 import threading
 
 import attrs
+import loguru
 
 from sycamorespoke import decisions, domain
 
@@ -39,6 +40,8 @@
         Smoothed duration of a request, seconds.
     event_number : int
         Number of the latest cache event applied.
+    backoff_until_s : float
+        Time until which it wants no requests from this host, monotonic, seconds.
     cached_keys : collections.OrderedDict
         Keys of the blocks that the upstream is expected to have cached, least
         recently used first.
@@ -52,6 +55,7 @@
     pending_prefill_tokens: int = 0
     mean_duration_s: float = INITIAL_DURATION_S
     event_number: int = 0
+    backoff_until_s: float = float("-inf")
     cached_keys: collections.OrderedDict = attrs.field(factory=collections.OrderedDict)
 
     def is_warm(self):
@@ -66,6 +70,7 @@
             return
         if self.boot_id:
             self.suspect = True
+            self.backoff_until_s = float("-inf")
         self.boot_id = boot_id
         self.event_number = 0
         self.cached_keys.clear()
@@ -198,6 +203,34 @@
             record = self._records_by_name[name]
             record.pending_prefill_tokens -= uncached_tokens
 
+    def record_refusal(self, name, refusal, now):
+        """Record the backoff that an upstream asks for, if its refusal names a time.
+
+        Parameters
+        ----------
+        name : str
+            Name of the upstream.
+        refusal : domain.Refusal
+            Refusal of the attempt.
+        now : float
+            Current monotonic time, in seconds.
+        """
+        is_refused = refusal.kind is domain.ErrorKind.UPSTREAM_REFUSED
+        if not is_refused or refusal.retry_after_s is None:
+            return
+        with self._lock:
+            record = self._records_by_name[name]
+            until_s = now + refusal.retry_after_s
+            record.backoff_until_s = max(record.backoff_until_s, until_s)
+        loguru.logger.bind(upstream=name, backoff_s=refusal.retry_after_s).info(
+            "upstream backoff"
+        )
+
+    def get_backoff_until_s(self, name):
+        """Return until when an upstream wants no requests, monotonic, in seconds."""
+        with self._lock:
+            return self._records_by_name[name].backoff_until_s
+
     def record_broken_connection(self, name):
         """Record that a connection broke, so that the upstream may have restarted."""
         with self._lock:
