Entry hosts: a completion goes on only at the software version that began it

Engines state their software version in the first line of each stream (new, optional). A continuation whose first line names another version than the one that sent the first token, or none, is cancelled before its first token and counts as a failed attempt; engines known to have another version are not tried. The same start of the same engine may always continue.

--- a/sycamorespoke/clients/_engine_stream.py
+++ b/sycamorespoke/clients/_engine_stream.py
@@ -20,6 +20,7 @@
     version: str | None = None
     cached_tokens: int | None = None
     prompt_tokens: int | None = None
+    software_version: str | None = None
     index: int | None = None
     text: str | None = None
     done: bool = False
@@ -41,12 +42,36 @@
         Number of prompt tokens that were read from the cache.
     prompt_tokens : int
         Total number of prompt tokens.
+    software_version : str, default=""
+        Version of the engine's software; empty if not stated.
     """
 
     boot_id: str
     version: str
     cached_tokens: int
     prompt_tokens: int
+    software_version: str = ""
+
+    def may_continue(self, other):
+        """Return whether this engine may continue a stream that another one began.
+
+        Parameters
+        ----------
+        other : Started
+            First line of the stream.
+
+        Examples
+        --------
+        >>> begun = Started("b1", "w1", 0, 9, software_version="1.0")
+        >>> Started("b2", "w1", 0, 9, software_version="1.0").may_continue(begun)
+        True
+        >>> Started("b2", "w1", 0, 9).may_continue(Started("b1", "w1", 0, 9))
+        False
+        """
+        if self.boot_id and self.boot_id == other.boot_id:
+            return True
+        is_known = self.software_version != ""
+        return is_known and self.software_version == other.software_version
 
 
 @attrs.frozen
@@ -232,6 +257,7 @@
             line.version,
             line.cached_tokens or 0,
             line.prompt_tokens or 0,
+            line.software_version or "",
         )
 
     def _parse_token(self, line):
--- a/sycamorespoke/entry/_relay.py
+++ b/sycamorespoke/entry/_relay.py
@@ -3,6 +3,8 @@
 import time
 import uuid
 
+import loguru
+
 from sycamorespoke import clients, decisions, domain, relay
 from sycamorespoke.entry import _attempt, _usage
 
@@ -72,6 +74,8 @@
         self.attempts = 0
         self.started = None
         self.request = None
+        # First line of the engine that sent the first token.
+        self._origin = None
         self._emitted_texts = []
         self._excluded = set()
         self._interrupted_names = set()
@@ -89,8 +93,12 @@
         wait_until_s = time.monotonic() + self.wait_s
         while True:
             result = self._attempt_once(time.monotonic())
+            if isinstance(result, clients.Started) and not self._may_continue(result):
+                result = self._abandon_continuation(result)
             if isinstance(result, clients.Started):
                 self.started = self.started or result
+                if not self._emitted_texts:
+                    self._origin = result
                 return result
             now = time.monotonic()
             if result.kind in WAITABLE_KINDS and now < wait_until_s:
@@ -198,6 +206,32 @@
             self._excluded.add(host.name)
         self._interrupted_names.add(host.name)
 
+    def _may_continue(self, started):
+        """Return whether an engine has the software that began the stream."""
+        return not self._emitted_texts or started.may_continue(self._origin)
+
+    def _abandon_continuation(self, started):
+        """Cancel a continuation before its first token; return the refusal."""
+        host = self._attempt.candidate.host
+        loguru.logger.bind(
+            request_id=self.request.request_id,
+            upstream=host.name,
+            software_version=started.software_version,
+            began_with=self._origin.software_version,
+        ).info("stream not continued at another software version")
+        self.close()
+        self._excluded.add(host.name)
+        return domain.Refusal(
+            domain.ErrorKind.ANSWER_MISMATCH,
+            "the engine has another software version than the one that began",
+        )
+
+    def _list_excluded(self):
+        if not self._emitted_texts:
+            return self._excluded
+        version = self._origin.software_version
+        return self._excluded | self.table.list_other_software(version)
+
     def _attempt_once(self, now):
         if now >= self.deadline_s:
             return self._refuse_deadline()
@@ -212,7 +246,7 @@
         choice = self.chooser.choose(
             request,
             self.route.group,
-            self._excluded,
+            self._list_excluded(),
             self.admitted.free_names(),
             now,
         )
--- a/sycamorespoke/entry/_upstreams.py
+++ b/sycamorespoke/entry/_upstreams.py
@@ -40,6 +40,8 @@
         Smoothed duration of a request, seconds.
     event_number : int
         Number of the latest cache event applied.
+    software_version : str
+        Version of its software as its latest stream stated it; empty if unknown.
     backoff_until_s : float
         Time until which it wants no requests from this host, monotonic, seconds.
     cached_keys : collections.OrderedDict
@@ -55,6 +57,7 @@
     pending_prefill_tokens: int = 0
     mean_duration_s: float = INITIAL_DURATION_S
     event_number: int = 0
+    software_version: str = ""
     backoff_until_s: float = float("-inf")
     cached_keys: collections.OrderedDict = attrs.field(factory=collections.OrderedDict)
 
@@ -71,6 +74,7 @@
         if self.boot_id:
             self.suspect = True
             self.backoff_until_s = float("-inf")
+            self.software_version = ""
         self.boot_id = boot_id
         self.event_number = 0
         self.cached_keys.clear()
@@ -172,6 +176,7 @@
         with self._lock:
             record = self._records_by_name[name]
             record.record_boot_id(started.boot_id)
+            record.software_version = started.software_version
             cached_blocks = started.cached_tokens // domain.BLOCK_TOKENS
             record.remove_cached_blocks(keys[cached_blocks:])
             record.add_cached_blocks(keys[:cached_blocks])
@@ -231,6 +236,26 @@
         with self._lock:
             return self._records_by_name[name].backoff_until_s
 
+    def list_other_software(self, software_version):
+        """Return the upstreams that are known to have another software version.
+
+        Parameters
+        ----------
+        software_version : str
+            Version of the software, empty if unknown.
+
+        Returns
+        -------
+        set of str
+            Names of upstreams.
+        """
+        with self._lock:
+            return {
+                name
+                for name, record in self._records_by_name.items()
+                if record.software_version not in ("", software_version)
+            }
+
     def record_broken_connection(self, name):
         """Record that a connection broke, so that the upstream may have restarted."""
         with self._lock:
--- a/sycamorespoke/standins/_engine.py
+++ b/sycamorespoke/standins/_engine.py
@@ -236,6 +236,7 @@
             "version": run.version,
             "cached_tokens": cached_tokens,
             "prompt_tokens": _runs.count_prompt_tokens(run.value["prompt"]),
+            "software_version": self.options.software_version,
         }
         return _stream.generate_lines(
             run,
--- a/sycamorespoke/standins/_engine_options.py
+++ b/sycamorespoke/standins/_engine_options.py
@@ -38,6 +38,8 @@
         Minimum duration of a weight load, in seconds.
     report_lag_s : float, default=0.0
         Seconds by which the load report lags.
+    software_version : str, default="1.0"
+        Version of the software, which each stream states; empty to state none.
     checks_fencing : bool, default=False
         Whether orders with a fencing number below the highest one so far are
         refused.
@@ -57,4 +59,5 @@
     weights: str = ""
     load_s: float = 0.0
     report_lag_s: float = 0.0
+    software_version: str = "1.0"
     checks_fencing: bool = False
