--- a/scenarios/test_software_versions.py
+++ b/scenarios/test_software_versions.py
@@ -55,9 +55,9 @@
 def test_completion_goes_on_at_the_same_software_version(make_deployment):
     cluster = start(make_deployment, "1.0", "1.0")
     # One at a time: the retry budget covers the first one that needs retries.
-    for count in range(1, COMPLETIONS + 1):
+    for _ in range(COMPLETIONS):
         last = send_completions(cluster, 1)[-1]
         assert (last["error_kind"], last["completion_tokens"]) == (None, TOKENS)
         if last["attempts"] > 1:
             return
-    raise AssertionError(f"none of {count} completions began at the first engine")
+    raise AssertionError("no completion began at the first engine")
