Gateway: records of streams that wait for a silent host expire

Found on reading the diff: a record that could not be handed to its keeper waited until 2000 newer ones pushed it out, also long after its stream had ended, and kept a thread trying. It now waits as long as it lives.

--- a/sycamorespoke/gateway/_origin_directory.py
+++ b/sycamorespoke/gateway/_origin_directory.py
@@ -47,7 +47,7 @@
             request_id, origin.service, origin.software_version, lifetime_s
         )
         for link in self._list_links(request_id, decisions.choose_origin_keepers):
-            link.keep(record)
+            link.keep(record, now)
 
     def find(self, request_id, now):
         """Find the origin of a stream here or at other hosts.
--- a/sycamorespoke/gateway/_origin_link.py
+++ b/sycamorespoke/gateway/_origin_link.py
@@ -2,9 +2,10 @@
 
 import threading
 
+import attrs
 import loguru
 
-from sycamorespoke import messages
+from sycamorespoke import messages, serving
 
 REPLY_TIMEOUT_S = 0.25
 RETRY_S = 0.1
@@ -12,6 +13,12 @@
 MAX_WAITING_RECORDS = 2000
 
 
+@attrs.frozen
+class _WaitingRecord:
+    record: messages.StreamOriginRecord
+    expires_s: float
+
+
 class Lookup:
     """Search for the record of one stream at several hosts.
 
@@ -70,10 +77,10 @@
         self._is_closed = False
         threading.Thread(target=self._run, name="origins", daemon=True).start()
 
-    def keep(self, record):
-        """Have the host keep a record; returns at once."""
+    def keep(self, record, now):
+        """Have the host keep a record from ``now`` on; returns at once."""
         with self._changed:
-            self._records.append(record)
+            self._records.append(_WaitingRecord(record, now + record.lifetime_s))
             self._changed.notify()
 
     def ask(self, lookup):
@@ -109,7 +116,7 @@
 
     def _exchange(self, records, lookups):
         wanted = [lookup.request_id for lookup in lookups]
-        request = messages.OriginsRequest(records, wanted)
+        request = messages.OriginsRequest([each.record for each in records], wanted)
         reply = self._peer.send_request(request, REPLY_TIMEOUT_S)
         if not isinstance(reply, messages.OriginsReply):
             self._handle_silence(records, lookups)
@@ -123,7 +130,8 @@
         for lookup in lookups:
             lookup.resolve(None)
         with self._changed:
-            waiting = records + self._records
+            now = serving.read_clock()
+            waiting = [each for each in records + self._records if now < each.expires_s]
             dropped = len(waiting) - MAX_WAITING_RECORDS
             self._records = waiting[-MAX_WAITING_RECORDS:]
             if records and not self._is_closed:
--- a/tests/gateway/test_origin_directory.py
+++ b/tests/gateway/test_origin_directory.py
@@ -5,7 +5,13 @@
 import pytest
 
 from sycamorespoke import decisions, messages, serving
-from sycamorespoke.gateway import _model, _origin_directory, _stream_origins, _views
+from sycamorespoke.gateway import (
+    _model,
+    _origin_directory,
+    _origin_link,
+    _stream_origins,
+    _views,
+)
 from tests.fakes import free_ports
 
 KEY = "secret"
@@ -164,3 +170,18 @@
         for keeper in decisions.choose_origin_keepers(f"r{number}", hosts)
     }
     assert len(keepers) == 24
+
+
+def test_records_for_a_host_that_does_not_reply_expire(hosts):
+    absent = hosts[1]
+    absent.close()
+    link = _origin_link.OriginLink(absent.entry.peer_address, messages.Codec(KEY))
+    record = messages.StreamOriginRecord("r1", "s", "v1", 0.2)
+    link.keep(record, serving.read_clock())
+    deadline_s = time.monotonic() + 5.0
+    # Taken out to be sent, or waiting again.
+    time.sleep(0.5)
+    while link._records and time.monotonic() < deadline_s:
+        time.sleep(0.05)
+    assert link._records == []
+    link.close()
