Entry hosts: an engine is not polled before its Retry-After has passed

It records the backoff and asks for it before each poll. The cut of absurd values is one constant for gateway and entry hosts. The steward's reports and orders still do not read it.

--- a/sycamorespoke/clients/_engine.py
+++ b/sycamorespoke/clients/_engine.py
@@ -230,6 +230,8 @@
             )
             if response.status == 200:
                 return msgspec.json.decode(response.data)
+            if response.status == STATUS_OVERLOADED:
+                return _make_refusal(response)
             reason = f"the upstream returned {response.status}"
         except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
             reason = f"no valid report: {type(error).__name__}"
--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -14,6 +14,7 @@
     combine_refusals,
 )
 from sycamorespoke.decisions._availability import (
+    MAX_BACKOFF_S,
     Availability,
     Obstacle,
     Purpose,
@@ -212,6 +213,7 @@
     "CLAIM_SHARD_BYTES",
     "IMPORT_TIMEOUT_S",
     "LEASE_DURATION_S",
+    "MAX_BACKOFF_S",
     "MAX_CONFIRMATION_AGE_S",
     "MAX_DIRECT_HOSTS",
     "MAX_ORDER_DURATION_S",
--- a/sycamorespoke/decisions/_availability.py
+++ b/sycamorespoke/decisions/_availability.py
@@ -6,6 +6,9 @@
 
 NEVER_S = float("-inf")
 FOREVER_S = float("inf")
+# A longer backoff is cut to this, so that one wrong value does not cost an upstream
+# for hours. A single request then finds out whether the upstream repeats it.
+MAX_BACKOFF_S = 600.0
 
 
 class Obstacle(enum.Enum):
--- a/sycamorespoke/entry/_monitor.py
+++ b/sycamorespoke/entry/_monitor.py
@@ -42,15 +42,20 @@
 
     def _poll(self, now):
         name = self.host.name
+        if now < self.table.get_backoff_until_s(name):
+            return
         report = self.engine_client.read_load(self.host, now)
         if isinstance(report, domain.Refusal):
             self.table.record_broken_connection(name)
+            self.table.record_refusal(name, report, now)
             return
         self.table.record_load_report(name, report)
         after = self.table.get_event_number(name)
         response = self.engine_client.read_cache_events(self.host, after)
-        if not isinstance(response, domain.Refusal):
-            self.table.apply_cache_events(name, response)
+        if isinstance(response, domain.Refusal):
+            self.table.record_refusal(name, response, now)
+            return
+        self.table.apply_cache_events(name, response)
 
 
 class MonitorSet:
--- a/sycamorespoke/entry/_upstreams.py
+++ b/sycamorespoke/entry/_upstreams.py
@@ -225,7 +225,7 @@
             return
         with self._lock:
             record = self._records_by_name[name]
-            until_s = now + refusal.retry_after_s
+            until_s = now + min(refusal.retry_after_s, decisions.MAX_BACKOFF_S)
             record.backoff_until_s = max(record.backoff_until_s, until_s)
         loguru.logger.bind(upstream=name, backoff_s=refusal.retry_after_s).info(
             "upstream backoff"
--- a/sycamorespoke/gateway/_statements.py
+++ b/sycamorespoke/gateway/_statements.py
@@ -2,9 +2,7 @@
 
 import attrs
 
-# A longer backoff is cut to this, so that one wrong value does not cost an upstream
-# for hours. A single request then finds out whether the upstream repeats it.
-MAX_BACKOFF_S = 600.0
+from sycamorespoke import decisions
 
 
 @attrs.frozen
@@ -83,6 +81,6 @@
             log("upstream rate limit", upstream, limit_per_s=limit_per_s)
 
     def _record_backoff(self, upstream, asked_s, now, log):
-        backoff_s = min(asked_s, MAX_BACKOFF_S)
+        backoff_s = min(asked_s, decisions.MAX_BACKOFF_S)
         if self.table.record_backoff(upstream, now + backoff_s):
             log("upstream backoff", upstream, asked_s=asked_s, backoff_s=backoff_s)
--- a/sycamorespoke/gateway/_store_index.py
+++ b/sycamorespoke/gateway/_store_index.py
@@ -6,8 +6,7 @@
 import attrs
 import loguru
 
-from sycamorespoke import messages, serving
-from sycamorespoke.gateway import _statements
+from sycamorespoke import decisions, messages, serving
 
 # The index is valid for this long after the last response of the store: less than a
 # restart of the store takes, after which a block may be half written.
@@ -205,7 +204,7 @@
         statements = unavailable.statements
         if statements is None or statements.backoff_s is None:
             return
-        backoff_s = min(statements.backoff_s, _statements.MAX_BACKOFF_S)
+        backoff_s = min(statements.backoff_s, decisions.MAX_BACKOFF_S)
         self._backoff_until_s = max(self._backoff_until_s, now + backoff_s)
         loguru.logger.bind(
             store=self.store.address,
--- a/tests/entry/test_backoff.py
+++ b/tests/entry/test_backoff.py
@@ -7,7 +7,7 @@
 import pytest
 
 from sycamorespoke import clients, decisions, domain
-from sycamorespoke.entry import _chooser, _service_gate, _upstreams
+from sycamorespoke.entry import _chooser, _monitor, _service_gate, _upstreams
 from tests.fakes import entry_view, scripted_upstream
 
 HOSTS = [
@@ -97,6 +97,46 @@
     assert list_names(chooser, 102.0) == ["bibdesk-1", "bibdesk-2"]
 
 
+class OverloadedEngine:
+    """Client of an engine that wants a backoff when its load or events are read."""
+
+    def __init__(self, load=OVERLOADED):
+        self.load = load
+        self.calls = []
+
+    def read_load(self, host, now):
+        self.calls.append("load")
+        return self.load
+
+    def read_cache_events(self, host, after):
+        self.calls.append("events")
+        return OVERLOADED
+
+
+@pytest.mark.parametrize(
+    ("load", "calls"),
+    [
+        (OVERLOADED, ["load"]),
+        (domain.LoadReport("b1", 0, 0, "v1", True, 100.0), ["load", "events"]),
+    ],
+)
+def test_engine_is_not_polled_before_its_backoff_has_ended(load, calls):
+    client, table = OverloadedEngine(load), _upstreams.UpstreamTable()
+    monitor = _monitor.UpstreamMonitor(HOSTS[0], client, table)
+    monitor._poll(100.0)
+    monitor._poll(108.9)
+    assert client.calls == calls
+    monitor._poll(109.0)
+    assert len(client.calls) > len(calls)
+
+
+def test_absurd_backoff_is_cut(chooser):
+    chooser.table.record_refusal(
+        "bibdesk-1", attrs.evolve(OVERLOADED, retry_after_s=3600), 100.0
+    )
+    assert chooser.table.get_backoff_until_s("bibdesk-1") == 700.0
+
+
 @pytest.mark.parametrize(
     ("status", "text", "retry_after_s"),
     [(503, "9", 9), (503, "0.2", 1), (503, "soon", None), (429, "9", None)],
