Gateway: the directory of streams can be stopped, and tests leave none behind

Suspected: the tests of the directory left some hundred connections behind that went on dialling closed ports, in the process in which those tests use the same library; after them the process now has no such thread (listed before and after).

--- a/sycamorespoke/gateway/_origin_directory.py
+++ b/sycamorespoke/gateway/_origin_directory.py
@@ -110,14 +110,23 @@
         addresses = {
             host.peer_address for host in self.views.get().hosts_by_name.values()
         }
+        self._close_links(addresses)
+
+    def stop(self):
+        """Close all connections; no records are exchanged any more."""
+        self._codec = None
+        self._close_links(kept_addresses=set())
+
+    def _close_links(self, kept_addresses):
         with self._lock:
-            gone = self._links_by_address.keys() - addresses
+            gone = self._links_by_address.keys() - kept_addresses
             links = [self._links_by_address.pop(address) for address in gone]
         for link in links:
             link.close()
 
     def _list_links(self, request_id, choose):
-        if self._codec is None:
+        codec = self._codec
+        if codec is None:
             return []
         hosts_by_name = self.views.get().hosts_by_name
         data_centres_by_host = {
@@ -125,16 +134,16 @@
         }
         names = choose(request_id, data_centres_by_host)
         return [
-            self._get_link(hosts_by_name[name].peer_address)
+            self._get_link(hosts_by_name[name].peer_address, codec)
             for name in names
             if name != self.host
         ]
 
-    def _get_link(self, address):
+    def _get_link(self, address, codec):
         with self._lock:
             link = self._links_by_address.get(address)
             if link is None:
-                link = _origin_link.OriginLink(address, self._codec)
+                link = _origin_link.OriginLink(address, codec)
                 self._links_by_address[address] = link
             return link
 
--- a/tests/gateway/test_origin_directory.py
+++ b/tests/gateway/test_origin_directory.py
@@ -38,6 +38,8 @@
         self.directory.start(messages.Codec(KEY))
 
     def close(self):
+        """End the host; a directory that is left would go on dialling for others."""
+        self.directory.stop()
         if self.server is not None:
             self.server.stop()
             self.server = None
@@ -115,6 +117,7 @@
     begun_s = time.monotonic()
     assert find_at(lonely, [known, "own"]) == [None, ORIGIN]
     assert time.monotonic() - begun_s < 2.0
+    lonely.close()
 
 
 def test_unknown_stream_is_not_found(hosts):
@@ -129,7 +132,7 @@
     absent = hosts[3]
     absent.close()
     request_ids = record_streams(hosts[0])
-    absent.server = messages.Server(absent.entry.peer_address, KEY, absent._handle)
+    absent.join(hosts)
     wait_until_kept(hosts, request_ids)
 
 
