Tests: a gateway in the tests' process leaves no threads and descriptors behind

Each in-process gateway left three pipes, nine threads and the connections of its requests; the new tests of the gateway raised the sum over the limit.

No check changes.

--- a/tests/fakes/in_process_gateway.py
+++ b/tests/fakes/in_process_gateway.py
@@ -116,14 +116,25 @@
 
     def request(self, path, method="POST", body=b"ask", connection=None, **headers):
         """Send a request; return the status, headers and body of the response."""
-        connection = connection or self.connect()
-        send_request(connection, path, method, body, **headers)
-        response = connection.getresponse()
-        return response.status, response.headers, response.read()
+        own = self.connect() if connection is None else None
+        try:
+            send_request(own or connection, path, method, body, **headers)
+            response = (own or connection).getresponse()
+            return response.status, response.headers, response.read()
+        finally:
+            # Otherwise the tests' process runs out of the descriptors of select().
+            if own is not None:
+                own.close()
 
     def close(self):
         self.server.close_listener()
         self.server.wait_closed(1.0)
+        self.pool.retain(set(), float("inf"))
+        # A process that ends needs neither; a test process keeps the threads and the
+        # descriptors of each gateway.
+        waitress_server = self.server._server
+        waitress_server.task_dispatcher.shutdown(timeout=0.1)
+        self.server._run_in_loop(waitress_server.close)
 
 
 def send_request(connection, path, method="POST", body=b"ask", **headers):
