Gateway: refusals of attempts are combined in one place

combine_refusals takes no earlier refusal as well; the two tests for that case in the attempts were the same once more. No decision changes; tests/gateway passes.

--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -337,14 +337,9 @@
             self.log.record_ejection(upstream, kind)
 
     def _add_refusal(self, refusal):
-        if self._refusal is None:
-            self._refusal = refusal
-        else:
-            self._refusal = decisions.combine_refusals(self._refusal, refusal)
+        self._refusal = decisions.combine_refusals(self._refusal, refusal)
 
     def _combine_with_earlier(self, refusal):
-        if self._refusal is None:
-            return refusal
         return decisions.combine_refusals(self._refusal, refusal)
 
     def _is_server_error(self, head):
