--- a/tests/fakes/upstream_fleet.py
+++ b/tests/fakes/upstream_fleet.py
@@ -130,6 +130,11 @@
         with self._lock:
             return list(self._servers_by_id)
 
+    def list_addresses(self):
+        """Return the addresses of the upstreams that run."""
+        with self._lock:
+            return [server.address for server in self._servers_by_id.values()]
+
     def crash(self, upstream_id):
         """End an upstream; it is back after ``restart_s``."""
         with self._lock:
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -49,11 +49,22 @@
         Platform's store, or a proxy of it; has ``address``.
     folder : pathlib.Path
         Folder for the settings file.
+    module : str, default="sycamorespoke.platform"
+        Module to run.
+    environment : dict of str to str or None, default=None
+        Variables of the process besides those of the tests.
     **settings
         Settings that differ from the defaults, as YAML texts.
     """
 
-    def __init__(self, store, folder, **settings):
+    def __init__(
+        self,
+        store,
+        folder,
+        module="sycamorespoke.platform",
+        environment=None,
+        **settings,
+    ):
         self.ports = {
             name: free_ports.choose_free_port()
             for name in ("listen", "ready", "operators")
@@ -75,8 +86,12 @@
             "".join(f"{key}: {text}\n" for key, text in values_by_setting.items())
         )
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "sycamorespoke.platform"],
-            env={**os.environ, "SYCAMORESPOKE_BOOT": str(path)},
+            [sys.executable, "-m", module],
+            env={
+                **os.environ,
+                "SYCAMORESPOKE_BOOT": str(path),
+                **(environment or {}),
+            },
             stdout=subprocess.PIPE,
             stderr=subprocess.STDOUT,
             text=True,
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -16,7 +16,9 @@
 class Mode(enum.Enum):
     """Treatment of the bytes of all connections.
 
-    ``ONE_WAY`` discards responses and ``SILENCE`` discards both directions.
+    ``ONE_WAY`` discards responses and ``SILENCE`` discards both directions. ``REFUSE``
+    also resets the open connections, ``REFUSE_NEW`` leaves them as they are. ``HANG``
+    discards both directions and answers no new connection at all.
     """
 
     PASS = "pass"
@@ -24,6 +26,15 @@
     RESET = "reset"
     ONE_WAY = "one way"
     SILENCE = "silence"
+    REFUSE = "refuse"
+    REFUSE_NEW = "refuse new"
+    HANG = "hang"
+
+
+RESETTING_MODES = frozenset({Mode.RESET, Mode.REFUSE})
+DISCARDING_MODES = frozenset({Mode.SILENCE, Mode.HANG})
+# Connections that fill the queue of a listener that accepts none.
+FILLERS = 2
 
 
 class LoopbackProxy:
@@ -45,14 +56,18 @@
         self.mode = Mode.PASS
         self._pairs = set()
         self._lock = threading.Lock()
+        self._fillers = []
         self._listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._port = self._listener.getsockname()[1]
+        self.address = f"127.0.0.1:{self._port}"
+        self._start_accepting()
 
     def set_mode(self, mode):
-        """Set the mode; `Mode.RESET` also resets the open connections."""
-        self.mode = mode
-        if mode is Mode.RESET:
+        """Set the mode; some modes also reset the open connections."""
+        earlier, self.mode = self.mode, mode
+        if _get_listening(earlier) != _get_listening(mode):
+            self._listen_again(mode)
+        if mode in RESETTING_MODES:
             self.reset_all()
 
     def reset_all(self):
@@ -65,13 +80,44 @@
 
     def close(self):
         """Stop accepting connections and reset the open ones."""
-        self._listener.close()
+        self._stop_listening()
         self.reset_all()
 
-    def _accept(self):
+    def _listen_again(self, mode):
+        """Listen as a mode asks: regularly, not at all, or without ever accepting."""
+        self._stop_listening()
+        if mode in (Mode.REFUSE, Mode.REFUSE_NEW):
+            return
+        address = ("127.0.0.1", self._port)
+        if mode is not Mode.HANG:
+            self._listener = socket.create_server(address)
+            self._start_accepting()
+            return
+        self._listener = socket.create_server(address, backlog=0)
+        for _ in range(FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(address)
+            self._fillers.append(filler)
+
+    def _stop_listening(self):
+        # Wakes the thread that accepts, which otherwise keeps the port open.
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+
+    def _start_accepting(self):
+        threading.Thread(
+            target=self._accept, args=(self._listener,), daemon=True
+        ).start()
+
+    def _accept(self, listener):
         while True:
             try:
-                caller_socket, _ = self._listener.accept()
+                caller_socket, _ = listener.accept()
             except OSError:
                 return
             if self.mode is Mode.RESET:
@@ -119,7 +165,14 @@
     def _discards(self, is_request):
         if self.mode is Mode.ONE_WAY:
             return not is_request
-        return self.mode is Mode.SILENCE
+        return self.mode in DISCARDING_MODES
+
+
+def _get_listening(mode):
+    """Return what distinguishes how the proxy listens in a mode."""
+    if mode is Mode.HANG:
+        return mode
+    return Mode.REFUSE if mode in (Mode.REFUSE, Mode.REFUSE_NEW) else Mode.PASS
 
 
 def _reset(connection):
