Gateway: hosts record which services their requests reach

Cause: the lines of a host that is cut off from all upstreams could not be told from those of a host whose upstreams have ended; nothing kept what requests had shown of the links together. Change: the failures of different upstreams of a service since the last success, new connections and answers apart, as a log line each way, a gauge and part of the dump. No decision changed.

--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -159,6 +159,11 @@
     classify_read_back,
 )
 from sycamorespoke.decisions._rate_share import RateShare
+from sycamorespoke.decisions._reachability import (
+    LinkState,
+    begin_link_trial,
+    record_link_failure,
+)
 from sycamorespoke.decisions._readers import ReaderPlan, count_readers, plan_readers
 from sycamorespoke.decisions._revisions import (
     choose_newer_revision,
@@ -246,6 +251,7 @@
     "LeaseAction",
     "LeaseRecord",
     "LeaseState",
+    "LinkState",
     "LoadOrder",
     "Malformed",
     "Neighbours",
@@ -284,6 +290,7 @@
     "apply_load_report",
     "assess_host",
     "assess_upstream",
+    "begin_link_trial",
     "begin_transfer",
     "choose_neighbours",
     "choose_newer_revision",
@@ -346,6 +353,7 @@
     "plan_readers",
     "rank_hosts",
     "record_failure",
+    "record_link_failure",
     "record_success",
     "reserve_bytes",
     "return_permit",
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -28,6 +28,10 @@
         domain.ErrorKind.NO_UPSTREAM,
     }
 )
+# Kinds of failures after which a request may have been sent.
+UNANSWERED_KINDS = frozenset(
+    {domain.ErrorKind.UPSTREAM_LOST, domain.ErrorKind.DEADLINE_AFTER_SEND}
+)
 SERVER_ERROR_WEIGHT = 0.5
 SERVER_ERROR_STATUS = 500
 # Other upstreams are preferred for this long after an upstream refused a request
@@ -240,9 +244,23 @@
             self.gateway.table.expect_first_event(upstream, self, expected_s)
         fresh = self.route.kind is _model.RouteKind.UNSAFE
         result = exchange.open(choice.connections, fresh)
+        self._record_links(exchange, result)
         self._record_statements(exchange, result)
         return result
 
+    def _record_links(self, exchange, result):
+        """Record what an attempt has shown of this host's links to the upstream."""
+        now = self.gateway.read_clock()
+        reachability = self.gateway.reachability
+        if exchange.has_connected:
+            reachability.record_connected(exchange.upstream, now)
+        if exchange.head is not None:
+            reachability.record_answered(exchange.upstream, now)
+        elif result.refusal.kind is domain.ErrorKind.UPSTREAM_UNREACHABLE:
+            reachability.record_unreachable(exchange.upstream, now)
+        elif result.refusal.kind in UNANSWERED_KINDS:
+            reachability.record_unanswered(exchange.upstream, now)
+
     def _record_statements(self, exchange, result):
         """Record what the upstream states about itself in its response."""
         if exchange.head is None:
--- a/sycamorespoke/gateway/_exchange.py
+++ b/sycamorespoke/gateway/_exchange.py
@@ -44,6 +44,13 @@
         Deadline of the request, seconds of the boot clock.
     gate : UpstreamGate
         Answers whether the request may still go to the upstream.
+
+    Attributes
+    ----------
+    head : ResponseHead or None
+        Head of the response, once it has been read.
+    has_connected : bool
+        Whether the upstream accepted a new connection for the request.
     """
 
     def __init__(self, protocol, pool, read_clock, request, dispatch, deadline_s, gate):
@@ -55,6 +62,7 @@
         self.deadline_s = deadline_s
         self.gate = gate
         self.head = None
+        self.has_connected = False
         self._connection = None
         self._response = None
         self._cancelled = False
@@ -189,6 +197,7 @@
             self.close()
             reason = f"cannot connect to the upstream: {type(error).__name__}"
             return _make_failure(domain.ErrorKind.UPSTREAM_UNREACHABLE, reason)
+        self.has_connected = True
         return None
 
     def _send(self, connection):
--- a/sycamorespoke/gateway/_gateway.py
+++ b/sycamorespoke/gateway/_gateway.py
@@ -36,6 +36,8 @@
         Observes under which requests upstreams end.
     stream_versions : StreamVersions
         Keeps each stream at the software version that began it.
+    reachability : Reachability
+        Which services this host reaches.
     budgets : RetryBudgets
         Limits the retries of each service.
     request_metrics : RequestMetrics
@@ -52,6 +54,7 @@
     block_planner: object
     crash_monitor: object
     stream_versions: object
+    reachability: object
     budgets: object
     request_metrics: object
     read_clock: object
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -14,6 +14,7 @@
     _origin_directory,
     _peer_loads,
     _peering,
+    _reachability,
     _readiness,
     _request_metrics,
     _retirement,
@@ -83,6 +84,7 @@
             gateway_settings.name, self.views
         )
         self.software_versions = _software_versions.SoftwareVersions()
+        self.reachability = _reachability.Reachability(self.views)
         self.stop_requested = threading.Event()
         self._limits = serving.CallerLimits()
         self._usable_files = max(gateway_settings.files - RESERVED_FILES, 64)
@@ -214,6 +216,7 @@
                 for content in view.crashes.quarantined_by_content
             ],
             "upstreams": self.table.dump(now),
+            "links": self.reachability.dump(now),
             "connections": self.pool.count_open(),
             "stores": self.block_planner.dump(now),
         }
@@ -223,6 +226,11 @@
         view = self.views.get()
         self.metrics.gauge("caller_connections", self.server.count_connections())
         self.metrics.gauge("is_ready", int(self.is_ready()))
+        lost = self.reachability.list_lost(now)
+        for service in (
+            view.configuration.services_by_name if view.configuration else ()
+        ):
+            self.metrics.gauge("links_lost", int(service in lost), service=service)
         for kind in decisions.ContentKind:
             count = view.crashes.count_quarantined(kind)
             self.metrics.gauge(f"quarantined_{kind.value}s", count)
@@ -265,6 +273,7 @@
             stream_versions=_stream_versions.StreamVersions(
                 self.directory, self.software_versions, self.views, self.metrics
             ),
+            reachability=self.reachability,
             budgets=_retry_budgets.RetryBudgets(
                 settings.retry_ratio, settings.retry_slack
             ),
--- /dev/null
+++ b/sycamorespoke/gateway/_reachability.py
@@ -0,0 +1,160 @@
+"""Which services this host reaches, as its own requests show."""
+
+import threading
+
+import attrs
+import loguru
+
+from sycamorespoke import decisions
+
+
+@attrs.define
+class ServiceLinks:
+    """Links of this host to the upstreams of one service.
+
+    Connecting and answering are told apart: open connections may go on while new ones
+    are refused, and new connections may be accepted and then lost.
+
+    Parameters
+    ----------
+    connecting : decisions.LinkState
+        What new connections have shown.
+    answering : decisions.LinkState
+        What requests on open connections have shown.
+    answered_s : float, default=-inf
+        When an upstream last answered, seconds of the boot clock.
+    """
+
+    connecting: decisions.LinkState = attrs.field(factory=decisions.LinkState)
+    answering: decisions.LinkState = attrs.field(factory=decisions.LinkState)
+    answered_s: float = float("-inf")
+
+    def is_lost(self, now):
+        """Return whether this host has lost its links to the service."""
+        return self.connecting.is_lost(now) or self.answering.is_lost(now)
+
+    def is_suspect(self, now):
+        """Return whether an upstream has failed since the last success."""
+        return self.connecting.is_suspect(now) or self.answering.is_suspect(now)
+
+
+class Reachability:
+    """Links of this host to all services; thread-safe.
+
+    Parameters
+    ----------
+    views : Views
+        Current view, which lists the upstreams.
+    """
+
+    def __init__(self, views):
+        self.views = views
+        self._lock = threading.Lock()
+        self._links_by_service = {}
+        self._logged_services = set()
+
+    def record_connected(self, upstream, now):
+        """Record that an upstream accepted a new connection at ``now``."""
+        with self._lock:
+            links = self._get_links(upstream.service)
+            links.connecting = decisions.LinkState()
+            self._log_change(upstream.service, links, now)
+
+    def record_answered(self, upstream, now):
+        """Record that an upstream sent the head of a response at ``now``."""
+        with self._lock:
+            links = self._get_links(upstream.service)
+            links.answering = decisions.LinkState()
+            links.answered_s = now
+            self._log_change(upstream.service, links, now)
+
+    def record_unreachable(self, upstream, now):
+        """Record that a connection to an upstream failed at ``now``."""
+        with self._lock:
+            links = self._get_links(upstream.service)
+            links.connecting = self._add_failure(links.connecting, upstream, now)
+            self._log_change(upstream.service, links, now)
+
+    def record_unanswered(self, upstream, now):
+        """Record that an upstream sent nothing to a request that was sent to it."""
+        with self._lock:
+            links = self._get_links(upstream.service)
+            links.answering = self._add_failure(links.answering, upstream, now)
+            self._log_change(upstream.service, links, now)
+
+    def is_lost(self, service, now):
+        """Return whether this host has lost its links to a service at ``now``."""
+        with self._lock:
+            links = self._links_by_service.get(service)
+            if links is None:
+                return False
+            self._log_change(service, links, now)
+            return links.is_lost(now)
+
+    def get_answer_age_s(self, service, now):
+        """Return how long ago a service answered this host.
+
+        Returns
+        -------
+        float or None
+            Seconds; ``None`` if it never did, or an upstream has failed since.
+        """
+        with self._lock:
+            links = self._links_by_service.get(service)
+            if links is None or links.is_suspect(now):
+                return None
+            age_s = now - links.answered_s
+            return age_s if age_s < float("inf") else None
+
+    def dump(self, now):
+        """Return the links as JSON values by service."""
+        with self._lock:
+            return {
+                service: {
+                    "lost": links.is_lost(now),
+                    "answered_s_ago": _round_age(links.answered_s, now),
+                    "unreachable": sorted(links.connecting.failed_s_by_boot),
+                    "unanswered": sorted(links.answering.failed_s_by_boot),
+                }
+                for service, links in self._links_by_service.items()
+            }
+
+    def list_lost(self, now):
+        """Return the services to which this host has lost its links."""
+        with self._lock:
+            return [
+                service
+                for service, links in self._links_by_service.items()
+                if links.is_lost(now)
+            ]
+
+    def _get_links(self, service):
+        return self._links_by_service.setdefault(service, ServiceLinks())
+
+    def _add_failure(self, state, upstream, now):
+        count = len(self.views.get().list_upstreams(upstream.service))
+        return decisions.record_link_failure(state, upstream.boot_id, count, now)
+
+    def _log_change(self, service, links, now):
+        is_lost = links.is_lost(now)
+        if is_lost == (service in self._logged_services):
+            return
+        fields = {
+            "service": service,
+            "answered_s_ago": _round_age(links.answered_s, now),
+        }
+        if is_lost:
+            self._logged_services.add(service)
+            loguru.logger.bind(
+                unreachable=sorted(links.connecting.failed_s_by_boot),
+                unanswered=sorted(links.answering.failed_s_by_boot),
+                **fields,
+            ).info("links to service lost")
+            return
+        self._logged_services.discard(service)
+        loguru.logger.bind(**fields).info("links to service back")
+
+
+def _round_age(at_s, now):
+    age_s = now - at_s
+    return round(age_s, 3) if age_s < float("inf") else None
--- a/tests/fakes/in_process_gateway.py
+++ b/tests/fakes/in_process_gateway.py
@@ -11,6 +11,7 @@
     _model,
     _origin_directory,
     _peer_loads,
+    _reachability,
     _request_metrics,
     _retry_budgets,
     _software_versions,
@@ -61,6 +62,7 @@
         )
         self.directory = _origin_directory.OriginDirectory("host-1", self.views)
         self.software_versions = _software_versions.SoftwareVersions()
+        self.reachability = _reachability.Reachability(self.views)
         limits = _chooser.UpstreamLimits(1.5, 5.0, 6.0)
         self.gateway = _gateway.Gateway(
             protocol=_protocol,
@@ -75,6 +77,7 @@
             stream_versions=_stream_versions.StreamVersions(
                 self.directory, self.software_versions, self.views, self.metrics
             ),
+            reachability=self.reachability,
             budgets=_retry_budgets.RetryBudgets(0.2, 100.0),
             request_metrics=_request_metrics.RequestMetrics(self.metrics),
             read_clock=serving.read_clock,
