Gateway: a host that has lost its links has other hosts serve its callers

Cause: each host tried each upstream for itself and learned nothing of the whole; a request could reach an upstream only from the host that its caller happened to reach. Ruled out: lost time alone (where connections are refused, all upstreams are tried within 20 ms); readiness alone (kept connections stay).

Change (docs/design/cut-hosts.md): failures of different upstreams with no success in between show lost links; such a host asks others which services they reach and forwards requests to one, one hop, signed, with the attempts and the time that are left; the host that sends applies limits, budgets and versions. A request that may have run there is not sent again. What no host can serve is refused at once.

--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -88,6 +88,11 @@
 from sycamorespoke.decisions._fair_queue import (
     FairQueue,
 )
+from sycamorespoke.decisions._forwarding import (
+    PeerReport,
+    choose_asked_hosts,
+    choose_forwarding_peer,
+)
 from sycamorespoke.decisions._lease_state import (
     LEASE_DURATION_S,
     RENEW_INTERVAL_S,
@@ -160,6 +165,7 @@
 )
 from sycamorespoke.decisions._rate_share import RateShare
 from sycamorespoke.decisions._reachability import (
+    MIN_FAILED_UPSTREAMS,
     LinkState,
     begin_link_trial,
     record_link_failure,
@@ -222,6 +228,7 @@
     "MAX_CONFIRMATION_AGE_S",
     "MAX_DIRECT_HOSTS",
     "MAX_ORDER_DURATION_S",
+    "MIN_FAILED_UPSTREAMS",
     "MOMENT_S",
     "PERMIT_LIFETIME_S",
     "PERMIT_RETRY_AFTER_S",
@@ -257,6 +264,7 @@
     "Neighbours",
     "Obstacle",
     "Outcome",
+    "PeerReport",
     "PlacementCandidate",
     "Preparation",
     "PreparationKind",
@@ -292,6 +300,8 @@
     "assess_upstream",
     "begin_link_trial",
     "begin_transfer",
+    "choose_asked_hosts",
+    "choose_forwarding_peer",
     "choose_neighbours",
     "choose_newer_revision",
     "choose_origin_keepers",
--- a/sycamorespoke/decisions/_reachability.py
+++ b/sycamorespoke/decisions/_reachability.py
@@ -6,12 +6,12 @@
 
 import attrs
 
-# So many upstreams must fail one after the other; fewer if the service has fewer.
+# So many different upstreams must fail with no success in between.
 MIN_FAILED_UPSTREAMS = 2
 # A failure counts, and the links count as lost without new failures, for this long.
 EVIDENCE_LIFETIME_S = 5.0
 FIRST_TRIAL_S = 0.5
-MAX_TRIAL_S = 2.0
+MAX_TRIAL_S = 1.0
 
 
 @attrs.frozen
@@ -47,12 +47,20 @@
         """Return whether an upstream has failed since the last success."""
         return now - self.last_failure_s < EVIDENCE_LIFETIME_S
 
+    def list_failed(self, now):
+        """Return the boot IDs of the upstreams that have failed lately."""
+        return {
+            boot_id
+            for boot_id, failed_s in self.failed_s_by_boot.items()
+            if now - failed_s < EVIDENCE_LIFETIME_S
+        }
+
     def may_try(self, now):
         """Return whether a request may try whether the links work again."""
         return now >= self.next_trial_s
 
 
-def record_link_failure(state, boot_id, upstream_count, now):
+def record_link_failure(state, boot_id, now, wanted=MIN_FAILED_UPSTREAMS):
     """Return the state with a failure of one upstream added.
 
     Parameters
@@ -61,10 +69,10 @@
         What is known so far.
     boot_id : str
         Boot ID of the upstream that could not be reached, or did not answer.
-    upstream_count : int
-        Listed upstreams of the service.
     now : float
         Current time, seconds.
+    wanted : int, default=MIN_FAILED_UPSTREAMS
+        Different upstreams that must have failed for the links to count as lost.
 
     Returns
     -------
@@ -73,12 +81,12 @@
 
     Examples
     --------
-    >>> state = record_link_failure(LinkState(), "i-1", 3, 0.0)
+    >>> state = record_link_failure(LinkState(), "i-1", 0.0)
     >>> state.is_lost(0.1)
     False
-    >>> record_link_failure(state, "i-1", 3, 0.1).is_lost(0.2)
+    >>> record_link_failure(state, "i-1", 0.1).is_lost(0.2)
     False
-    >>> record_link_failure(state, "i-2", 3, 0.1).is_lost(0.2)
+    >>> record_link_failure(state, "i-2", 0.1).is_lost(0.2)
     True
     """
     failed_s_by_boot = {
@@ -87,7 +95,6 @@
         if now - failed_s < EVIDENCE_LIFETIME_S
     }
     failed_s_by_boot[boot_id] = now
-    wanted = max(min(MIN_FAILED_UPSTREAMS, upstream_count), 1)
     if state.is_lost(now):
         return attrs.evolve(
             state, failed_s_by_boot=failed_s_by_boot, last_failure_s=now
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -7,6 +7,7 @@
     _crash_watch,
     _dispatcher,
     _exchange,
+    _forwarding,
     _model,
     _requests,
     _statements,
@@ -77,6 +78,7 @@
         # Upstreams that received the request, whether or not they ran it.
         self._reached_boot_ids = set()
         self.gate = _upstream_gate.UpstreamGate(gateway.views, gateway.table)
+        self._forwarder = _forwarding.Forwarder(gateway, request, route, deadline_s)
         self._dispatcher = _dispatcher.Dispatcher(
             gateway, request, route, account, deadline_s
         )
@@ -117,6 +119,11 @@
             choice = self._choose()
             if isinstance(choice, domain.Refusal):
                 return self._combine_with_earlier(choice)
+            if isinstance(choice, decisions.PeerReport):
+                result = self._forward(choice, last_event_id)
+                if result is not None:
+                    return result
+                continue
             head = self._attempt(choice, last_event_id)
             if isinstance(head, _requests.ResponseHead):
                 if not self._is_server_error(head):
@@ -136,6 +143,9 @@
         """Count the current response as read to its end."""
         head = self.exchange.head
         self.gateway.request_metrics.record_response_end(head.framing, is_whole=True)
+        if self._forwarder.peer is not None:
+            # The host that has sent the request relates it to its upstream.
+            return
         self.crash_watch.record_whole(head, self.gateway.read_clock())
 
     def handle_broken_response(self, failure, last_event_id=None):
@@ -155,6 +165,8 @@
         """
         upstream = self.exchange.upstream
         framing = self.exchange.head.framing
+        if self._forwarder.peer is not None:
+            return self._end_forwarded(failure)
         self._record_failure(upstream, failure.refusal.kind)
         now = self.gateway.read_clock()
         kind = failure.refusal.kind
@@ -192,6 +204,7 @@
             self.gateway.table.discard_expected_event(self._active_upstream, self)
             self.gateway.table.end_request(self._active_upstream, self._work)
             self._active_upstream = None
+        self._forwarder.finish()
         self.exchange = None
 
     def abandon(self):
@@ -214,10 +227,49 @@
         refusal = self.crash_watch.find_refusal(view, now)
         if refusal is not None:
             return refusal
+        peer = self._forwarder.choose(self.origin, now)
+        if peer is not None:
+            return peer
         return self.gateway.chooser.choose(
             view, self.route, self.request, self._excluded_boot_ids, now, self.origin
         )
 
+    def _forward(self, peer, last_event_id):
+        """Forward the request to another host.
+
+        Returns
+        -------
+        ResponseHead or domain.Refusal or None
+            ``None`` if it has not run there and may be tried again.
+        """
+        mark = _requests.ForwardMark(
+            self.gateway.forwarding.host,
+            self._count_attempts_left(),
+            is_counted=bool(self._deposited_services),
+        )
+        if self.timing.sent_s is None:
+            self.timing.sent_s = self.gateway.read_clock()
+        result = self._forwarder.open(peer, mark, last_event_id, self._set_exchange)
+        if isinstance(result, _requests.ResponseHead):
+            return result
+        may_try_another = self._forwarder.may_try_another(result)
+        self.finish()
+        self._add_refusal(result.refusal)
+        return None if may_try_another else self._refusal
+
+    def _end_forwarded(self, failure):
+        """End a forwarded request whose response broke off; it may have run."""
+        reason = failure.refusal.reason
+        self._forwarder.record_end("broke", reason=reason)
+        self.finish()
+        self._add_refusal(failure.refusal)
+        return self._refusal
+
+    def _set_exchange(self, exchange):
+        self.exchange = exchange
+        if self.cancelled:
+            exchange.cancel()
+
     def _attempt(self, choice, last_event_id):
         upstream = choice.upstream
         self._deposit_to_budget(upstream.service)
@@ -231,9 +283,7 @@
             self.deadline_s,
             self.gate,
         )
-        self.exchange = exchange
-        if self.cancelled:
-            exchange.cancel()
+        self._set_exchange(exchange)
         if self.timing.sent_s is None:
             self.timing.sent_s = self.gateway.read_clock()
         self.log.record_sent(dispatch)
@@ -279,8 +329,10 @@
     def record_first_event(self):
         """Record the time at which the first event of the stream arrived."""
         now = self.gateway.read_clock()
-        upstream = self.exchange.upstream
         self.timing.first_event_s = now
+        if self._forwarder.peer is not None:
+            return
+        upstream = self.exchange.upstream
         self.gateway.table.record_first_event(upstream, self, now)
         self.origin = decisions.StreamOrigin(
             upstream.service, upstream.software_version
@@ -331,15 +383,25 @@
 
     def _may_send_again(self, service):
         """Decide whether the request is sent again; uses up one retry if so."""
-        if self.cancelled or len(self._reached_boot_ids) >= self.route.attempts:
+        if self.cancelled or self._count_attempts_left() <= 0:
             return False
         return self._withdraw_from_budget(service)
 
+    def _count_attempts_left(self):
+        """Return how many more upstreams may receive the request."""
+        attempts = self.route.attempts
+        if self.request.forward_mark is not None:
+            attempts = min(attempts, self.request.forward_mark.attempts)
+        return attempts - len(self._reached_boot_ids)
+
     def _withdraw_from_budget(self, service):
         view = self.gateway.views.get()
         return self.gateway.budgets.withdraw(service, max(len(view.hosts), 1))
 
     def _deposit_to_budget(self, service):
+        mark = self.request.forward_mark
+        if mark is not None and mark.is_counted:
+            return
         if service in self._deposited_services:
             return
         self._deposited_services.add(service)
--- a/sycamorespoke/gateway/_gateway.py
+++ b/sycamorespoke/gateway/_gateway.py
@@ -4,7 +4,14 @@
 import loguru
 
 from sycamorespoke import domain
-from sycamorespoke.gateway import _attempts, _model, _requests, _stream_body, _views
+from sycamorespoke.gateway import (
+    _attempts,
+    _forward_format,
+    _model,
+    _requests,
+    _stream_body,
+    _views,
+)
 
 # Share of a request's remaining time that a refusal asks the caller to wait before a
 # retry; the rest is left for the retry to succeed.
@@ -38,6 +45,8 @@
         Keeps each stream at the software version that began it.
     reachability : Reachability
         Which services this host reaches.
+    forwarding : Forwarding
+        Forwards requests to other hosts.
     budgets : RetryBudgets
         Limits the retries of each service.
     request_metrics : RequestMetrics
@@ -55,6 +64,7 @@
     crash_monitor: object
     stream_versions: object
     reachability: object
+    forwarding: object
     budgets: object
     request_metrics: object
     read_clock: object
@@ -64,17 +74,33 @@
         now = environ.get("caller.arrived_s") or self.read_clock()
         request = self.protocol.parse_request(environ, now)
         if isinstance(request, domain.Refusal):
-            return self._refuse(start_response, None, None, request)
-        return self._serve(request, environ, start_response)
+            return self.refuse(start_response, None, None, request)
+        return self.serve(request, environ, start_response)
 
-    def _serve(self, request, environ, start_response):
+    def serve(self, request, environ, start_response):
+        """Serve a request.
+
+        Parameters
+        ----------
+        request : Request
+            The request, which another host may have forwarded.
+        environ : dict
+            WSGI environment.
+        start_response : callable
+            WSGI function.
+
+        Returns
+        -------
+        iterable of bytes
+            Body of the response.
+        """
         view = self.views.get()
         route = self._find_route(view, request)
         if isinstance(route, domain.Refusal):
-            return self._refuse(start_response, request, None, route)
+            return self.refuse(start_response, request, None, route)
         account = self._find_account(view, request, route)
         if isinstance(account, domain.Refusal):
-            return self._refuse(start_response, request, route, account)
+            return self.refuse(start_response, request, route, account)
         deadline_s = request.arrived_s + route.timeout_s
         if request.deadline_s is not None:
             deadline_s = min(deadline_s, request.deadline_s)
@@ -82,7 +108,7 @@
         if route.kind is _model.RouteKind.STREAM and request.continues_stream:
             origin = self.stream_versions.find_origin(request, route, self.read_clock())
             if isinstance(origin, domain.Refusal):
-                return self._refuse(start_response, request, route, origin)
+                return self.refuse(start_response, request, route, origin)
         attempts = _attempts.Attempts(self, request, route, account, deadline_s)
         attempts.origin = origin
         set_on_disconnect = environ.get("caller.on_leave")
@@ -123,12 +149,11 @@
                 return self._refuse_attempts(start_response, attempts, head)
             result = attempts.exchange.read_whole()
             if isinstance(result, _requests.Response):
+                head = self._name_upstream(attempts, result.head)
                 attempts.record_whole_response()
                 attempts.finish()
-                self._log_response(attempts, result.head.status, result.head.framing)
-                return _start_response(
-                    start_response, result.head, [result.body], result.body
-                )
+                self._log_response(attempts, head.status, head.framing)
+                return _start_response(start_response, head, [result.body], result.body)
             refusal = attempts.handle_broken_response(result)
             if refusal is not None:
                 return self._refuse_attempts(start_response, attempts, refusal)
@@ -138,12 +163,20 @@
         head = stream.begin()
         if isinstance(head, domain.Refusal):
             return self._refuse_attempts(start_response, attempts, head)
+        head = self._name_upstream(attempts, head)
         return _start_response(start_response, head, stream, None)
 
+    def _name_upstream(self, attempts, head):
+        """Add to the head, for a host that has forwarded the request, who answered."""
+        if attempts.request.forward_mark is None:
+            return head
+        boot_id = attempts.exchange.upstream.boot_id
+        return _forward_format.name_upstream(head, boot_id)
+
     def _refuse_attempts(self, start_response, attempts, refusal):
         attempts.finish()
         refusal = self._state_backoff(refusal, attempts.route)
-        return self._refuse(start_response, attempts.request, attempts.route, refusal)
+        return self.refuse(start_response, attempts.request, attempts.route, refusal)
 
     def _state_backoff(self, refusal, route):
         """Add when to retry to a refusal if every upstream wants a backoff."""
@@ -155,7 +188,8 @@
             return refusal
         return attrs.evolve(refusal, retry_after_s=opening_s - now)
 
-    def _refuse(self, start_response, request, route, refusal):
+    def refuse(self, start_response, request, route, refusal):
+        """Refuse a request, whose route is ``None`` if it has none or is unknown."""
         now = self.read_clock()
         refusal = _set_retry_after(refusal, request, now)
         self.request_metrics.record_refusal(refusal.kind, route)
@@ -174,6 +208,8 @@
         headers = self.protocol.build_refusal_headers(
             refusal, request.id if request else ""
         )
+        if request is not None and request.forward_mark is not None:
+            headers += _forward_format.build_refusal_headers(refusal)
         body = (refusal.reason + "\n").encode()
         headers.append(("Content-Type", "text/plain; charset=utf-8"))
         headers.append(("Content-Length", str(len(body))))
--- a/sycamorespoke/gateway/_peering.py
+++ b/sycamorespoke/gateway/_peering.py
@@ -39,6 +39,10 @@
         Holds this host's work.
     directory : OriginDirectory
         Records of streams, exchanged with other hosts.
+    forwarding : Forwarding
+        Forwards requests to other hosts.
+    forwarded : ForwardedApplication
+        Serves the requests that other hosts forward.
     """
 
     host: _model.Host
@@ -49,6 +53,8 @@
     loads: object
     table: object
     directory: object
+    forwarding: object
+    forwarded: object
     _plan: decisions.ReaderPlan = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -123,6 +129,7 @@
             self.host.peer_address, key, self._handle_request, REPLY_THREADS
         )
         self.directory.start(messages.Codec(key))
+        self.forwarding.start(key)
         _relay.UpdateRequester(
             self.host.name,
             self.blocks.list_indexes,
@@ -143,6 +150,10 @@
     def _(self, message: messages.OriginsRequest):
         return self.directory.handle(message, serving.read_clock())
 
+    @_handle_request.register
+    def _(self, message: messages.ReachRequest):
+        return self.forwarded.make_reply(message, serving.read_clock())
+
     @_handle_request.register
     def _(self, message: messages.UpdatesRequest):
         return _relay.make_reply(
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -9,10 +9,13 @@
     _blocks,
     _chooser,
     _connections,
+    _forwarded,
+    _forwarding,
     _gateway,
     _model,
     _origin_directory,
     _peer_loads,
+    _peer_reach,
     _peering,
     _reachability,
     _readiness,
@@ -36,6 +39,8 @@
 RESERVED_FILES = 300
 # Share of the other file descriptors for callers; the rest is for upstreams.
 CALLER_FILES_SHARE = 0.5
+# Share for requests that other hosts forward.
+FORWARDED_FILES_SHARE = 0.1
 # The load balancer probes once a second and takes a host out after two failures.
 LOAD_BALANCER_NOTICE_S = 2.3
 # The process exits this long before it would be killed.
@@ -85,6 +90,12 @@
         )
         self.software_versions = _software_versions.SoftwareVersions()
         self.reachability = _reachability.Reachability(self.views)
+        self.host = _model.Host(
+            gateway_settings.name,
+            gateway_settings.data_centre,
+            f"{gateway_settings.peer_ip}:{gateway_settings.peer_port}",
+        )
+        self.forwarding = self._make_forwarding()
         self.stop_requested = threading.Event()
         self._limits = serving.CallerLimits()
         self._usable_files = max(gateway_settings.files - RESERVED_FILES, 64)
@@ -96,6 +107,15 @@
             int(self._usable_files * CALLER_FILES_SHARE),
             self._limits,
         )
+        self.forwarded = _forwarded.ForwardedApplication(
+            self.gateway, self.forwarding, self.metrics
+        )
+        self.forwarded_server = _forwarded.make_server(
+            f"{gateway_settings.peer_ip}:{gateway_settings.forward_port}",
+            self.forwarded,
+            int(self._usable_files * FORWARDED_FILES_SHARE),
+            self._limits,
+        )
         rollout_lease = self._make_task_lease(_rollout.LEASE_NAME)
         retirement_lease = self._make_task_lease(_retirement.LEASE_NAME)
         self.task_leases = (rollout_lease, retirement_lease)
@@ -120,6 +140,7 @@
         telemetry.OperatorsServer(self.settings.ready_listen, readiness_app).start()
         self.view_updater.start()
         self.server.start()
+        self.forwarded_server.start()
         self.peering.join(self.stop_requested)
         self.quarantine.start(self.stop_requested)
         loguru.logger.bind(listen=self.settings.listen).info("gateway started")
@@ -160,6 +181,7 @@
         self.retirement.tell(_rollout.Tick(now))
         boot_ids = view.list_boot_ids()
         self.pool.retain(boot_ids, now)
+        self.forwarding.pool.retain(self.forwarding.peers.list_addresses(), now)
         self.table.retain(boot_ids, now)
         self.gateway.chooser.rate_limiter.retain(boot_ids)
         self.peering.update_plan(view)
@@ -168,6 +190,7 @@
         if view.configuration and view.configuration.limits != self._limits:
             self._limits = view.configuration.limits
             self.server.set_limits(self._limits)
+            self.forwarded_server.set_limits(_forwarded.scale_limits(self._limits))
 
     def stop(self):
         """Shut down gracefully.
@@ -181,12 +204,18 @@
         deadline_s = begun_s + self.settings.grace_s - EXIT_MARGIN_S
         loguru.logger.info("shutdown started")
         self.server.close_connections_after_responses()
+        self.forwarded.address = ""
+        self.forwarded_server.close_connections_after_responses()
         self.rollout.stop(block=False)
         self.retirement.stop(block=False)
         self.peering.leave()
         self._wait_until(begun_s + LOAD_BALANCER_NOTICE_S)
         self.server.close_listener()
-        drained = self.server.wait_closed(max(deadline_s - serving.read_clock(), 0.0))
+        self.forwarded_server.close_listener()
+        drained = all(
+            server.wait_closed(max(deadline_s - serving.read_clock(), 0.0))
+            for server in (self.server, self.forwarded_server)
+        )
         duration_s = round(serving.read_clock() - begun_s, 3)
         loguru.logger.bind(drained=drained, duration_s=duration_s).info(
             "shutdown ended"
@@ -274,6 +303,7 @@
                 self.directory, self.software_versions, self.views, self.metrics
             ),
             reachability=self.reachability,
+            forwarding=self.forwarding,
             budgets=_retry_budgets.RetryBudgets(
                 settings.retry_ratio, settings.retry_slack
             ),
@@ -281,6 +311,16 @@
             read_clock=serving.read_clock,
         )
 
+    def _make_forwarding(self):
+        return _forwarding.Forwarding(
+            self.settings.name,
+            self.deployment.protocol,
+            self.reachability,
+            _peer_reach.PeerReach(self.host, self.views),
+            _connections.ConnectionPool(),
+            self.metrics,
+        )
+
     def _make_task_lease(self, lease):
         return _task_lease.TaskLease(
             lease,
@@ -299,13 +339,8 @@
         )
 
     def _make_peering(self):
-        host = _model.Host(
-            self.settings.name,
-            self.settings.data_centre,
-            f"{self.settings.peer_ip}:{self.settings.peer_port}",
-        )
         return _peering.Peering(
-            host,
+            self.host,
             self.deployment.registry,
             self.views,
             self.source,
@@ -313,6 +348,8 @@
             self.loads,
             self.table,
             self.directory,
+            self.forwarding,
+            self.forwarded,
         )
 
     def _make_view_updater(self):
--- a/sycamorespoke/gateway/_reachability.py
+++ b/sycamorespoke/gateway/_reachability.py
@@ -37,6 +37,22 @@
         """Return whether an upstream has failed since the last success."""
         return self.connecting.is_suspect(now) or self.answering.is_suspect(now)
 
+    def may_try(self, may_repeat, now):
+        """Return whether a request may try whether lost links work again.
+
+        One that gets a connection and then no answer may have run, so that only a
+        request that may be sent again tries that.
+        """
+        if self.connecting.is_lost(now) and not self.connecting.may_try(now):
+            return False
+        if self.answering.is_lost(now):
+            return may_repeat and self.answering.may_try(now)
+        return True
+
+    def list_failed(self, now):
+        """Return the boot IDs of the upstreams that have failed lately."""
+        return self.connecting.list_failed(now) | self.answering.list_failed(now)
+
 
 class Reachability:
     """Links of this host to all services; thread-safe.
@@ -72,14 +88,21 @@
         """Record that a connection to an upstream failed at ``now``."""
         with self._lock:
             links = self._get_links(upstream.service)
-            links.connecting = self._add_failure(links.connecting, upstream, now)
+            listed = len(self.views.get().list_upstreams(upstream.service))
+            # The only upstream of a service may be out of reach.
+            wanted = min(max(listed, 1), decisions.MIN_FAILED_UPSTREAMS)
+            links.connecting = decisions.record_link_failure(
+                links.connecting, upstream.boot_id, now, wanted
+            )
             self._log_change(upstream.service, links, now)
 
     def record_unanswered(self, upstream, now):
         """Record that an upstream sent nothing to a request that was sent to it."""
         with self._lock:
             links = self._get_links(upstream.service)
-            links.answering = self._add_failure(links.answering, upstream, now)
+            links.answering = decisions.record_link_failure(
+                links.answering, upstream.boot_id, now
+            )
             self._log_change(upstream.service, links, now)
 
     def is_lost(self, service, now):
@@ -91,6 +114,40 @@
             self._log_change(service, links, now)
             return links.is_lost(now)
 
+    def begin_trials(self, services, may_repeat, now):
+        """Let a request try whether the links to some services work again.
+
+        Parameters
+        ----------
+        services : list of str
+            Services whose links are lost.
+        may_repeat : bool
+            Whether the request may be sent again if it gets no answer.
+        now : float
+            Current time, seconds of the boot clock.
+
+        Returns
+        -------
+        bool
+            Whether it may try; others may not for a while then.
+        """
+        with self._lock:
+            all_links = [self._get_links(service) for service in services]
+            if not all(links.may_try(may_repeat, now) for links in all_links):
+                return False
+            for links in all_links:
+                links.connecting = decisions.begin_link_trial(links.connecting, now)
+                links.answering = decisions.begin_link_trial(links.answering, now)
+            return True
+
+    def has_lost_all(self, service, now):
+        """Return whether every listed upstream of a service has failed lately."""
+        with self._lock:
+            links = self._get_links(service)
+            failed = links.list_failed(now)
+        listed = self.views.get().list_upstreams(service)
+        return all(upstream.boot_id in failed for upstream in listed)
+
     def get_answer_age_s(self, service, now):
         """Return how long ago a service answered this host.
 
@@ -131,10 +188,6 @@
     def _get_links(self, service):
         return self._links_by_service.setdefault(service, ServiceLinks())
 
-    def _add_failure(self, state, upstream, now):
-        count = len(self.views.get().list_upstreams(upstream.service))
-        return decisions.record_link_failure(state, upstream.boot_id, count, now)
-
     def _log_change(self, service, links, now):
         is_lost = links.is_lost(now)
         if is_lost == (service in self._logged_services):
--- a/sycamorespoke/gateway/_requests.py
+++ b/sycamorespoke/gateway/_requests.py
@@ -70,6 +70,25 @@
         return tuple(block.id for block in self.blocks[:-1])
 
 
+@attrs.frozen
+class ForwardMark:
+    """What a host states of a request that it forwards to another host.
+
+    Parameters
+    ----------
+    host : str
+        Name of the forwarding host.
+    attempts : int
+        Number of upstreams that may still receive the request.
+    is_counted : bool
+        Whether the forwarding host has counted the request in its retry budget.
+    """
+
+    host: str
+    attempts: int
+    is_counted: bool
+
+
 @attrs.frozen
 class Request:
     """A request of a caller.
@@ -104,6 +123,8 @@
     continues_stream : bool
         Whether the caller takes up a stream, also if the ID of its last event cannot
         be read.
+    forward_mark : ForwardMark or None, default=None
+        Set if another host has forwarded the request to this one.
     """
 
     id: str
@@ -119,6 +140,7 @@
     last_event_id: int | None = None
     resumed_request_id: str = ""
     continues_stream: bool = False
+    forward_mark: ForwardMark | None = None
 
     @property
     def path(self):
@@ -205,6 +227,10 @@
         Time for which the upstream keeps an idle connection, seconds.
     closes_connection : bool
         Whether the upstream closes the connection after this response.
+    refusal : domain.Refusal or None
+        Refusal of the host to which the request was forwarded.
+    answered_by : str
+        Boot ID of the upstream that answered a forwarded request.
     """
 
     status: int
@@ -219,6 +245,8 @@
     weight_version: int | None = None
     keep_alive_s: float | None = None
     closes_connection: bool = False
+    refusal: domain.Refusal | None = None
+    answered_by: str = ""
 
     @property
     def is_success(self):
--- a/sycamorespoke/gateway/_stream_body.py
+++ b/sycamorespoke/gateway/_stream_body.py
@@ -35,8 +35,12 @@
         ResponseHead or domain.Refusal
             Head of the response, or the refusal if no upstream sent an event.
         """
+        request = self.attempts.request
+        # Of a caller's own request, the headers say where the stream goes on.
+        is_forwarded = request.forward_mark is not None
+        last_event_id = request.last_event_id if is_forwarded else None
         while True:
-            head = self.attempts.open()
+            head = self.attempts.open(last_event_id)
             if isinstance(head, domain.Refusal):
                 return head
             self._head = head
--- a/sycamorespoke/messages/__init__.py
+++ b/sycamorespoke/messages/__init__.py
@@ -4,6 +4,7 @@
 authenticator; frames that fail the check are dropped and counted.
 """
 
+from sycamorespoke.messages._forward_messages import ForwardedPrompt, ForwardedRequest
 from sycamorespoke.messages._frame import Codec, Direction, Dropped, Frame
 from sycamorespoke.messages._message import Message
 from sycamorespoke.messages._origin_messages import (
@@ -12,6 +13,7 @@
     StreamOriginRecord,
 )
 from sycamorespoke.messages._peer import NoReply, Peer, send_request
+from sycamorespoke.messages._reach_messages import ReachReply, ReachRequest
 from sycamorespoke.messages._server import Server
 from sycamorespoke.messages._types import (
     MESSAGE_TYPES,
@@ -43,6 +45,8 @@
     "Dropped",
     "DumpReply",
     "DumpRequest",
+    "ForwardedPrompt",
+    "ForwardedRequest",
     "Frame",
     "Heartbeat",
     "HeartbeatReply",
@@ -57,6 +61,8 @@
     "PermitReply",
     "PermitRequest",
     "PermitReturn",
+    "ReachReply",
+    "ReachRequest",
     "Server",
     "StorePage",
     "StreamOriginRecord",
--- a/sycamorespoke/messages/_types.py
+++ b/sycamorespoke/messages/_types.py
@@ -7,7 +7,12 @@
 import enum
 import typing
 
-from sycamorespoke.messages import _message, _origin_messages
+from sycamorespoke.messages import (
+    _forward_messages,
+    _message,
+    _origin_messages,
+    _reach_messages,
+)
 
 
 class DocumentKind(enum.Enum):
@@ -331,4 +336,7 @@
     UpdatesReply,
     _origin_messages.OriginsRequest,
     _origin_messages.OriginsReply,
+    _reach_messages.ReachRequest,
+    _reach_messages.ReachReply,
+    _forward_messages.ForwardedRequest,
 )
--- a/sycamorespoke/settings/_classes.py
+++ b/sycamorespoke/settings/_classes.py
@@ -40,6 +40,9 @@
         IP address for messages between the system's own processes.
     peer_port : int
         Port for messages between the system's own processes, 1 to 65535.
+    forward_port : int, default=0
+        Port for requests that other hosts forward, at ``peer_ip``; 0 selects a free
+        port.
     memory_mb : float, default=256.0
         Memory limit of the process, megabytes.
     files : int, default=1024
@@ -72,6 +75,7 @@
     platform: Address
     peer_ip: str
     peer_port: Count
+    forward_port: Count = 0
     memory_mb: Number = 256.0
     files: Count = 1024
     grace_s: Seconds = 8.0
--- a/tests/decisions/test_reachability.py
+++ b/tests/decisions/test_reachability.py
@@ -5,9 +5,9 @@
 from sycamorespoke.decisions import _reachability
 
 
-def fail(state, *boot_ids, now=0.0, count=3):
+def fail(state, *boot_ids, now=0.0, **options):
     for boot_id in boot_ids:
-        state = decisions.record_link_failure(state, boot_id, count, now)
+        state = decisions.record_link_failure(state, boot_id, now, **options)
     return state
 
 
@@ -18,7 +18,7 @@
 
 
 def test_the_only_upstream_of_a_service_shows_a_lost_link():
-    assert fail(decisions.LinkState(), "i-1", count=1).is_lost(0.0)
+    assert fail(decisions.LinkState(), "i-1", wanted=1).is_lost(0.0)
 
 
 def test_failures_that_are_long_apart_are_no_lost_link():
@@ -43,7 +43,7 @@
             trials.append(now)
             state = decisions.begin_link_trial(state, now)
         now += 0.25
-    assert trials == [0.5, 1.0, 2.0, 4.0, 6.0, 8.0]
+    assert trials == [0.5, *map(float, range(1, 10))]
 
 
 @hypothesis.given(
@@ -57,7 +57,7 @@
     failed = set()
     for boot_id, pause_s in failures:
         now += pause_s
-        state = decisions.record_link_failure(state, boot_id, 3, now)
+        state = decisions.record_link_failure(state, boot_id, now)
         failed.add(boot_id)
         assert not state.is_lost(now) or len(failed) >= 2
         assert state.is_suspect(now)
--- a/tests/fakes/in_process_gateway.py
+++ b/tests/fakes/in_process_gateway.py
@@ -7,10 +7,12 @@
     _blocks,
     _chooser,
     _connections,
+    _forwarding,
     _gateway,
     _model,
     _origin_directory,
     _peer_loads,
+    _peer_reach,
     _reachability,
     _request_metrics,
     _retry_budgets,
@@ -63,6 +65,15 @@
         self.directory = _origin_directory.OriginDirectory("host-1", self.views)
         self.software_versions = _software_versions.SoftwareVersions()
         self.reachability = _reachability.Reachability(self.views)
+        host = _model.Host("host-1", "dc-1", "127.0.0.1:0")
+        self.forwarding = _forwarding.Forwarding(
+            host.name,
+            _protocol,
+            self.reachability,
+            _peer_reach.PeerReach(host, self.views),
+            _connections.ConnectionPool(),
+            self.metrics,
+        )
         limits = _chooser.UpstreamLimits(1.5, 5.0, 6.0)
         self.gateway = _gateway.Gateway(
             protocol=_protocol,
@@ -78,6 +89,7 @@
                 self.directory, self.software_versions, self.views, self.metrics
             ),
             reachability=self.reachability,
+            forwarding=self.forwarding,
             budgets=_retry_budgets.RetryBudgets(0.2, 100.0),
             request_metrics=_request_metrics.RequestMetrics(self.metrics),
             read_clock=serving.read_clock,
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -76,7 +76,7 @@
             pairs, self._pairs = self._pairs, set()
         for pair in pairs:
             for each in pair:
-                _reset(each)
+                reset(each)
 
     def close(self):
         """Stop accepting connections and reset the open ones."""
@@ -121,7 +121,7 @@
             except OSError:
                 return
             if self.mode is Mode.RESET:
-                _reset(caller_socket)
+                reset(caller_socket)
                 continue
             threading.Thread(
                 target=self._connect, args=(caller_socket,), daemon=True
@@ -132,7 +132,7 @@
         try:
             target_socket = socket.create_connection((host, int(port)))
         except OSError:
-            _reset(caller_socket)
+            reset(caller_socket)
             return
         pair = (caller_socket, target_socket)
         with self._lock:
@@ -160,7 +160,7 @@
             with self._lock:
                 self._pairs.discard(pair)
             for each in pair:
-                _reset(each)
+                reset(each)
 
     def _discards(self, is_request):
         if self.mode is Mode.ONE_WAY:
@@ -175,7 +175,8 @@
     return Mode.REFUSE if mode in (Mode.REFUSE, Mode.REFUSE_NEW) else Mode.PASS
 
 
-def _reset(connection):
+def reset(connection):
+    """Close a connection with a reset."""
     with contextlib.suppress(OSError):
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_OPTION)
     with contextlib.suppress(OSError):
