Gateway: a host that has lost its links does not report upstreams as ended

The check of an upstream under which requests were lost is a connection; refused, it counted as the end of the upstream, although the cut of this host refuses as well. Ruled out: the evidence itself (requests were lost).

Responses that break off count as failures of the link. An upstream whose entry is gone counts as ended as before.

--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -170,6 +170,8 @@
         self._record_failure(upstream, failure.refusal.kind)
         now = self.gateway.read_clock()
         kind = failure.refusal.kind
+        if kind in UNANSWERED_KINDS:
+            self.gateway.reachability.record_unanswered(upstream, now)
         self.crash_watch.record_lost(upstream, kind, has_begun=True, now=now)
         self.gateway.request_metrics.record_response_end(framing, is_whole=False)
         self.log.record_broken(upstream, failure.refusal.reason, framing, last_event_id)
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -76,8 +76,11 @@
             frozenset({deployment.kinds.configuration.name}),
             serving.read_clock,
         )
+        self.reachability = _reachability.Reachability(self.views)
         self.crash_monitor = quarantine.CrashMonitor(
-            self.views.is_registered, self._count_upstream_end, quarantine.is_listening
+            self.views.is_registered,
+            self._count_upstream_end,
+            self.reachability.is_running,
         )
         self.quarantine = quarantine.Quarantine(
             gateway_settings.name,
@@ -89,7 +92,6 @@
             gateway_settings.name, self.views
         )
         self.software_versions = _software_versions.SoftwareVersions()
-        self.reachability = _reachability.Reachability(self.views)
         self.host = _model.Host(
             gateway_settings.name,
             gateway_settings.data_centre,
--- a/sycamorespoke/gateway/_reachability.py
+++ b/sycamorespoke/gateway/_reachability.py
@@ -5,7 +5,7 @@
 import attrs
 import loguru
 
-from sycamorespoke import decisions
+from sycamorespoke import decisions, quarantine, serving
 
 
 @attrs.define
@@ -97,7 +97,7 @@
             self._log_change(upstream.service, links, now)
 
     def record_unanswered(self, upstream, now):
-        """Record that an upstream sent nothing to a request that was sent to it."""
+        """Record that an upstream sent nothing, or broke its response off."""
         with self._lock:
             links = self._get_links(upstream.service)
             links.answering = decisions.record_link_failure(
@@ -163,6 +163,25 @@
             age_s = now - links.answered_s
             return age_s if age_s < float("inf") else None
 
+    def is_running(self, upstream):
+        """Return whether the process of an upstream runs.
+
+        Returns
+        -------
+        bool or None
+            ``None`` if that cannot be told: a refused connection may also mean that
+            this host has lost its links, unless an upstream of the service has
+            answered since the last failure.
+        """
+        is_listening = quarantine.is_listening(upstream)
+        if is_listening is not False:
+            return is_listening
+        now = serving.read_clock()
+        with self._lock:
+            links = self._get_links(upstream.service)
+            is_linked = not links.answering.is_suspect(now) and not links.is_lost(now)
+        return False if is_linked else None
+
     def dump(self, now):
         """Return the links as JSON values by service."""
         with self._lock:
--- a/tests/fakes/in_process_gateway.py
+++ b/tests/fakes/in_process_gateway.py
@@ -59,12 +59,14 @@
         self.table = _table.UpstreamTable()
         self.pool = _connections.ConnectionPool()
         self.metrics = telemetry.Metrics()
+        self.reachability = _reachability.Reachability(self.views)
         self.crash_monitor = quarantine.CrashMonitor(
-            self.views.is_registered, lambda service: None, quarantine.is_listening
+            self.views.is_registered,
+            lambda service: None,
+            self.reachability.is_running,
         )
         self.directory = _origin_directory.OriginDirectory("host-1", self.views)
         self.software_versions = _software_versions.SoftwareVersions()
-        self.reachability = _reachability.Reachability(self.views)
         host = _model.Host("host-1", "dc-1", "127.0.0.1:0")
         self.forwarding = _forwarding.Forwarding(
             host.name,
--- a/tests/gateway/test_reachability.py
+++ b/tests/gateway/test_reachability.py
@@ -1,7 +1,12 @@
+import contextlib
+import http.client
+import threading
 import time
 
+from sycamorespoke import serving
 from sycamorespoke.gateway import _model, _reachability, _views
 from tests.fakes import scripted_upstream
+from tests.soak import proxy
 
 
 def make_upstreams(count, service="s"):
@@ -72,3 +77,44 @@
     upstream.crash()
     assert gateway.request("/unsafe/x")[0] == 503
     assert gateway.reachability.is_lost("s", now)
+
+
+def test_host_that_loses_its_links_does_not_take_upstreams_for_ended(harness):
+    cut = threading.Event()
+
+    def serve(request):
+        scripted_upstream.start_stream(request)
+        scripted_upstream.send_events(request, 1, 2)
+        cut.wait(5.0)
+
+    upstreams = [harness.start_upstream(serve, f"i-{n}") for n in range(3)]
+    links = [proxy.LoopbackProxy(each.address) for each in upstreams]
+    gateway = harness.start_gateway()
+    gateway.views.replace_fields(
+        upstreams_by_id={
+            f"i-{n}": _model.Upstream(f"i-{n}", 1, "s", link.address, "dc-1", slots=8)
+            for n, link in enumerate(links)
+        }
+    )
+
+    def request_stream():
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            gateway.request("/once/x")
+
+    callers = [threading.Thread(target=request_stream) for _ in range(6)]
+    for caller in callers:
+        caller.start()
+    while sum(len(each.requests) for each in upstreams) < len(callers):
+        time.sleep(0.01)
+    for link in links:
+        link.set_mode(proxy.Mode.REFUSE)
+    for caller in callers:
+        caller.join()
+    cut.set()
+    # The check of the upstreams, which run, is refused by the cut.
+    assert gateway.crash_monitor.collect(serving.read_clock()) == []
+    for link in links:
+        link.set_mode(proxy.Mode.PASS)
+    assert gateway.crash_monitor.collect(serving.read_clock()) == []
+    for link in links:
+        link.close()
