--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -2,6 +2,8 @@
 
 import collections
 
+import attrs
+
 from tests.soak import callers, upstreams
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -67,6 +69,27 @@
     return violations
 
 
+def name_senders(outcomes, senders_by_request):
+    """Replace the hosts of requests that were forwarded by those that sent them.
+
+    Parameters
+    ----------
+    outcomes : list of callers.Outcome
+        Outcomes that the callers observed.
+    senders_by_request : dict of str to str
+        Host to which each of the forwarded requests was forwarded, by request ID.
+
+    Returns
+    -------
+    list of callers.Outcome
+        In the same order.
+    """
+    return [
+        attrs.evolve(each, host=senders_by_request.get(each.request_id, each.host))
+        for each in outcomes
+    ]
+
+
 def check_leaving(outcomes, runs, signalled_s_by_host):
     """Check that hosts avoid upstreams that told them that they leave.
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -186,6 +186,12 @@
     assert guarantees.check_versions([attrs.evolve(begun, body=within)])
 
 
+def test_what_upstreams_say_binds_the_host_that_a_request_was_forwarded_to():
+    forwarded = attrs.evolve(OUTCOME, request_id="c1-2")
+    named = guarantees.name_senders([OUTCOME, forwarded], {"c1-2": "h2"})
+    assert [each.host for each in named] == ["h0", "h2"]
+
+
 def test_only_broken_streams_that_may_resume_are_taken_up():
     begun = attrs.evolve(
         STREAM,
