Gateway: records of streams outlive a loss of all hosts

Cause: the record of the version that began a stream lay in the memory of the host that began it and of three others, and died with them. Ruled out: hosts that have not joined yet, since with one host lost all go on.

Looked up after memory and the other hosts. Who cannot know refuses as before; what is read is what was recorded, nothing is guessed.

--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -197,6 +197,7 @@
     choose_store,
 )
 from sycamorespoke.decisions._stream_origins import (
+    MAX_KEEPING_HOSTS,
     StreamOrigin,
     choose_origin_keepers,
     choose_origin_sources,
@@ -227,6 +228,7 @@
     "MAX_BACKOFF_S",
     "MAX_CONFIRMATION_AGE_S",
     "MAX_DIRECT_HOSTS",
+    "MAX_KEEPING_HOSTS",
     "MAX_ORDER_DURATION_S",
     "MIN_FAILED_UPSTREAMS",
     "MOMENT_S",
--- a/sycamorespoke/gateway/_deployment.py
+++ b/sycamorespoke/gateway/_deployment.py
@@ -26,6 +26,8 @@
         Client of the block stores, see `BlockPlanner` and `Retirement`.
     crash_records : object
         Writes the objects of the kind ``crashes``, see `Quarantine`.
+    stream_records : object
+        Objects with records of streams, see `StoredOrigins`.
     ready_path : str
         Path that the load balancer polls for readiness.
     """
@@ -38,6 +40,7 @@
     engines: object
     block_stores: object
     crash_records: object
+    stream_records: object
     ready_path: str
 
 
--- a/sycamorespoke/gateway/_origin_directory.py
+++ b/sycamorespoke/gateway/_origin_directory.py
@@ -23,6 +23,7 @@
         self.host = host
         self.views = views
         self.origins = _stream_origins.StreamOrigins()
+        self._stored = None
         self._codec = None
         self._lock = threading.Lock()
         self._links_by_address = {}
@@ -37,6 +38,10 @@
         """
         self._codec = codec
 
+    def use_store(self, stored):
+        """Look records up in `StoredOrigins` too if no host has them."""
+        self._stored = stored
+
     def record(self, request_id, origin, lifetime_s, now):
         """Record the origin of a stream here and at the hosts that keep it.
 
@@ -62,11 +67,19 @@
         Returns
         -------
         decisions.StreamOrigin or None
-            ``None`` if no host that replies in time knows the stream.
+            ``None`` if no host that replies in time knows the stream, and its record
+            is not in the store.
         """
         own = self.origins.find(request_id, now)
         if own is not None:
             return own.origin
+        origin = self._find_at_hosts(request_id, now)
+        if origin is None and self._stored is not None:
+            stored = self._stored.find(request_id, now)
+            origin = stored.origin if stored else None
+        return origin
+
+    def _find_at_hosts(self, request_id, now):
         links = self._list_links(request_id, decisions.choose_origin_sources)
         if not links:
             return None
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -25,6 +25,7 @@
     _rollout,
     _shared_source,
     _software_versions,
+    _stored_origins,
     _stream_versions,
     _table,
     _task_lease,
@@ -92,6 +93,14 @@
             gateway_settings.name, self.views
         )
         self.software_versions = _software_versions.SoftwareVersions()
+        self.stored_origins = _stored_origins.StoredOrigins(
+            gateway_settings.name,
+            self.views,
+            self.directory.origins,
+            self.software_versions,
+            deployment.stream_records,
+        )
+        self.directory.use_store(self.stored_origins)
         self.host = _model.Host(
             gateway_settings.name,
             gateway_settings.data_centre,
@@ -145,6 +154,7 @@
         self.forwarded_server.start()
         self.peering.join(self.stop_requested)
         self.quarantine.start(self.stop_requested)
+        self.stored_origins.start(self.stop_requested)
         loguru.logger.bind(listen=self.settings.listen).info("gateway started")
 
     def is_ready(self):
--- a/sycamorespoke/gateway/_software_versions.py
+++ b/sycamorespoke/gateway/_software_versions.py
@@ -1,7 +1,11 @@
 """Software versions that upstreams had lately, as this host was told."""
 
+import collections
 import threading
 
+# Streams of a version may go on for this long after its upstreams have left the list.
+RECENT_S = 60.0
+
 
 class SoftwareVersions:
     """Software versions of each service over time; thread-safe."""
@@ -32,6 +36,16 @@
                 key = upstream.service, upstream.software_version
                 self._listed_s_by_version[key] = float("inf")
 
+    def list_services_with_several(self, now):
+        """Return the services that have, or lately had, several versions, as a set."""
+        with self._lock:
+            counts = collections.Counter(
+                service
+                for (service, _), listed_s in self._listed_s_by_version.items()
+                if listed_s >= now - RECENT_S
+            )
+        return {service for service, count in counts.items() if count > 1}
+
     def find_only(self, service, since_s):
         """Return the only version that upstreams of a service have had since a time.
 
--- a/sycamorespoke/gateway/_stream_origins.py
+++ b/sycamorespoke/gateway/_stream_origins.py
@@ -61,6 +61,15 @@
         record = self._records_by_request.get(request_id)
         return record if record and now < record.expires_s else None
 
+    def list_current(self, now):
+        """Return the requests and records that have not expired, the oldest first."""
+        with self._lock:
+            return [
+                (request_id, record)
+                for request_id, record in self._records_by_request.items()
+                if now < record.expires_s
+            ]
+
     def count(self):
         """Return the number of records."""
         return len(self._records_by_request)
--- a/sycamorespoke/platform/_deployment.py
+++ b/sycamorespoke/platform/_deployment.py
@@ -106,6 +106,7 @@
         engines=_engines.EngineClient(host),
         block_stores=_block_stores.BlockStoreClient(),
         crash_records=_shared_objects.SharedObjects(store, _names.KIND_CRASHES),
+        stream_records=_shared_objects.SharedObjects(store, _names.KIND_STREAMS),
         ready_path=_names.READY_PATH,
     )
 
--- a/sycamorespoke/platform/_names.py
+++ b/sycamorespoke/platform/_names.py
@@ -110,3 +110,5 @@
 KIND_LEASES = "syk-leases"
 # Reports on upstreams that ended, and contents of requests in quarantine.
 KIND_CRASHES = "syk-crashes"
+# Which software versions began streams, one object for each host that keeps records.
+KIND_STREAMS = "syk-streams"
--- a/sycamorespoke/platform/_shared_objects.py
+++ b/sycamorespoke/platform/_shared_objects.py
@@ -1,5 +1,6 @@
 """Objects of one kind in the platform's store that hosts write for each other."""
 
+from sycamorespoke import gateway
 from sycamorespoke.platform import _store
 
 
@@ -18,6 +19,19 @@
         self.store = store
         self.kind = kind
 
+    def read(self, name):
+        """Return the JSON value of an object, ``None`` if there is none.
+
+        Raises
+        ------
+        LookupError
+            If the store does not tell.
+        """
+        stored = self.store.read(self.kind, name)
+        if isinstance(stored, gateway.Unavailable):
+            raise LookupError(stored.reason)
+        return None if stored is None else stored.spec
+
     def write(self, name, value):
         """Write the JSON value of an object; return whether the store confirmed it."""
         result = self.store.replace(self.kind, name, value)
