Gateway: a stream that goes on is not queued behind new ones as late

Cause: where the wait at an engine exceeds the target of the first event, a request gets 5 levels less urgency. A stream that its caller takes up, or that goes on within its response, was taken for one that is late for its first event, though its caller has had that one; it waited behind requests that were not. Ruled out: unknown versions (above), upstreams of the version not there (counted apart).

Change: streams that go on have the priority of their account or route.

--- a/sycamorespoke/gateway/_dispatcher.py
+++ b/sycamorespoke/gateway/_dispatcher.py
@@ -64,7 +64,7 @@
         if self.request.prompt:
             scope = self._make_scope(choice)
             block_plan, until_ms = self._plan_blocks(choice, scope)
-            urgency = self._choose_urgency(choice, block_plan)
+            urgency = self._choose_urgency(choice, block_plan, last_event_id)
         return _requests.Dispatch(
             upstream=choice.upstream,
             account=self.account,
@@ -103,11 +103,15 @@
             self.request.prompt, scope, may_import, view.versions_confirmed_s, now
         )
 
-    def _choose_urgency(self, choice, block_plan):
+    def _choose_urgency(self, choice, block_plan, last_event_id):
         now = self.gateway.read_clock()
         self.sent_s = now
         self.prefill_s = _estimate_prefill_s(self.request.prompt, block_plan)
         priority = self._get_priority()
+        if self.request.continues_stream or last_event_id is not None:
+            # Its caller has had the first event already.
+            self.has_full_priority = False
+            return priority
         urgency = decisions.choose_urgency(
             priority,
             self.route.target_latency_s,
