Gateway: a whole response that ends its connection reaches its caller

What callers saw: 500 without the upstream's stamp in place of a whole response, also for a booking that had run, whenever an upstream (or another host, while it stops) sent a response with a length and Connection: close in one piece.

Cause: the time limit of the next read is set on a socket that the HTTP client has closed after the last byte; OSError, Bad file descriptor, outside of what the exchange handles. Ruled out: the forwarding itself, an upstream alone shows it.

Change: the limit is not set on a closed socket; the read then finds the end of the body. Evidence: tests/gateway/test_gateway.py, two of three cases fail before (500) and pass; the chunked one passed.

--- a/sycamorespoke/gateway/_connections.py
+++ b/sycamorespoke/gateway/_connections.py
@@ -17,6 +17,8 @@
 # request is sent on a connection that is being closed.
 IDLE_MARGIN_S = 0.7
 DEFAULT_IDLE_S = 4.0
+# File number of a closed socket.
+CLOSED_FILE = -1
 MAX_IDLE_S = 20.0
 
 SOCKET_OPTIONS = [
@@ -70,7 +72,8 @@
     def set_timeout(self, timeout_s):
         """Set the timeout of each later read and write, seconds, above 0."""
         self.http.timeout = timeout_s
-        if self._sock is not None:
+        # It is closed once a response that ends the connection has been read.
+        if self._sock is not None and self._sock.fileno() != CLOSED_FILE:
             self._sock.settimeout(timeout_s)
 
     def abort(self):
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -356,3 +356,22 @@
     fields = log_lines.wait_for("response ended inside an event")
     assert fields["framing"] == "chunks"
     assert (fields["last_event_id"], fields["partial_event_bytes"]) == (2, 8)
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/unsafe/x", "/stream/x"])
+def test_whole_response_of_an_upstream_that_closes_reaches_the_caller(harness, path):
+    def handle(request):
+        if path == "/stream/x":
+            scripted_upstream.start_stream(request, Connection="close")
+            scripted_upstream.send_events(request, 1, 2)
+            scripted_upstream.send_chunk(request, b"")
+        else:
+            scripted_upstream.respond(request, body=b"whole", Connection="close")
+        request.close_connection = True
+
+    gateway = harness.start_gateway([harness.start_upstream(handle)])
+    for _ in range(5):
+        status, headers, body = gateway.request(path)
+        assert status == 200
+        assert headers[scripted_upstream.RESPONSE_STAMP] == "stamp"
+        assert body == b"whole" or body.count(b"id: ") == 2
