--- a/tests/platform/test_cut_hosts.py
+++ b/tests/platform/test_cut_hosts.py
@@ -24,6 +24,7 @@
 CALM_S = 1.0
 COUNTED_S = 3.0
 PAUSE_S = 0.05
+TIMEOUT_S = 15.0
 ROUTES = (
     upstream_fleet.SAFE_ROUTE,
     upstream_fleet.UNSAFE_ROUTE,
@@ -203,3 +204,59 @@
         cut_share = count_share([each for each in cut if each.route == route])
         other_share = count_share([each for each in others if each.route == route])
         assert cut_share >= MIN_SHARE * other_share
+
+
+def count_forwarded(host, direction):
+    """Return how many requests a host has forwarded, or received forwarded."""
+    text = host.program.get("operators", "/metrics")[1].decode()
+    return sum(
+        float(line.split()[-1])
+        for line in text.splitlines()
+        if "forwarded_calls" in line and f'direction="{direction}"' in line
+    )
+
+
+def test_hosts_serve_by_themselves_once_the_cut_has_healed(deployment):
+    deployment.cut(proxy.Mode.REFUSE)
+    time.sleep(WINDOW_S)
+    deployment.cut(proxy.Mode.PASS)
+    time.sleep(WINDOW_S)
+    before = [count_forwarded(host, "out") for host in deployment.hosts]
+    assert min(before[:CUT_HOSTS]) > 0
+    since_s = time.monotonic()
+    time.sleep(1.0)
+    deployment.stop_callers()
+    after = [count_forwarded(host, "out") for host in deployment.hosts]
+    assert after == before
+    until_s = time.monotonic()
+    served = deployment.list_outcomes(deployment.callers, since_s, until_s)
+    assert count_share(served) == 1.0
+
+
+def test_hosts_that_are_all_cut_refuse_at_once_and_forward_nothing(deployment):
+    deployment.cut(proxy.Mode.REFUSE, HOSTS)
+    time.sleep(WINDOW_S)
+    before = sum(count_forwarded(host, "in") for host in deployment.hosts)
+    since_s = time.monotonic()
+    time.sleep(1.0)
+    deployment.stop_callers()
+    outcomes = deployment.list_outcomes(deployment.callers, since_s, time.monotonic())
+    assert {each.status for each in outcomes} == {503}
+    assert sum(count_forwarded(host, "in") for host in deployment.hosts) == before
+
+
+def test_host_that_stops_while_others_forward_to_it_loses_no_request(deployment):
+    deployment.cut(proxy.Mode.REFUSE)
+    time.sleep(1.0)
+    # Of two hosts that serve, one is stopped; its own callers go elsewhere.
+    stopped = deployment.hosts[CUT_HOSTS]
+    deployment.callers[CUT_HOSTS].stop_requested.set()
+    deployment.callers[CUT_HOSTS].join()
+    since_s = time.monotonic()
+    stopped.program.process.terminate()
+    assert stopped.program.process.wait(TIMEOUT_S) == 0
+    until_s = time.monotonic()
+    deployment.stop_callers()
+    cut = deployment.list_outcomes(deployment.callers[:CUT_HOSTS], since_s, until_s)
+    assert [(each, each.ended_s - since_s) for each in cut if not each.is_served] == []
+    assert count_forwarded(deployment.hosts[-1], "in") > 0
