--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -10,17 +10,10 @@
     _forwarding,
     _model,
     _requests,
-    _statements,
     _upstream_gate,
+    _upstream_observer,
 )
 
-# How strongly a failure of each kind indicates a fault of the upstream, 0 to 1.
-FAILURE_WEIGHT_BY_KIND = {
-    domain.ErrorKind.UPSTREAM_UNREACHABLE: 1.0,
-    domain.ErrorKind.UPSTREAM_LOST: 0.7,
-    domain.ErrorKind.ANSWER_MISMATCH: 0.7,
-    domain.ErrorKind.DEADLINE_AFTER_SEND: 0.5,
-}
 # Kinds of failures after which nothing has been sent to the upstream.
 NOT_SENT_KINDS = frozenset(
     {
@@ -29,11 +22,6 @@
         domain.ErrorKind.NO_UPSTREAM,
     }
 )
-# Kinds of failures after which a request may have been sent.
-UNANSWERED_KINDS = frozenset(
-    {domain.ErrorKind.UPSTREAM_LOST, domain.ErrorKind.DEADLINE_AFTER_SEND}
-)
-SERVER_ERROR_WEIGHT = 0.5
 SERVER_ERROR_STATUS = 500
 # Other upstreams are preferred for this long after an upstream refused a request
 # because it was full.
@@ -93,6 +81,7 @@
             self._reached_boot_ids,
             self._dispatcher,
         )
+        self._observer = _upstream_observer.UpstreamObserver(gateway, self.log)
 
     def cancel(self):
         """Stop because the caller has disconnected; safe to call from any thread."""
@@ -129,7 +118,7 @@
                 if not self._is_server_error(head):
                     self.gateway.table.record_success(choice.upstream)
                     return head
-                self.record_server_error(head)
+                self._observer.record_server_error(choice.upstream, head.status)
                 self._exclude_reached(choice.upstream)
                 if not self._may_repeat(choice.upstream.service):
                     return head
@@ -167,11 +156,9 @@
         framing = self.exchange.head.framing
         if self._forwarder.peer is not None:
             return self._end_forwarded(failure)
-        self._record_failure(upstream, failure.refusal.kind)
         now = self.gateway.read_clock()
         kind = failure.refusal.kind
-        if kind in UNANSWERED_KINDS:
-            self.gateway.reachability.record_unanswered(upstream, now)
+        self._observer.record_broken(upstream, kind)
         self.crash_watch.record_lost(upstream, kind, has_begun=True, now=now)
         self.gateway.request_metrics.record_response_end(framing, is_whole=False)
         self.log.record_broken(upstream, failure.refusal.reason, framing, last_event_id)
@@ -182,13 +169,6 @@
             return self._refusal
         return None
 
-    def record_server_error(self, head):
-        """Record a response with a server error as a failure of the upstream."""
-        upstream = self.exchange.upstream
-        now = self.gateway.read_clock()
-        self.gateway.table.record_failure(upstream, SERVER_ERROR_WEIGHT, now)
-        self.log.record_server_error(upstream, head.status)
-
     def _exclude_reached(self, upstream):
         """Exclude an upstream that received the request from further attempts."""
         self._reached_boot_ids.add(upstream.boot_id)
@@ -296,38 +276,9 @@
             self.gateway.table.expect_first_event(upstream, self, expected_s)
         fresh = self.route.kind is _model.RouteKind.UNSAFE
         result = exchange.open(choice.connections, fresh)
-        self._record_links(exchange, result)
-        self._record_statements(exchange, result)
+        self._observer.record_opened(exchange, result)
         return result
 
-    def _record_links(self, exchange, result):
-        """Record what an attempt has shown of this host's links to the upstream."""
-        now = self.gateway.read_clock()
-        reachability = self.gateway.reachability
-        if exchange.has_connected:
-            reachability.record_connected(exchange.upstream, now)
-        if exchange.head is not None:
-            reachability.record_answered(exchange.upstream, now)
-        elif result.refusal.kind is domain.ErrorKind.UPSTREAM_UNREACHABLE:
-            reachability.record_unreachable(exchange.upstream, now)
-        elif result.refusal.kind in UNANSWERED_KINDS:
-            reachability.record_unanswered(exchange.upstream, now)
-
-    def _record_statements(self, exchange, result):
-        """Record what the upstream states about itself in its response."""
-        if exchange.head is None:
-            return
-        head = result if isinstance(result, _requests.ResponseHead) else result.head
-        recorder = _statements.StatementRecorder(self.gateway.table, self.gateway.views)
-        recorder.record(
-            exchange.upstream,
-            exchange.head.statements,
-            self.gateway.read_clock(),
-            self.log.record_statement,
-            # A response that belongs to another request comes from the same upstream.
-            ends_rate_limit=head is not None,
-        )
-
     def record_first_event(self):
         """Record the time at which the first event of the stream arrived."""
         now = self.gateway.read_clock()
@@ -355,7 +306,7 @@
             self._handle_refusal(choice, failure.head)
             return None if self._may_send_again(upstream.service) else self._refusal
         self._excluded_boot_ids.add(upstream.boot_id)
-        self._record_failure(upstream, refusal.kind)
+        self._observer.record_failure(upstream, refusal.kind)
         now = self.gateway.read_clock()
         self.crash_watch.record_lost(upstream, refusal.kind, has_begun=False, now=now)
         if refusal.kind in NOT_SENT_KINDS:
@@ -410,14 +361,6 @@
         view = self.gateway.views.get()
         self.gateway.budgets.deposit(service, max(len(view.hosts), 1))
 
-    def _record_failure(self, upstream, kind):
-        weight = FAILURE_WEIGHT_BY_KIND.get(kind)
-        if weight is None:
-            return
-        now = self.gateway.read_clock()
-        if self.gateway.table.record_failure(upstream, weight, now):
-            self.log.record_ejection(upstream, kind)
-
     def _add_refusal(self, refusal):
         self._refusal = decisions.combine_refusals(self._refusal, refusal)
 
