--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -12,7 +12,9 @@
 from sycamorespoke.decisions import _crash_evidence
 from sycamorespoke.gateway import (
     _crash_watch,
+    _forwarding,
     _origin_directory,
+    _stored_origins,
     _stream_body,
     _table,
 )
@@ -137,6 +139,14 @@
     _quarantine.Quarantine._lift_disproved = lambda *_: None
 
 
+def _forward_nothing():
+    _forwarding.Forwarder.choose = lambda *_: None
+
+
+def _read_no_stored_origins():
+    _stored_origins.StoredOrigins.find = lambda *_: None
+
+
 OFF_BY_NAME = {
     **mechanisms_off_run_once.OFF_BY_NAME,
     "block-checks": _skip_block_checks,
@@ -152,6 +162,8 @@
     "backoff": _ignore_backoff,
     "stream-versions": _ignore_software_versions,
     "stream-records": _ask_no_host,
+    "stored-origins": _read_no_stored_origins,
+    "forwarding": _forward_nothing,
     "quarantine": _ignore_quarantine,
     "lost-before-response": _ignore_requests_lost_before_a_response,
     "moments": _count_upstreams_lost_together,
