Gateway: upstreams that were silent are tried again if no other host can help

Cause: the refusal without an attempt asked whether every upstream had failed in any way; silence is no proof that they cannot be reached. Change: only upstreams that accept no connection count for it. Evidence: a new test, two cases red before (503, 200 wanted), green after.

--- a/sycamorespoke/gateway/_reachability.py
+++ b/sycamorespoke/gateway/_reachability.py
@@ -49,10 +49,6 @@
             return may_repeat and self.answering.may_try(now)
         return True
 
-    def list_failed(self, now):
-        """Return the boot IDs of the upstreams that have failed lately."""
-        return self.connecting.list_failed(now) | self.answering.list_failed(now)
-
 
 class Reachability:
     """Links of this host to all services; thread-safe.
@@ -141,12 +137,14 @@
             return True
 
     def has_lost_all(self, service, now):
-        """Return whether every listed upstream of a service has failed lately."""
+        """Return whether no listed upstream of a service accepts connections.
+
+        Upstreams that accept them and are silent do not count: they may go on.
+        """
         with self._lock:
-            links = self._get_links(service)
-            failed = links.list_failed(now)
+            unreachable = self._get_links(service).connecting.list_failed(now)
         listed = self.views.get().list_upstreams(service)
-        return all(upstream.boot_id in failed for upstream in listed)
+        return all(upstream.boot_id in unreachable for upstream in listed)
 
     def get_answer_age_s(self, service, now):
         """Return how long ago a service answered this host.
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -213,6 +213,19 @@
     assert time.monotonic() - begun_s < 0.5
 
 
+@pytest.mark.parametrize("path", ["/safe/x", "/unsafe/x"])
+def test_upstreams_that_were_silent_are_tried_again_if_no_other_host_can_help(
+    make_pair, path
+):
+    pair = make_pair(serve, serve)
+    pair.report(address="")
+    now = serving.read_clock()
+    for upstream in pair.cut.views.get().list_upstreams("s"):
+        pair.cut.reachability.record_unanswered(upstream, now)
+    assert pair.cut.reachability.is_lost("s", now)
+    assert [pair.cut.request(path)[0] for _ in range(3)] == [200, 200, 200]
+
+
 def test_stream_that_a_cut_interrupts_goes_on_through_another_host(make_pair):
     cut = threading.Event()
 
