--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -4,7 +4,7 @@
 
 import loguru
 
-from sycamorespoke import decisions, quarantine, serving, telemetry
+from sycamorespoke import quarantine, serving, telemetry
 from sycamorespoke.gateway import (
     _blocks,
     _chooser,
@@ -17,6 +17,7 @@
     _peer_loads,
     _peer_reach,
     _peering,
+    _program_state,
     _reachability,
     _readiness,
     _request_metrics,
@@ -64,8 +65,9 @@
     def __init__(self, gateway_settings, deployment):
         self.settings = gateway_settings
         self.deployment = deployment
+        self.state = _program_state.ProgramState(self)
         self.metrics = telemetry.Metrics(
-            {"host": gateway_settings.name}, self._refresh_gauges
+            {"host": gateway_settings.name}, self.state.refresh_gauges
         )
         self.views = _views.Views()
         self.table = _table.UpstreamTable()
@@ -142,7 +144,10 @@
     def start(self):
         """Start the servers; callers are served once the view is complete."""
         operators_app = telemetry.make_operators_app(
-            self.metrics, self.dump, self._get_in_force, self.stop_requested.set
+            self.metrics,
+            self.state.dump,
+            self.state.get_in_force,
+            self.stop_requested.set,
         )
         telemetry.OperatorsServer(self.settings.operators_listen, operators_app).start()
         readiness_app = _readiness.make_readiness_app(
@@ -234,63 +239,9 @@
         )
         return EXIT_DRAINED if drained else EXIT_NOT_DRAINED
 
-    def dump(self):
-        """Return the state of the process as JSON values, without API keys."""
-        now = serving.read_clock()
-        view = self.views.get()
-        return {
-            "in_force": self._get_in_force(),
-            "ready": self.is_ready(),
-            "stopping": self.stop_requested.is_set(),
-            "view_age_s": {
-                section: round(now - confirmed_s, 3)
-                for section, confirmed_s in view.confirmed_s_by_section.items()
-            },
-            "hosts": sorted(view.hosts),
-            "data_centres_out": sorted(view.data_centres_out or ()),
-            "versions": {
-                model: target.version
-                for model, target in (view.targets_by_model or {}).items()
-            },
-            "quarantined": [
-                {"kind": content.kind.value, "id": content.id}
-                for content in view.crashes.quarantined_by_content
-            ],
-            "upstreams": self.table.dump(now),
-            "links": self.reachability.dump(now),
-            "connections": self.pool.count_open(),
-            "stores": self.block_planner.dump(now),
-        }
-
-    def _refresh_gauges(self):
-        now = serving.read_clock()
-        view = self.views.get()
-        self.metrics.gauge("caller_connections", self.server.count_connections())
-        self.metrics.gauge("is_ready", int(self.is_ready()))
-        lost = self.reachability.list_lost(now)
-        for service in (
-            view.configuration.services_by_name if view.configuration else ()
-        ):
-            self.metrics.gauge("links_lost", int(service in lost), service=service)
-        for kind in decisions.ContentKind:
-            count = view.crashes.count_quarantined(kind)
-            self.metrics.gauge(f"quarantined_{kind.value}s", count)
-        for section, confirmed_s in view.confirmed_s_by_section.items():
-            self.metrics.gauge("view_age_seconds", now - confirmed_s, part=section)
-        for task_lease in self.task_leases:
-            self.metrics.gauge(
-                "lease_held", int(task_lease.is_held()), lease=task_lease.name
-            )
-        for (service, state), count in self.table.count_states(view, now).items():
-            self.metrics.gauge("upstreams", count, service=service, state=state)
-
     def _count_upstream_end(self, service):
         self.metrics.count("upstream_ends", service=service)
 
-    def _get_in_force(self):
-        configuration = self.views.get().configuration
-        return {"configuration": configuration.version if configuration else None}
-
     def _wait_until(self, until_s):
         event = threading.Event()
         event.wait(max(until_s - serving.read_clock(), 0.0))
--- /dev/null
+++ b/sycamorespoke/gateway/_program_state.py
@@ -0,0 +1,77 @@
+"""What operators see of a gateway process: its dump and its gauges."""
+
+from sycamorespoke import decisions, serving
+
+
+class ProgramState:
+    """Reads the state of a gateway process for operators.
+
+    Parameters
+    ----------
+    program : GatewayProgram
+        The process.
+    """
+
+    def __init__(self, program):
+        self.program = program
+
+    def get_in_force(self):
+        """Return the versions that are in force, as JSON values."""
+        configuration = self.program.views.get().configuration
+        return {"configuration": configuration.version if configuration else None}
+
+    def dump(self):
+        """Return the state of the process as JSON values, without API keys."""
+        program = self.program
+        now = serving.read_clock()
+        view = program.views.get()
+        return {
+            "in_force": self.get_in_force(),
+            "ready": program.is_ready(),
+            "stopping": program.stop_requested.is_set(),
+            "view_age_s": {
+                section: round(now - confirmed_s, 3)
+                for section, confirmed_s in view.confirmed_s_by_section.items()
+            },
+            "hosts": sorted(view.hosts),
+            "data_centres_out": sorted(view.data_centres_out or ()),
+            "versions": {
+                model: target.version
+                for model, target in (view.targets_by_model or {}).items()
+            },
+            "quarantined": [
+                {"kind": content.kind.value, "id": content.id}
+                for content in view.crashes.quarantined_by_content
+            ],
+            "upstreams": program.table.dump(now),
+            "links": program.reachability.dump(now),
+            "connections": program.pool.count_open(),
+            "stores": program.block_planner.dump(now),
+        }
+
+    def refresh_gauges(self):
+        """Set the gauges to the present state."""
+        program = self.program
+        gauge = program.metrics.gauge
+        now = serving.read_clock()
+        view = program.views.get()
+        gauge("caller_connections", program.server.count_connections())
+        gauge("is_ready", int(program.is_ready()))
+        for kind in decisions.ContentKind:
+            count = view.crashes.count_quarantined(kind)
+            gauge(f"quarantined_{kind.value}s", count)
+        for section, confirmed_s in view.confirmed_s_by_section.items():
+            gauge("view_age_seconds", now - confirmed_s, part=section)
+        for task_lease in program.task_leases:
+            gauge("lease_held", int(task_lease.is_held()), lease=task_lease.name)
+        for (service, state), count in program.table.count_states(view, now).items():
+            gauge("upstreams", count, service=service, state=state)
+        self._refresh_links(view, now)
+
+    def _refresh_links(self, view, now):
+        if view.configuration is None:
+            return
+        lost = self.program.reachability.list_lost(now)
+        for service in view.configuration.services_by_name:
+            is_lost = int(service in lost)
+            self.program.metrics.gauge("links_lost", is_lost, service=service)
--- a/sycamorespoke/gateway/_stored_origins.py
+++ b/sycamorespoke/gateway/_stored_origins.py
@@ -98,9 +98,9 @@
             ``None`` if it is not there, or the store does not reply.
         """
         keepers = decisions.choose_origin_keepers(request_id, self._list_data_centres())
-        for keeper in keepers[:1]:
-            return self._read(keeper, now).get(request_id)
-        return None
+        if not keepers:
+            return None
+        return self._read(keepers[0], now).get(request_id)
 
     def _run(self, stop_requested):
         while not stop_requested.wait(self._interval_s()):
