Odd entries: what is wrong with one object costs that object only

What operators of similar systems saw: one odd entry among those of the upstreams, and the hosts that read the list ended or stopped following it. It could happen here. A page of the store was decoded as a whole: 1e400, an integer of 5,000 digits, NaN, broken text or deep nesting made the host take the store for lost, without end; RecursionError was expected nowhere. An integer above 64 bits was taken and could not be relayed, so that the other hosts got no reply; ports of 0, 70000 and 5,000 digits, slots and times without bound were taken.

One decoder with bounds that messages can carry, which takes a page apart if it must; one place for fields; parsers raise one error; a follower survives any other. Engine reports, block events and the clients of the product's own interface use the same decoder.

--- a/sycamorespoke/clients/__init__.py
+++ b/sycamorespoke/clients/__init__.py
@@ -42,11 +42,19 @@
     parse_integer,
     parse_keep_alive,
 )
+from sycamorespoke.clients._json_documents import (
+    MalformedDocumentError,
+    decode_document,
+    salvage_document,
+)
 from sycamorespoke.clients._json_fields import (
     MalformedFieldError,
+    check_address,
+    check_name,
     check_number,
     check_type,
     read_field,
+    read_list,
 )
 from sycamorespoke.clients._orders import OrderAccepted, OrderClient
 from sycamorespoke.clients._platform import (
@@ -72,6 +80,7 @@
     Stale,
     StoreUsage,
 )
+from sycamorespoke.clients._write_results import WriteOutcome, WriteResult
 
 __all__ = [
     "TERMINAL_MESSAGES",
@@ -88,6 +97,7 @@
     "GenerationRequest",
     "Incomplete",
     "Invalid",
+    "MalformedDocumentError",
     "MalformedFieldError",
     "Mismatch",
     "Missing",
@@ -106,8 +116,13 @@
     "Unavailable",
     "Uncertain",
     "Unchanged",
+    "WriteOutcome",
+    "WriteResult",
+    "check_address",
+    "check_name",
     "check_number",
     "check_type",
+    "decode_document",
     "encode_envelope",
     "find_block_error",
     "is_event_stream",
@@ -118,5 +133,7 @@
     "parse_integer",
     "parse_keep_alive",
     "read_field",
+    "read_list",
     "replace_request_id",
+    "salvage_document",
 ]
--- a/sycamorespoke/clients/_boot.py
+++ b/sycamorespoke/clients/_boot.py
@@ -8,10 +8,9 @@
 import http.client
 import threading
 
-import msgspec
 import urllib3
 
-from sycamorespoke.clients import _checked_http
+from sycamorespoke.clients import _checked_http, _json_documents, _json_fields
 
 LOAD_PATH = "/v1/load"
 
@@ -60,8 +59,9 @@
     try:
         http.client.HTTPConnection.request(conn, "GET", LOAD_PATH)
         response = http.client.HTTPConnection.getresponse(conn)
-        return msgspec.json.decode(response.read())["boot_id"]
-    except (http.client.HTTPException, OSError, ValueError, KeyError) as error:
+        value = _json_documents.decode_document(response.read())
+        return _json_fields.read_field(value, "boot_id", str)
+    except (http.client.HTTPException, OSError, ValueError) as error:
         raise urllib3.exceptions.NewConnectionError(
             conn, f"cannot read the engine's boot ID: {type(error).__name__}"
         ) from error
--- a/sycamorespoke/clients/_engine.py
+++ b/sycamorespoke/clients/_engine.py
@@ -9,6 +9,8 @@
     _checked_http,
     _engine_stream,
     _header_values,
+    _json_documents,
+    _json_fields,
 )
 
 CONNECT_TIMEOUT_S = 0.5
@@ -197,14 +199,19 @@
         value = self._get_json(host, "/v1/load")
         if isinstance(value, domain.Refusal):
             return value
-        return domain.LoadReport(
-            boot_id=value["boot_id"],
-            running=value["running"],
-            queued=value["queued"],
-            version=value["version"],
-            warm=value["warm"],
-            reported_s=now,
-        )
+        read_field = _json_fields.read_field
+        try:
+            return domain.LoadReport(
+                boot_id=read_field(value, "boot_id", str),
+                running=read_field(value, "running", int),
+                queued=read_field(value, "queued", int),
+                version=read_field(value, "version", str),
+                warm=read_field(value, "warm", bool),
+                reported_s=now,
+            )
+        except _json_fields.MalformedFieldError as error:
+            reason = f"no valid report: {error}"
+        return domain.Refusal(domain.ErrorKind.UPSTREAM_UNREACHABLE, reason)
 
     def read_cache_events(self, host, after):
         """Read the cache events of an engine.
@@ -229,11 +236,14 @@
                 "GET", f"http://{host.address}{path}", timeout=REPORT_TIMEOUT_S
             )
             if response.status == 200:
-                return msgspec.json.decode(response.data)
+                return _json_documents.decode_document(response.data)
             if response.status == STATUS_OVERLOADED:
                 return _make_refusal(response)
             reason = f"the upstream returned {response.status}"
-        except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
+        except (
+            urllib3.exceptions.HTTPError,
+            _json_documents.MalformedDocumentError,
+        ) as error:
             reason = f"no valid report: {type(error).__name__}"
         return domain.Refusal(domain.ErrorKind.UPSTREAM_UNREACHABLE, reason)
 
--- a/sycamorespoke/clients/_platform.py
+++ b/sycamorespoke/clients/_platform.py
@@ -9,7 +9,7 @@
 import urllib3
 
 from sycamorespoke import domain
-from sycamorespoke.clients import _checked_http
+from sycamorespoke.clients import _checked_http, _json_documents
 
 CONNECT_TIMEOUT_S = 0.5
 LISTING_UNSUPPORTED = "the platform does not support listing objects"
@@ -229,7 +229,9 @@
         if response.status != 200:
             return Unavailable(f"the platform returned {response.status}")
         try:
-            return StoredObject(json.loads(response.data), _parse_version(response))
+            return StoredObject(
+                _json_documents.decode_document(response.data), _parse_version(response)
+            )
         except ValueError as error:
             return Unavailable(f"malformed response from the platform: {error}")
 
--- a/sycamorespoke/clients/_store.py
+++ b/sycamorespoke/clients/_store.py
@@ -10,6 +10,7 @@
     _block_checks,
     _envelope,
     _http,
+    _json_documents,
     _platform,
     _store_results,
 )
@@ -92,7 +93,7 @@
         if response.status != 201:
             return _make_error(host, response)
         try:
-            result = json.loads(response.data)
+            result = _json_documents.decode_document(response.data)
             number, generation = int(result["slot"]), int(result["generation"])
         except (ValueError, KeyError, TypeError):
             return _platform.Unavailable(f"malformed response from {host.name}")
@@ -266,7 +267,10 @@
         if response.status != 200:
             return _platform.Missing(f"{host.name} does not list its blocks")
         try:
-            return [_check_key(key) for key in json.loads(response.data)["keys"]]
+            return [
+                _check_key(key)
+                for key in _json_documents.decode_document(response.data)["keys"]
+            ]
         except (ValueError, KeyError, TypeError):
             return _platform.Unavailable(f"malformed response from {host.name}")
 
@@ -287,7 +291,7 @@
         if isinstance(response, _platform.Unavailable):
             return response
         try:
-            value = json.loads(response.data)
+            value = _json_documents.decode_document(response.data)
             return _store_results.StoreUsage(
                 value["used_bytes"], value["capacity_bytes"], value["blocks"]
             )
--- a/sycamorespoke/gateway/__init__.py
+++ b/sycamorespoke/gateway/__init__.py
@@ -39,6 +39,7 @@
     HistoryGone,
     Listing,
     Unavailable,
+    get_name,
 )
 from sycamorespoke.gateway._statements import Statements
 from sycamorespoke.gateway._store_index import StoreEvent, StoreEvents
@@ -81,4 +82,5 @@
     "Unavailable",
     "Upstream",
     "VersionOrder",
+    "get_name",
 ]
--- a/sycamorespoke/gateway/_follower.py
+++ b/sycamorespoke/gateway/_follower.py
@@ -9,6 +9,8 @@
 
 # Timeout of a watch while missing items are retained, so that they expire on time.
 MISSING_WATCH_S = 0.5
+# Longest name of a malformed object in the log.
+MAX_LOGGED_CHARACTERS = 80
 RETRY_S = 0.1
 MAX_RETRY_S = 0.8
 # Objects that expired during an outage of the source are registered again within
@@ -51,7 +53,8 @@
     source : object
         Has ``list(kind)`` and ``watch(kind, revision, wait_s)``.
     subscription : Subscription
-        Kind of objects, and how to parse and publish them.
+        Kind of objects, and how to parse and publish them. An object that cannot be
+        parsed is left out, also if it could be before.
     read_clock : callable
         Returns seconds of the boot clock.
     confirm : callable
@@ -70,6 +73,7 @@
         self.items_by_name = {}
         self.revision = None
         self._revisions_by_name = {}
+        self._malformed_names = set()
         self._missing_until_s_by_name = {}
         self._unavailable_since_s = None
         self._available_since_s = float("-inf")
@@ -157,6 +161,7 @@
 
     def _apply_listing(self, listing, now):
         items_by_name = {}
+        self._malformed_names &= {_source.get_name(each) for each in listing.values}
         for value in listing.values:
             name, item = self._parse(value, now)
             if item is not None:
@@ -177,6 +182,7 @@
     def _apply_change(self, change, now):
         if change.is_deleted:
             name = _source.get_name(change.value)
+            self._malformed_names.discard(name)
             if name not in self.items_by_name or self._retain_missing(name, now):
                 return False
             del self.items_by_name[name]
@@ -213,18 +219,36 @@
             self._log("taken as gone", name=name)
         return bool(expired)
 
+    def count_malformed(self):
+        """Return the number of objects that are left out because of their form."""
+        return len(self._malformed_names)
+
     def _parse(self, value, now):
         name = _source.get_name(value)
         revision = _source.get_metadata(value, "Revision")
-        if name in self.items_by_name and self._revisions_by_name[name] == revision:
+        is_unchanged = self._revisions_by_name.get(name) == revision
+        if is_unchanged and name in self.items_by_name:
             # An unchanged object keeps the time at which it was first received.
             return name, self.items_by_name[name]
         self._revisions_by_name[name] = revision
         try:
-            return name, self.subscription.parse(value, now)
-        except ValueError as error:
-            self._log("malformed object ignored", name=name, reason=str(error))
+            item = self.subscription.parse(value, now)
+        except Exception as error:
+            if not is_unchanged or name not in self._malformed_names:
+                self._log_malformed(name, error)
+            self._malformed_names.add(name)
             return name, None
+        self._malformed_names.discard(name)
+        return name, item
+
+    def _log_malformed(self, name, error):
+        name = name[:MAX_LOGGED_CHARACTERS]
+        if isinstance(error, ValueError):
+            self._log("malformed object ignored", name=name, reason=str(error))
+            return
+        # The parser does not expect this; the other objects are followed all the same.
+        log = loguru.logger.bind(part=self.subscription.section, name=name)
+        log.opt(exception=error).error("malformed object ignored")
 
     def _log(self, event, **fields):
         loguru.logger.bind(part=self.subscription.section, **fields).info(event)
--- a/sycamorespoke/gateway/_program_state.py
+++ b/sycamorespoke/gateway/_program_state.py
@@ -62,6 +62,8 @@
             gauge(f"quarantined_{kind.value}s", count)
         for section, confirmed_s in view.confirmed_s_by_section.items():
             gauge("view_age_seconds", now - confirmed_s, part=section)
+        for section, count in program.view_updater.count_malformed().items():
+            gauge("malformed_objects", count, part=section)
         for task_lease in program.task_leases:
             gauge("lease_held", int(task_lease.is_held()), lease=task_lease.name)
         for (service, state), count in program.table.count_states(view, now).items():
--- a/sycamorespoke/gateway/_source.py
+++ b/sycamorespoke/gateway/_source.py
@@ -88,7 +88,8 @@
 
 def get_name(value):
     """Return the name of an object from its JSON value, ``""`` if it has none."""
-    return get_metadata(value, "Name") or ""
+    name = get_metadata(value, "Name")
+    return name if isinstance(name, str) else ""
 
 
 def get_metadata(value, key):
--- a/sycamorespoke/gateway/_view_updater.py
+++ b/sycamorespoke/gateway/_view_updater.py
@@ -76,6 +76,13 @@
         for follower in self._followers:
             follower.start()
 
+    def count_malformed(self):
+        """Return the number of objects left out because of their form, by section."""
+        return {
+            follower.subscription.section: follower.count_malformed()
+            for follower in self._followers
+        }
+
     def _make_followers(self):
         subscriptions = [
             self._make_subscription(_views.CONFIGURATION, self._handle_configuration),
--- a/sycamorespoke/platform/_block_stores.py
+++ b/sycamorespoke/platform/_block_stores.py
@@ -14,6 +14,10 @@
 MAX_POOLS = 64
 ADDED_SIGN = "+"
 JSON_HEADERS = {"Content-Type": "application/json"}
+# What is wrong with one event costs that one.
+DIVISIBLE_KEYS = frozenset({"Events"})
+# Types of the fields of an event: number, sign, scope, block ID, tokens.
+EVENT_TYPES = (int, str, str, str, int)
 
 
 class BlockStoreClient:
@@ -51,14 +55,18 @@
             return content
         try:
             return gateway.StoreEvents(
-                epoch=content["Epoch"],
-                next_number=content["Next"],
+                epoch=clients.read_field(content, "Epoch", int),
+                next_number=clients.read_field(content, "Next", int),
                 # "Lost": the store has discarded events after ``since``.
                 is_gap=bool(content["Lost"]),
-                events=tuple(_parse_event(event) for event in content["Events"]),
-                clock_ms=content["clock_ms"],
+                events=tuple(
+                    _parse_event(event)
+                    for event in clients.read_field(content, "Events", list)
+                    if _is_event(event)
+                ),
+                clock_ms=clients.check_number(content["clock_ms"], "clock_ms"),
             )
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, clients.MalformedFieldError) as error:
             return gateway.Unavailable(f"malformed events: {error!r}")
 
     def free(self, address, keys, epoch, until_ms):
@@ -103,13 +111,23 @@
                 return gateway.Unavailable(
                     f"status {response.status}", response.status, statements=statements
                 )
-            return msgspec.json.decode(response.data) if response.data else {}
+            if not response.data:
+                return {}
+            return clients.salvage_document(response.data, DIVISIBLE_KEYS)
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return gateway.Unavailable(f"no response: {type(error).__name__}")
-        except msgspec.DecodeError:
+        except clients.MalformedDocumentError:
             return gateway.Unavailable("the response is not JSON")
 
 
+def _is_event(event):
+    return (
+        isinstance(event, list)
+        and len(event) >= len(EVENT_TYPES)
+        and all(map(isinstance, event, EVENT_TYPES))
+    )
+
+
 def _parse_event(event):
     _, sign, scope, block_id, tokens = event[:5]
     return gateway.StoreEvent(scope, block_id, tokens, sign == ADDED_SIGN)
--- a/sycamorespoke/platform/_deployment.py
+++ b/sycamorespoke/platform/_deployment.py
@@ -1,6 +1,6 @@
 """Implementation of `gateway.Deployment` for the platform."""
 
-from sycamorespoke import gateway, quarantine
+from sycamorespoke import clients, gateway, quarantine
 from sycamorespoke.platform import (
     _block_stores,
     _engines,
@@ -35,10 +35,10 @@
         """
         spec = _objects.encode_host(host)
         result = self.store.create(_names.KIND_HOSTS, host.name, spec)
-        if result.outcome is _store.WriteOutcome.CONFLICT:
+        if result.outcome is clients.WriteOutcome.CONFLICT:
             # The host registered earlier, possibly with another address.
             result = self.store.replace(_names.KIND_HOSTS, host.name, spec)
-        return result.outcome is _store.WriteOutcome.APPLIED
+        return result.outcome is clients.WriteOutcome.APPLIED
 
     def get_or_create_peer_key(self, proposed):
         """Return the shared key of peer messages; create it if there is none.
@@ -57,7 +57,7 @@
         result = self.store.create(
             _names.KIND_PEER_KEYS, _names.PEER_KEY_NAME, proposed
         )
-        if result.outcome is _store.WriteOutcome.APPLIED:
+        if result.outcome is clients.WriteOutcome.APPLIED:
             return proposed
         stored = self.store.read(_names.KIND_PEER_KEYS, _names.PEER_KEY_NAME)
         if stored is None or isinstance(stored, gateway.Unavailable):
--- a/sycamorespoke/platform/_engines.py
+++ b/sycamorespoke/platform/_engines.py
@@ -4,7 +4,7 @@
 import urllib3
 
 from sycamorespoke import clients, gateway
-from sycamorespoke.platform import _names, _protocol
+from sycamorespoke.platform import _names, _objects, _protocol
 
 CONNECT_TIMEOUT_S = 0.3
 READ_TIMEOUT_S = 0.6
@@ -59,19 +59,19 @@
                 f"status {response.status}", response.status, statements=statements
             )
         try:
-            value = msgspec.json.decode(response.data)
+            value = clients.decode_document(response.data)
             return gateway.EngineReport(
                 # "Seq" counts the orders accepted since the engine started.
-                orders=value["Seq"],
+                orders=clients.read_field(value, "Seq", int),
                 # "Busy": the engine carries out an order.
-                is_loading=bool(value["Busy"]),
-                versions_by_model={
-                    model["Name"]: model["Version"] for model in value["Models"]
-                },
+                is_loading=clients.read_field(value, "Busy", bool),
+                versions_by_model=_objects.parse_versions(
+                    clients.read_field(value, "Models", list)
+                ),
                 statements=statements,
             )
-        except (msgspec.DecodeError, KeyError, TypeError) as error:
-            return gateway.Unavailable(f"malformed report: {error!r}")
+        except (clients.MalformedDocumentError, clients.MalformedFieldError) as error:
+            return gateway.Unavailable(f"malformed report: {error}")
 
     def order_version(self, upstream, order):
         """Order an engine to load a weight version of a model.
--- a/sycamorespoke/platform/_leases.py
+++ b/sycamorespoke/platform/_leases.py
@@ -1,7 +1,7 @@
 """Leases as objects of the platform's store."""
 
 from sycamorespoke import clients, gateway
-from sycamorespoke.platform import _names, _shared_objects, _store
+from sycamorespoke.platform import _names, _shared_objects
 
 
 class LeaseStore:
@@ -61,11 +61,11 @@
             result = self.store.replace(
                 _names.KIND_LEASES, _object_name(name), value, version
             )
-        if result.outcome is _store.WriteOutcome.CONFLICT:
+        if result.outcome is clients.WriteOutcome.CONFLICT:
             return clients.Conflict()
-        if result.outcome is _store.WriteOutcome.REJECTED:
+        if result.outcome is clients.WriteOutcome.REJECTED:
             return clients.Unavailable(result.reason)
-        if result.outcome is _store.WriteOutcome.UNKNOWN or result.stored is None:
+        if result.outcome is clients.WriteOutcome.UNKNOWN or result.stored is None:
             return clients.Uncertain(result.reason)
         return clients.StoredObject(None, result.stored.revision)
 
--- a/sycamorespoke/platform/_objects.py
+++ b/sycamorespoke/platform/_objects.py
@@ -10,6 +10,9 @@
 _field = clients.read_field
 _check_type = clients.check_type
 _number = clients.check_number
+MAX_SLOTS = 1_000_000
+# Timeouts of sockets cannot be much longer.
+MAX_DURATION_MS = 1e12
 UPSTREAM_STATES = ("ready", "draining")
 ROUTE_KIND_BY_NAME = {
     "safe": gateway.RouteKind.SAFE,
@@ -47,7 +50,7 @@
     """
     metadata = _field(value, "Metadata", dict)
     return StoredObject(
-        name=_field(metadata, "Name", str),
+        name=clients.check_name(_field(metadata, "Name", str), "Name"),
         revision=_field(metadata, "Revision", int),
         spec=value.get("Spec"),
     )
@@ -76,14 +79,14 @@
     spec = _check_type(stored.spec, dict, "configuration")
     services = [_parse_service(value) for value in _field(spec, "Services", list)]
     # The client accounts; without this field, no request needs an API key.
-    tenants = spec.get("Tenants")
+    needs_key = spec.get("Tenants") is not None
     return gateway.Configuration(
         version=_field(spec, "Version", int),
         routes=tuple(_parse_route(value) for value in _field(spec, "Routes", list)),
         services_by_name={service.name: service for service in services},
-        accounts_by_key=_parse_accounts(tenants or []),
-        needs_key=tenants is not None,
-        limits=_parse_limits(spec.get("Limits") or {}),
+        accounts_by_key=_parse_accounts(clients.read_list(spec, "Tenants")),
+        needs_key=needs_key,
+        limits=_parse_limits(_check_type(spec.get("Limits") or {}, dict, "Limits")),
     )
 
 
@@ -112,20 +115,19 @@
     state = _field(spec, "State", str)
     if state not in UPSTREAM_STATES:
         raise MalformedObjectError("the state of an upstream is unknown")
-    cold_ms = _number(spec.get("ColdRemainingMs", 0), "ColdRemainingMs")
     return gateway.Upstream(
         id=stored.name,
         # "born" holds the start, Unix milliseconds.
         started_ms=_check_type(spec.get("born", 0), int, "born"),
         service=_field(spec, "Service", str),
-        address=_check_address(_field(spec, "Address", str)),
+        address=clients.check_address(_field(spec, "Address", str), "Address"),
         # "Zone" holds a data centre, here and for a block store.
         data_centre=_field(spec, "Zone", str),
-        slots=max(_field(spec, "Slots", int), 1),
+        slots=max(_number(_field(spec, "Slots", int), "Slots", MAX_SLOTS), 1),
         is_draining=state == "draining",
-        cold_s=cold_ms / MS_PER_S,
+        cold_s=_duration_s(spec.get("ColdRemainingMs", 0), "ColdRemainingMs"),
         seen_s=now,
-        versions_by_model=_parse_versions(spec.get("Models") or []),
+        versions_by_model=parse_versions(clients.read_list(spec, "Models")),
         # "Version" is that of the software, not of the weights.
         software_version=_field(spec, "Version", str),
     )
@@ -164,7 +166,9 @@
     return gateway.Host(
         name=stored.name,
         data_centre=_field(spec, "data_centre", str),
-        peer_address=_check_address(_field(spec, "peer_address", str)),
+        peer_address=clients.check_address(
+            _field(spec, "peer_address", str), "peer_address"
+        ),
     )
 
 
@@ -182,9 +186,10 @@
         host=_field(value, "Host", str),
         path_prefix=_field(value, "PathPrefix", str),
         kind=kind,
-        timeout_s=_number(value.get("TimeoutMs"), "TimeoutMs") / MS_PER_S,
-        target_latency_s=_number(value.get("TargetLatencyMs", 0), "TargetLatencyMs")
-        / MS_PER_S,
+        timeout_s=_duration_s(value.get("TimeoutMs"), "TimeoutMs"),
+        target_latency_s=_duration_s(
+            value.get("TargetLatencyMs", 0), "TargetLatencyMs"
+        ),
         priority=_number(value.get("Priority") or 0, "Priority"),
         weights_by_service=_parse_weights(value),
         attempts=max(int(_number(value.get("MaxAttempts", 1), "MaxAttempts")), 1),
@@ -192,7 +197,7 @@
         is_resumable=bool(value.get("Resumable")),
         # "Sticky" marks routes whose requests list the blocks of their prompt.
         carries_prompt=bool(value.get("Sticky")),
-        event_gap_s=_number(value.get("GapAimMs") or 0, "GapAimMs") / MS_PER_S,
+        event_gap_s=_duration_s(value.get("GapAimMs") or 0, "GapAimMs"),
     )
 
 
@@ -206,7 +211,7 @@
 
 
 def _parse_service(value):
-    address = value.get("KvStoreAddr")
+    address = _check_type(value, dict, "service").get("KvStoreAddr")
     engine = value.get("Engine")
     return gateway.Service(
         name=_field(value, "Name", str),
@@ -229,7 +234,7 @@
 
 def _parse_block_store(value):
     return gateway.BlockStore(
-        address=_check_address(_field(value, "KvStoreAddr", str)),
+        address=clients.check_address(_field(value, "KvStoreAddr", str), "KvStoreAddr"),
         data_centre=_field(value, "Zone", str),
         capacity_tokens=int(_number(value.get("KvCapacityTokens"), "KvCapacityTokens")),
         link_bits_per_s=_number(value.get("LinkMbps"), "LinkMbps") * BITS_PER_MBIT,
@@ -244,14 +249,14 @@
 def _parse_accounts(values):
     accounts_by_key = {}
     for value in values:
-        priority = value.get("Priority")
+        priority = _check_type(value, dict, "account").get("Priority")
         account = gateway.Account(
             name=_field(value, "Name", str),
             priority=None if priority is None else int(_number(priority, "Priority")),
             is_isolated=bool(value.get("Isolated")),
         )
-        for key in value.get("ApiKeys") or []:
-            accounts_by_key[key] = account
+        for key in clients.read_list(value, "ApiKeys"):
+            accounts_by_key[_check_type(key, str, "ApiKeys")] = account
     return accounts_by_key
 
 
@@ -259,23 +264,21 @@
     defaults = serving.CallerLimits()
     header_bytes = int(_number(value.get("MaxHeaderBytes", 0), "MaxHeaderBytes"))
     body_bytes = int(_number(value.get("MaxBodyBytes", 0), "MaxBodyBytes"))
-    idle_ms = _number(value.get("IdleTimeoutMs", 0), "IdleTimeoutMs")
     return serving.CallerLimits(
         header_bytes=header_bytes or defaults.header_bytes,
         body_bytes=body_bytes or defaults.body_bytes,
-        idle_s=idle_ms / MS_PER_S or defaults.idle_s,
+        idle_s=_duration_s(value.get("IdleTimeoutMs", 0), "IdleTimeoutMs")
+        or defaults.idle_s,
     )
 
 
-def _parse_versions(values):
-    _check_type(values, list, "Models")
+def _duration_s(value_ms, key):
+    """Return a duration in seconds, of a field in milliseconds."""
+    return _number(value_ms, key, MAX_DURATION_MS) / MS_PER_S
+
+
+def parse_versions(values):
+    """Return the weight versions of models by the name of the model."""
     return {
         _field(value, "Name", str): _field(value, "Version", int) for value in values
     }
-
-
-def _check_address(text):
-    host, separator, port = text.rpartition(":")
-    if not host or not separator or not port.isascii() or not port.isdigit():
-        raise MalformedObjectError("an address is not an IP address and a port")
-    return text
--- a/sycamorespoke/platform/_shared_objects.py
+++ b/sycamorespoke/platform/_shared_objects.py
@@ -1,7 +1,6 @@
 """Objects of one kind in the platform's store that hosts write for each other."""
 
-from sycamorespoke import gateway
-from sycamorespoke.platform import _store
+from sycamorespoke import clients, gateway
 
 
 class SharedObjects:
@@ -35,11 +34,11 @@
     def write(self, name, value):
         """Write the JSON value of an object; return whether the store confirmed it."""
         result = self.store.replace(self.kind, name, value)
-        if result.outcome is _store.WriteOutcome.REJECTED:
+        if result.outcome is clients.WriteOutcome.REJECTED:
             result = self.store.create(self.kind, name, value)
-        return result.outcome is _store.WriteOutcome.APPLIED
+        return result.outcome is clients.WriteOutcome.APPLIED
 
     def delete(self, name):
         """Delete an object; return whether it is gone, also if there was none."""
         result = self.store.delete(self.kind, name)
-        return result.outcome is _store.WriteOutcome.APPLIED
+        return result.outcome is clients.WriteOutcome.APPLIED
--- a/sycamorespoke/platform/_store.py
+++ b/sycamorespoke/platform/_store.py
@@ -1,9 +1,8 @@
 """Client of the platform's object store."""
 
 import contextlib
-import enum
+import urllib.parse
 
-import attrs
 import msgspec
 import urllib3
 
@@ -17,35 +16,8 @@
 WATCH_SLACK_S = 1.0
 MAX_CONNECTIONS = 12
 JSON_HEADERS = {"Content-Type": "application/json"}
-
-
-class WriteOutcome(enum.Enum):
-    """Whether a write was applied."""
-
-    APPLIED = "done"
-    CONFLICT = "conflict"
-    REJECTED = "not done"
-    UNKNOWN = "unknown"
-
-
-@attrs.frozen
-class WriteResult:
-    """Result of a write.
-
-    Parameters
-    ----------
-    outcome : WriteOutcome
-        Whether the write was applied; unknown if there was no usable response.
-    stored : StoredObject or None, default=None
-        Object that the store holds now, if the response contains it. After a
-        conflict, that is the object of the other writer.
-    reason : str, default=""
-        Why the write is not known to be applied.
-    """
-
-    outcome: WriteOutcome
-    stored: object = None
-    reason: str = ""
+# Lists of objects, and the objects in them: what is wrong with one costs that one.
+DIVISIBLE_KEYS = frozenset({"items", "Events", "Object"})
 
 
 class ObjectStoreClient:
@@ -91,13 +63,17 @@
             try:
                 # Objects may change between pages. A watch from the revision of the
                 # first page sees all these changes.
-                revision = page["StoreRevision"] if revision is None else revision
-                values.extend(page["items"])
-                if not page.get("HasMore"):
-                    return gateway.Listing(tuple(values), revision)
-                after = page["items"][-1]["Metadata"]["Name"]
-            except (KeyError, IndexError, TypeError) as error:
-                return gateway.Unavailable(f"malformed list: {error!r}")
+                if revision is None:
+                    revision = clients.read_field(page, "StoreRevision", int)
+                values.extend(clients.read_field(page, "items", list))
+            except clients.MalformedFieldError as error:
+                return gateway.Unavailable(f"malformed list: {error}")
+            if not page.get("HasMore"):
+                return gateway.Listing(tuple(values), revision)
+            names = [name for name in map(gateway.get_name, page["items"]) if name]
+            if not names or names[-1] == after:
+                return gateway.Unavailable("malformed list: a page without names")
+            after = names[-1]
 
     def watch(self, kind, revision, wait_s):
         """Wait for changes to objects of a kind after a revision.
@@ -127,11 +103,14 @@
         try:
             changes = tuple(
                 gateway.Change(event["Object"], bool(event.get("Deleted")))
-                for event in response["Events"]
+                for event in clients.read_field(response, "Events", list)
+                # Of a change that cannot be read, nothing is known.
+                if isinstance(event, dict) and event.get("Object") is not None
             )
-            return gateway.Changes(changes, response["StoreRevision"])
-        except (KeyError, TypeError) as error:
-            return gateway.Unavailable(f"malformed changes: {error!r}")
+            revision = clients.read_field(response, "StoreRevision", int)
+            return gateway.Changes(changes, revision)
+        except clients.MalformedFieldError as error:
+            return gateway.Unavailable(f"malformed changes: {error}")
 
     def read(self, kind, name):
         """Read one object.
@@ -209,19 +188,22 @@
         body = None if value is None else msgspec.json.encode(value)
         response = self._send(method, kind, name, body=body)
         if not isinstance(response, gateway.Unavailable):
-            return WriteResult(
-                WriteOutcome.APPLIED, self._parse_object_or_none(response)
+            return clients.WriteResult(
+                clients.WriteOutcome.APPLIED, self._parse_object_or_none(response)
             )
         if response.status == 409:
-            return WriteResult(
-                WriteOutcome.CONFLICT, self._parse_object_or_none(response.content)
+            return clients.WriteResult(
+                clients.WriteOutcome.CONFLICT,
+                self._parse_object_or_none(response.content),
             )
         if response.status == 404 and method == "DELETE":
-            return WriteResult(WriteOutcome.APPLIED)
+            return clients.WriteResult(clients.WriteOutcome.APPLIED)
         outcome = (
-            WriteOutcome.UNKNOWN if response.status is None else WriteOutcome.REJECTED
+            clients.WriteOutcome.UNKNOWN
+            if response.status is None
+            else clients.WriteOutcome.REJECTED
         )
-        return WriteResult(outcome, reason=response.reason)
+        return clients.WriteResult(outcome, reason=response.reason)
 
     def _parse_object_or_none(self, value):
         stored = self._parse_object(value)
@@ -236,7 +218,7 @@
     def _send(self, method, kind, name="", body=None, query=None, timeout_s=None):
         path = _names.OBJECTS_PATH + kind + (f"/{name}" if name else "")
         if query:
-            path += "?" + "&".join(f"{key}={text}" for key, text in query.items())
+            path += "?" + urllib.parse.urlencode(query)
         timeout = urllib3.Timeout(
             connect=CONNECT_TIMEOUT_S, read=timeout_s or READ_TIMEOUT_S
         )
@@ -251,8 +233,9 @@
 
 def _decode_response(response):
     content = None
-    with contextlib.suppress(msgspec.DecodeError):
-        content = msgspec.json.decode(response.data) if response.data else None
+    with contextlib.suppress(clients.MalformedDocumentError):
+        if response.data:
+            content = clients.salvage_document(response.data, DIVISIBLE_KEYS)
     if response.status >= 300:
         reason = f"status {response.status}"
         return gateway.Unavailable(reason, status=response.status, content=content)
--- a/tests/fakes/object_store.py
+++ b/tests/fakes/object_store.py
@@ -7,6 +7,8 @@
 import urllib.parse
 
 OBJECTS_PATH = "/sycamorespoke/objects/"
+# Stands for a value in the JSON of a response, before its own bytes take its place.
+ENCODED_MARK = "encoded value "
 
 
 class FakeObjectStore:
@@ -25,6 +27,7 @@
         self.revision = 1
         self.objects = {}
         self.events = []
+        self._encoded_values = []
         self.oldest_revision = 0
         self.is_unavailable = False
         self.drops_responses = False
@@ -42,7 +45,7 @@
                 if fake_store.drops_responses:
                     self.close_connection = True
                     return
-                data = json.dumps(content).encode()
+                data = fake_store.encode(content)
                 self.send_response(status)
                 self.send_header("Content-Length", str(len(data)))
                 self.end_headers()
@@ -78,6 +81,18 @@
         with self.changed:
             return self._store(kind, name, spec)
 
+    def put_encoded(self, kind, name, data):
+        """Create or replace an object whose value has the given bytes."""
+        self._encoded_values.append(data)
+        return self.put(kind, name, f"{ENCODED_MARK}{len(self._encoded_values)}.")
+
+    def encode(self, content):
+        """Return the bytes of a response."""
+        data = json.dumps(content).encode()
+        for number, value in enumerate(self._encoded_values, start=1):
+            data = data.replace(f'"{ENCODED_MARK}{number}."'.encode(), value)
+        return data
+
     def delete(self, kind, name):
         """Delete an object, as another writer would."""
         with self.changed:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -35,18 +35,18 @@
 def test_a_write_returns_its_outcome(fake_store):
     store = _store.ObjectStoreClient(fake_store.address)
     applied = store.create("k", "a", {"n": 1})
-    assert applied.outcome is _store.WriteOutcome.APPLIED
-    assert store.create("k", "a", {}).outcome is _store.WriteOutcome.CONFLICT
+    assert applied.outcome is clients.WriteOutcome.APPLIED
+    assert store.create("k", "a", {}).outcome is clients.WriteOutcome.CONFLICT
     stale = store.replace("k", "a", {"n": 2}, revision=applied.stored.revision - 1)
-    assert stale.outcome is _store.WriteOutcome.CONFLICT
+    assert stale.outcome is clients.WriteOutcome.CONFLICT
     assert stale.stored.spec == {"n": 1}
     fake_store.is_unavailable = True
     rejected = store.replace("k", "a", {"n": 2})
-    assert rejected.outcome is _store.WriteOutcome.REJECTED
+    assert rejected.outcome is clients.WriteOutcome.REJECTED
     fake_store.is_unavailable = False
     fake_store.drops_responses = True
     unknown = store.replace("k", "a", {"n": 2})
-    assert unknown.outcome is _store.WriteOutcome.UNKNOWN
+    assert unknown.outcome is clients.WriteOutcome.UNKNOWN
     assert fake_store.objects["k", "a"]["Spec"] == {"n": 2}
 
 
