Upstreams: what one host learns of a failing one is learnt by all

What callers saw: at 195 hosts a quarter of the upstreams dark costs a quarter of the first tries, for as long as it lasts, and one lost upstream two failures for every second host. Cause: each host ejects by its own failures, and at three requests a second before 63 upstreams they never add up.

Outcomes go with the requests for updates, readers forward those that matter to each other and pool them by the rule of one host; two hosts here or two data centres must have failed; a host that the upstream answers trusts itself; returns are spread over a second. Up to 16 hosts nothing changes.

--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -68,6 +68,7 @@
 )
 from sycamorespoke.decisions._crash_evidence import MOMENT_S, Content, ContentKind
 from sycamorespoke.decisions._ejection import (
+    MAX_EJECTION_S,
     FailureHistory,
     record_failure,
     record_success,
@@ -155,6 +156,13 @@
     place_by_key,
     place_by_load,
 )
+from sycamorespoke.decisions._pooled_failures import (
+    Outcomes,
+    PooledHistory,
+    choose_ejection_end_s,
+    choose_return_delay_s,
+    pool_outcomes,
+)
 from sycamorespoke.decisions._publication import (
     PublishRules,
     ReadBackResult,
@@ -230,6 +238,7 @@
     "MAX_BACKOFF_S",
     "MAX_CONFIRMATION_AGE_S",
     "MAX_DIRECT_HOSTS",
+    "MAX_EJECTION_S",
     "MAX_KEEPING_HOSTS",
     "MAX_ORDER_DURATION_S",
     "MIN_FAILED_UPSTREAMS",
@@ -268,8 +277,10 @@
     "Neighbours",
     "Obstacle",
     "Outcome",
+    "Outcomes",
     "PeerReport",
     "PlacementCandidate",
+    "PooledHistory",
     "Preparation",
     "PreparationKind",
     "PublishRules",
@@ -306,6 +317,7 @@
     "begin_link_trial",
     "begin_transfer",
     "choose_asked_hosts",
+    "choose_ejection_end_s",
     "choose_forwarding_peer",
     "choose_keeping_hosts",
     "choose_neighbours",
@@ -313,6 +325,7 @@
     "choose_origin_keepers",
     "choose_origin_sources",
     "choose_retry_after_s",
+    "choose_return_delay_s",
     "choose_shards",
     "choose_store",
     "choose_upstream",
@@ -367,6 +380,7 @@
     "plan_load_orders",
     "plan_preparations",
     "plan_readers",
+    "pool_outcomes",
     "rank_hosts",
     "record_failure",
     "record_link_failure",
--- a/sycamorespoke/decisions/_readers.py
+++ b/sycamorespoke/decisions/_readers.py
@@ -23,7 +23,8 @@
     is_reader : bool
         Whether this host reads the sources itself.
     readers : tuple of str
-        Names of the readers to query otherwise, in order of preference.
+        Names of the readers to query otherwise, in order of preference; of a reader,
+        the other readers.
     """
 
     is_reader: bool
@@ -91,7 +92,7 @@
         return ReaderPlan(is_reader=True)
     readers = _choose_readers(data_centres_by_host, max_readers)
     if host in readers:
-        return ReaderPlan(is_reader=True)
+        return ReaderPlan(is_reader=True, readers=tuple(sorted(readers - {host})))
     ranked = _placement.rank_by_key(host, readers)
     here = data_centres_by_host[host]
     near = [each for each in ranked if data_centres_by_host[each] == here]
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -116,7 +116,8 @@
             head = self._attempt(choice, last_event_id)
             if isinstance(head, _requests.ResponseHead):
                 if not self._is_server_error(head):
-                    self.gateway.table.record_success(choice.upstream)
+                    now = self.gateway.read_clock()
+                    self.gateway.table.record_success(choice.upstream, now)
                     return head
                 self._observer.record_server_error(choice.upstream, head.status)
                 self._exclude_reached(choice.upstream)
--- a/sycamorespoke/gateway/_candidates.py
+++ b/sycamorespoke/gateway/_candidates.py
@@ -1,5 +1,7 @@
 """Upstreams that come into question for a request, and why others do not."""
 
+import attrs
+
 from sycamorespoke import decisions, domain
 from sycamorespoke.gateway import _upstream_gate
 
@@ -62,7 +64,11 @@
 
     upstreams = select_without(decisions.Obstacle.LOADING, upstreams)
     histories_by_boot = {
-        each.boot_id: states_by_boot[each.boot_id].failures for each in upstreams
+        each.boot_id: attrs.evolve(
+            states_by_boot[each.boot_id].failures,
+            ejected_until_s=states_by_boot[each.boot_id].ejected_until_s,
+        )
+        for each in upstreams
     }
     not_ejected_ids = set(decisions.select_not_ejected(histories_by_boot, now))
     upstreams = [each for each in upstreams if each.boot_id in not_ejected_ids]
--- a/sycamorespoke/gateway/_peering.py
+++ b/sycamorespoke/gateway/_peering.py
@@ -9,7 +9,7 @@
 import loguru
 
 from sycamorespoke import decisions, messages, serving
-from sycamorespoke.gateway import _model, _relay
+from sycamorespoke.gateway import _model, _reader_exchange, _relay
 
 KEY_BYTES = 32
 REPLY_THREADS = 2
@@ -47,6 +47,8 @@
         Forwards requests to other hosts.
     forwarded : ForwardedApplication
         Serves the requests that other hosts forward.
+    reachability : Reachability
+        Which services this host reaches.
     """
 
     host: _model.Host
@@ -59,6 +61,7 @@
     directory: object
     forwarding: object
     forwarded: object
+    reachability: object
     _plan: decisions.ReaderPlan = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -139,13 +142,13 @@
     def _run(self, stop_requested):
         while not stop_requested.is_set():
             try:
-                if self._try_join():
+                if self._try_join(stop_requested):
                     return
             except Exception:
                 loguru.logger.exception("registering this host failed")
             stop_requested.wait(RETRY_S)
 
-    def _try_join(self):
+    def _try_join(self, stop_requested):
         key = self.registry.get_or_create_peer_key(secrets.token_hex(KEY_BYTES))
         if key is None or not self.registry.register(self.host):
             return False
@@ -163,7 +166,11 @@
             self.table,
             self._list_readers,
             messages.Codec(key),
+            self._has_lost_links,
         ).start()
+        _reader_exchange.ReaderExchange(
+            self.table, self._list_other_readers, messages.Codec(key)
+        ).start(stop_requested)
         return True
 
     @functools.singledispatchmethod
@@ -188,9 +195,22 @@
             self.table,
             message,
             serving.read_clock(),
+            self._has_lost_links(serving.read_clock()),
         )
 
+    def _list_other_readers(self):
+        """Return the other readers of a large deployment; empty if this is none."""
+        is_large = len(self.views.get().hosts) > decisions.MAX_DIRECT_HOSTS
+        return self._list_planned() if self._plan.is_reader and is_large else []
+
+    def _has_lost_links(self, now):
+        return bool(self.reachability.list_lost(now))
+
     def _list_readers(self):
+        """Return the readers to ask for updates; empty if this host is one."""
+        return [] if self._plan.is_reader else self._list_planned()
+
+    def _list_planned(self):
         hosts_by_name = self.views.get().hosts_by_name
         return [
             hosts_by_name[name].peer_address
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -71,7 +71,9 @@
             {"host": gateway_settings.name}, self.state.refresh_gauges
         )
         self.views = _views.Views()
-        self.table = _table.UpstreamTable()
+        self.table = _table.UpstreamTable(
+            gateway_settings.name, gateway_settings.data_centre
+        )
         self.loads = _peer_loads.PeerLoads()
         self.pool = _connections.ConnectionPool()
         self.block_planner = _blocks.BlockPlanner(deployment.block_stores)
@@ -314,6 +316,7 @@
             self.directory,
             self.forwarding,
             self.forwarded,
+            self.reachability,
         )
 
     def _make_view_updater(self):
--- a/sycamorespoke/gateway/_relay.py
+++ b/sycamorespoke/gateway/_relay.py
@@ -14,7 +14,7 @@
 SKIP_PEER_S = 3.0
 
 
-def make_reply(indexes, source, loads, table, request, now):
+def make_reply(indexes, source, loads, table, request, now, has_lost_links=False):
     """Make the reply to a host that requests updates.
 
     Parameters
@@ -31,6 +31,8 @@
         What the requesting host already has, and its work.
     now : float
         Current time, seconds of the boot clock.
+    has_lost_links : bool, default=False
+        Whether this host has lost its links to a service.
 
     Returns
     -------
@@ -44,13 +46,44 @@
             epoch, number = request.seen_by_store[address]
             pages_by_store[address] = index.make_page(epoch, number, now)
     pages_by_kind = source.make_pages(request.revisions_by_kind, now)
-    loads.record_report(request.host, request.work_by_upstream, now)
+    if request.host:
+        loads.record_report(request.host, request.work_by_upstream, now)
     total = loads.sum_reports(table.get_work_by_boot(), now)
     return messages.UpdatesReply(
-        pages_by_store, pages_by_kind, total.work_by_boot, total.hosts
+        pages_by_store,
+        pages_by_kind,
+        total.work_by_boot,
+        total.hosts,
+        pool_outcomes(table, request, has_lost_links, now),
     )
 
 
+def pool_outcomes(table, request, has_lost_links, now):
+    """Add what a host reports to the pool of a reader.
+
+    Parameters
+    ----------
+    table : UpstreamTable
+        Holds the pool and the states of the upstreams.
+    request : messages.UpdatesRequest
+        Request with the report.
+    has_lost_links : bool
+        Whether this host has lost its links to a service.
+    now : float
+        Current time, seconds of the boot clock.
+
+    Returns
+    -------
+    dict of str to float
+        Upstreams that are ejected for the host that reports, with the seconds that
+        remain.
+    """
+    pool = table.outcomes
+    pool.handle_request(request, has_lost_links, now)
+    table.set_pooled_ejections(pool.list_ejected(pool.data_centre, now), now)
+    return pool.list_ejected(request.data_centre, now)
+
+
 class UpdateRequester:
     """Requests updates from reader hosts and applies them.
 
@@ -71,9 +104,21 @@
         reads by itself.
     codec : messages.Codec
         Signs messages with the hosts' shared key.
+    has_lost_links : callable or None, default=None
+        Takes the time and returns whether this host has lost its links to a service.
     """
 
-    def __init__(self, host, list_indexes, source, loads, table, list_readers, codec):
+    def __init__(
+        self,
+        host,
+        list_indexes,
+        source,
+        loads,
+        table,
+        list_readers,
+        codec,
+        has_lost_links=None,
+    ):
         self.host = host
         self.list_indexes = list_indexes
         self.source = source
@@ -81,6 +126,7 @@
         self.table = table
         self.list_readers = list_readers
         self.codec = codec
+        self.has_lost_links = has_lost_links or _has_links
         self._peer = None
         self._skipped_until_s_by_address = {}
         self._stopped = threading.Event()
@@ -117,6 +163,8 @@
             self.source.get_requested_revisions(),
             self.host,
             own_by_boot,
+            self.table.outcomes.drain(self.has_lost_links(now)),
+            self.table.outcomes.data_centre,
         )
         reply = self._peer.send_request(request, REPLY_TIMEOUT_S)
         if not isinstance(reply, messages.UpdatesReply):
@@ -124,6 +172,7 @@
             return False
         report = _peer_loads.WorkReport(reply.work_by_upstream, now, reply.hosts)
         self.loads.record_summary(report, own_by_boot)
+        self.table.set_pooled_ejections(reply.ejected_by_upstream, now)
         for index in indexes:
             page = reply.pages_by_store.get(index.store.address)
             if page is not None:
@@ -159,3 +208,8 @@
         if self._peer is not None:
             self._peer.close()
         self._peer = messages.Peer(address, self.codec)
+
+
+def _has_links(now):
+    """Return that no links are lost, for hosts that do not observe them."""
+    return False
--- a/sycamorespoke/gateway/_table.py
+++ b/sycamorespoke/gateway/_table.py
@@ -5,7 +5,7 @@
 import attrs
 
 from sycamorespoke import decisions
-from sycamorespoke.gateway import _upstream_gate, _upstream_state
+from sycamorespoke.gateway import _outcome_pool, _upstream_gate, _upstream_state
 
 DRAINING = decisions.Obstacle.LEAVING.value
 EJECTED = decisions.Obstacle.EJECTED.value
@@ -17,9 +17,21 @@
 
 
 class UpstreamTable:
-    """States of upstreams by boot ID; safe to share among threads."""
+    """States of upstreams by boot ID; safe to share among threads.
 
-    def __init__(self):
+    Parameters
+    ----------
+    host, data_centre : str, default=""
+        Name and data centre of this host.
+
+    Attributes
+    ----------
+    outcomes : OutcomePool
+        Outcomes of requests that hosts report to each other.
+    """
+
+    def __init__(self, host="", data_centre=""):
+        self.outcomes = _outcome_pool.OutcomePool(host, data_centre)
         self._lock = threading.Lock()
         self._states_by_boot = {}
 
@@ -73,11 +85,32 @@
                 if state.work > 0
             }
 
-    def record_success(self, upstream):
-        """Record a successful response of an upstream."""
+    def record_success(self, upstream, now):
+        """Record a successful response at ``now``, seconds of the boot clock."""
+        self.outcomes.record(upstream.boot_id, None)
         with self._lock:
             state = self._get_state(upstream.boot_id)
             state.failures = decisions.record_success(state.failures)
+            state.last_success_s = now
+
+    def set_pooled_ejections(self, seconds_by_boot, now):
+        """Set which upstreams several hosts have found to fail.
+
+        Parameters
+        ----------
+        seconds_by_boot : dict of str to float
+            For how long each is ejected, seconds, by boot ID.
+        now : float
+            Current time, seconds of the boot clock.
+        """
+        with self._lock:
+            for boot_id, seconds in seconds_by_boot.items():
+                state = self._get_state(boot_id)
+                if now >= state.pooled_until_s:
+                    state.pooled_s = now
+                delay_s = decisions.choose_return_delay_s(self.outcomes.host, boot_id)
+                seconds = min(seconds, decisions.MAX_EJECTION_S)
+                state.pooled_until_s = now + seconds + delay_s
 
     def record_failure(self, upstream, weight, now):
         """Record a failure of an upstream.
@@ -96,6 +129,7 @@
         bool
             Whether this failure ejects the upstream.
         """
+        self.outcomes.record(upstream.boot_id, weight)
         with self._lock:
             state = self._get_state(upstream.boot_id)
             was_ejected = state.failures.is_ejected(now)
@@ -297,7 +331,8 @@
                     "requests": state.requests,
                     "work": round(state.work, 1),
                     "failure_rate": round(state.failures.failure_rate, 3),
-                    "ejected": state.failures.is_ejected(now),
+                    "ejected": now < state.ejected_until_s,
+                    "ejected_for_several_hosts": now < state.pooled_until_s,
                     "rate_limit_per_s": state.rate_limit_per_s,
                     "backoff_s": round(max(state.backoff_until_s - now, 0.0), 3),
                     "leaving": state.is_leaving,
--- a/sycamorespoke/gateway/_upstream_gate.py
+++ b/sycamorespoke/gateway/_upstream_gate.py
@@ -30,7 +30,7 @@
         is_data_centre_out=upstream.data_centre in (view.data_centres_out or ()),
         is_loading=view.is_loading(upstream, now),
         backoff_until_s=state.backoff_until_s,
-        ejected_until_s=state.failures.ejected_until_s,
+        ejected_until_s=state.ejected_until_s,
         full_until_s=state.full_until_s,
     )
     return decisions.assess_upstream(signals, now)
--- a/sycamorespoke/gateway/_upstream_state.py
+++ b/sycamorespoke/gateway/_upstream_state.py
@@ -38,6 +38,13 @@
     backoff_until_s : float, default=-inf
         Time until which the upstream wants no requests from this host, seconds of
         the boot clock.
+    last_success_s : float, default=-inf
+        When a request of this host last succeeded, seconds of the boot clock.
+    pooled_until_s : float, default=-inf
+        End of an ejection by what several hosts have observed, seconds of the boot
+        clock.
+    pooled_s : float, default=-inf
+        When this host was told of it, seconds of the boot clock.
     leaving_since_s : float or None, default=None
         When it was first known to be about to stop, seconds of the boot clock.
     """
@@ -51,8 +58,21 @@
     full_until_s: float = float("-inf")
     rate_limit_per_s: float | None = None
     backoff_until_s: float = float("-inf")
+    last_success_s: float = float("-inf")
+    pooled_until_s: float = float("-inf")
+    pooled_s: float = float("-inf")
     leaving_since_s: float | None = None
 
+    @property
+    def ejected_until_s(self):
+        """End of the ejection, by this or several hosts, seconds of the boot clock."""
+        return decisions.choose_ejection_end_s(
+            self.failures.ejected_until_s,
+            self.pooled_until_s,
+            self.pooled_s,
+            self.last_success_s,
+        )
+
     @property
     def is_leaving(self):
         """Whether the upstream is about to stop."""
--- a/sycamorespoke/messages/_types.py
+++ b/sycamorespoke/messages/_types.py
@@ -235,12 +235,23 @@
         Estimated work in progress of the asking host, in units of one generated
         token (1 for a request without a prompt), by boot ID of the upstream;
         upstreams without work are omitted.
+    outcomes_by_upstream : dict of str to (int, int, float)
+        Successes, failures and the weight of the failures of the asking host since
+        its last request, by boot ID of the upstream.
+    data_centre : str, default=""
+        Data centre of the asking host.
+    forwarded_outcomes : list of (str, str, dict)
+        Data centre, name and outcomes, as above, of hosts that report to the asking
+        host, which is a reader.
     """
 
     seen_by_store: dict[str, tuple[int, int]] = {}
     revisions_by_kind: dict[str, int] = {}
     host: str = ""
     work_by_upstream: dict[str, float] = {}
+    outcomes_by_upstream: dict[str, tuple[int, int, float]] = {}
+    data_centre: str = ""
+    forwarded_outcomes: list[tuple[str, str, dict[str, tuple[int, int, float]]]] = []
 
 
 class StorePage(_message.Message, tag="sp"):
@@ -312,12 +323,16 @@
         boot ID of the upstream.
     hosts : int, default=0
         Number of hosts in the sum.
+    ejected_by_upstream : dict of str to float
+        Upstreams that are ejected for all these hosts, by boot ID, with the seconds
+        that remain.
     """
 
     pages_by_store: dict[str, StorePage] = {}
     pages_by_kind: dict[str, ObjectsPage] = {}
     work_by_upstream: dict[str, float] = {}
     hosts: int = 0
+    ejected_by_upstream: dict[str, float] = {}
 
 
 MESSAGE_TYPES = (
