Streams: a host out of step asks which versions are listed before it goes on

What operators of similar systems saw: a host that was cut off or stood still for some seconds took up streams that had begun on upstreams of a new software version and sent them on to another. It could happen here for callers that name no request: the host trusted a list of up to 4 s ago, which need not have the upstreams that joined meanwhile. Callers that name the request were safe: its record is looked up, else the stream is refused.

The store is asked after such a request has arrived; if it does not reply, or lists another version, the stream is refused.

--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -13,6 +13,7 @@
     _forwarded,
     _forwarding,
     _gateway,
+    _listed_versions,
     _model,
     _origin_directory,
     _peer_loads,
@@ -266,7 +267,15 @@
             block_planner=self.block_planner,
             crash_monitor=self.crash_monitor,
             stream_versions=_stream_versions.StreamVersions(
-                self.directory, self.software_versions, self.views, self.metrics
+                self.directory,
+                self.software_versions,
+                self.views,
+                self.metrics,
+                _listed_versions.ListedVersions(
+                    self.deployment.source,
+                    self.deployment.kinds.upstreams,
+                    serving.read_clock,
+                ),
             ),
             reachability=self.reachability,
             forwarding=self.forwarding,
--- a/sycamorespoke/gateway/_stream_versions.py
+++ b/sycamorespoke/gateway/_stream_versions.py
@@ -25,13 +25,16 @@
         Current view, and how old it is.
     metrics : telemetry.Metrics
         Counts the streams that callers take up.
+    listed_versions : ListedVersions
+        What the source lists when it is asked.
     """
 
-    def __init__(self, directory, software_versions, views, metrics):
+    def __init__(self, directory, software_versions, views, metrics, listed_versions):
         self.directory = directory
         self.software_versions = software_versions
         self.views = views
         self.metrics = metrics
+        self.listed_versions = listed_versions
 
     def record_begin(self, request, origin, deadline_s, now):
         """Record the origin of a stream whose first event has arrived.
@@ -105,4 +108,11 @@
         (service,) = route.weights_by_service
         since_s = now - route.timeout_s - RECORD_MARGIN_S
         version = self.software_versions.find_only(service, since_s)
-        return decisions.StreamOrigin(service, version) if version else None
+        if version is None:
+            return None
+        # Upstreams of another version may have joined since the list was confirmed,
+        # and the stream may have begun there through another host.
+        listed = self.listed_versions.read(service, now)
+        if listed is None or listed - {version}:
+            return None
+        return decisions.StreamOrigin(service, version)
--- a/tests/fakes/in_process_gateway.py
+++ b/tests/fakes/in_process_gateway.py
@@ -7,8 +7,10 @@
     _blocks,
     _chooser,
     _connections,
+    _deployment,
     _forwarding,
     _gateway,
+    _listed_versions,
     _model,
     _origin_directory,
     _peer_loads,
@@ -17,6 +19,7 @@
     _request_metrics,
     _retry_budgets,
     _software_versions,
+    _source,
     _stream_versions,
     _table,
     _views,
@@ -50,12 +53,36 @@
 )
 
 
+class ListedUpstreams:
+    """Source that lists the upstreams of a gateway's view, or others.
+
+    Attributes
+    ----------
+    joined : list of Upstream
+        Upstreams that are listed, but not known to the gateway yet.
+    is_away : bool
+        Whether it does not reply.
+    """
+
+    def __init__(self, views):
+        self.views = views
+        self.joined = []
+        self.is_away = False
+
+    def list(self, kind):
+        if self.is_away:
+            return _source.Unavailable("no response")
+        known = (self.views.get().upstreams_by_id or {}).values()
+        return _source.Listing((*known, *self.joined), 1)
+
+
 class InProcessGateway:
     """Gateway on a free port whose ``upstreams`` all belong to the service ``s``."""
 
     def __init__(self, upstreams=(), routes=ROUTES, threads=8):
         self.versions_by_name = {}
         self.views = _views.Views()
+        self.list_source = ListedUpstreams(self.views)
         self.table = _table.UpstreamTable()
         self.pool = _connections.ConnectionPool()
         self.metrics = telemetry.Metrics()
@@ -88,7 +115,15 @@
             block_planner=_blocks.BlockPlanner(None),
             crash_monitor=self.crash_monitor,
             stream_versions=_stream_versions.StreamVersions(
-                self.directory, self.software_versions, self.views, self.metrics
+                self.directory,
+                self.software_versions,
+                self.views,
+                self.metrics,
+                _listed_versions.ListedVersions(
+                    self.list_source,
+                    _deployment.ObjectKind("upstreams", lambda value, now: value),
+                    serving.read_clock,
+                ),
             ),
             reachability=self.reachability,
             forwarding=self.forwarding,
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -184,6 +184,28 @@
     assert take_up_unnamed(gateway) == 503
 
 
+def test_unnamed_stream_is_refused_if_another_version_has_joined_unseen(start):
+    gateway, upstreams = start((break_off, "v1"))
+    registered = list(gateway.views.get().upstreams_by_id.values())
+    record_versions(gateway, registered, HOUR_S)
+    # The host stood still or was cut off for less time than a list is trusted.
+    gateway.views.confirm("upstreams", serving.read_clock() - 3.0)
+    other = attrs.evolve(registered[0], id="i-2", software_version="v2")
+    gateway.list_source.joined = [other]
+    assert take_up_unnamed(gateway) == 503
+    assert upstreams[0].requests == []
+
+
+def test_unnamed_stream_is_refused_while_the_list_cannot_be_asked(start):
+    gateway, _ = start((break_off, "v1"))
+    registered = gateway.views.get().upstreams_by_id.values()
+    record_versions(gateway, registered, HOUR_S)
+    gateway.list_source.is_away = True
+    assert take_up_unnamed(gateway) == 503
+    gateway.list_source.is_away = False
+    assert take_up_unnamed(gateway) == 200
+
+
 def test_version_that_was_gone_long_ago_does_not_count():
     versions = _software_versions.SoftwareVersions()
     old = _model.Upstream("i-1", 1, "s", "1.1.1.1:1", "z", software_version="v1")
