Upstreams: readers forward successes only while they outweigh failures

Cause, read: after one failure of a service that fails a tenth of its requests all outcomes there went to nine readers four times a second, for 60 s; each request for updates computed two verdicts.

Successes are forwarded until they outweigh the failures; upstreams are forgotten after 15 s; one verdict a request, none without failures.

--- a/sycamorespoke/gateway/_outcome_pool.py
+++ b/sycamorespoke/gateway/_outcome_pool.py
@@ -8,7 +8,7 @@
 from sycamorespoke import decisions, messages
 
 # An upstream of which nothing was reported for this long is forgotten.
-FORGET_S = 60.0
+FORGET_S = 15.0
 # Reports that wait to be forwarded to other readers; the oldest are dropped.
 MAX_FORWARDED = 500
 
@@ -133,6 +133,9 @@
         """
         is_here = data_centre == self.data_centre
         with self._lock:
+            if not self._histories_by_boot:
+                self._logged_boots = set()
+                return {}
             until_s_by_boot = {
                 boot_id: histories.get_ejected_until_s(is_here, now)
                 for boot_id, histories in self._histories_by_boot.items()
@@ -166,12 +169,17 @@
         needed = {
             boot_id: values
             for boot_id, values in outcomes_by_boot.items()
-            if values[1] or boot_id in self._histories_by_boot
+            if values[1] or self._is_doubtful(boot_id)
         }
         if needed:
             self._forwarded.append((data_centre, host, needed))
             del self._forwarded[:-MAX_FORWARDED]
 
+    def _is_doubtful(self, boot_id):
+        """Return whether successes at an upstream matter to other readers."""
+        histories = self._histories_by_boot.get(boot_id)
+        return histories is not None and histories.everywhere.failures.failure_rate > 0
+
     def _pool(self, report, now):
         data_centre, host, outcomes_by_boot = report
         for boot_id, values in outcomes_by_boot.items():
--- a/sycamorespoke/gateway/_relay.py
+++ b/sycamorespoke/gateway/_relay.py
@@ -80,7 +80,10 @@
     """
     pool = table.outcomes
     pool.handle_request(request, has_lost_links, now)
-    table.set_pooled_ejections(pool.list_ejected(pool.data_centre, now), now)
+    ejected = pool.list_ejected(pool.data_centre, now)
+    table.set_pooled_ejections(ejected, now)
+    if request.data_centre == pool.data_centre:
+        return ejected
     return pool.list_ejected(request.data_centre, now)
 
 
--- a/sycamorespoke/gateway/_table.py
+++ b/sycamorespoke/gateway/_table.py
@@ -103,6 +103,8 @@
         now : float
             Current time, seconds of the boot clock.
         """
+        if not seconds_by_boot:
+            return
         with self._lock:
             for boot_id, seconds in seconds_by_boot.items():
                 state = self._get_state(boot_id)
--- a/tests/gateway/test_outcome_pool.py
+++ b/tests/gateway/test_outcome_pool.py
@@ -123,6 +123,22 @@
     assert "i-1@7" in _relay.pool_outcomes(reader, request, False, 5.0)
 
 
+def test_readers_forward_nothing_while_no_upstream_fails():
+    reader = _table.UpstreamTable("reader", "z")
+    sound = messages.UpdatesRequest(
+        host="a", data_centre="z", outcomes_by_upstream={"i-1@7": (20, 0, 0.0)}
+    )
+    _relay.pool_outcomes(reader, sound, False, 5.0)
+    assert reader.outcomes.make_forwarding() is None
+    _relay.pool_outcomes(reader, make_request("a", "i-1@7"), False, 5.1)
+    assert reader.outcomes.make_forwarding().forwarded_outcomes
+    # The successes after it are forwarded until they outweigh it.
+    _relay.pool_outcomes(reader, sound, False, 5.2)
+    assert reader.outcomes.make_forwarding().forwarded_outcomes
+    _relay.pool_outcomes(reader, sound, False, 5.3)
+    assert reader.outcomes.make_forwarding() is None
+
+
 def test_odd_numbers_in_a_report_do_not_break_the_pool():
     reader = _table.UpstreamTable("reader", "z")
     for values in ((10**18, 1, -5.0), (0, 1, 1e300), (-1, -1, 0.0)):
