Gateway: less processor time for each request and for the plan of readers

Boot IDs are made once; failures are copied only if others ejected the upstream; obstacles are collected only where there are any; the plan and the hosts that keep records are computed when the list of hosts changes.

Also: switches for the new mechanisms in tests/mechanisms_off.py.

--- a/sycamorespoke/decisions/_availability.py
+++ b/sycamorespoke/decisions/_availability.py
@@ -150,19 +150,19 @@
     >>> assess_upstream(overloaded, 12.0).strongest is None
     True
     """
-    until_s_by_obstacle = {
-        Obstacle.NOT_LISTED: NEVER_S if signals.is_listed else FOREVER_S,
-        Obstacle.LEAVING: FOREVER_S if signals.is_leaving else NEVER_S,
-        Obstacle.DATA_CENTRE_OUT: FOREVER_S if signals.is_data_centre_out else NEVER_S,
-        Obstacle.BACKOFF: signals.backoff_until_s,
-        Obstacle.EJECTED: signals.ejected_until_s,
-        Obstacle.LOADING: FOREVER_S if signals.is_loading else NEVER_S,
-        Obstacle.FULL: signals.full_until_s,
-    }
-    return Availability(
-        {
-            obstacle: until_s
-            for obstacle, until_s in until_s_by_obstacle.items()
-            if now < until_s
-        }
-    )
+    until_s_by_obstacle = {}
+    if not signals.is_listed:
+        until_s_by_obstacle[Obstacle.NOT_LISTED] = FOREVER_S
+    if signals.is_leaving:
+        until_s_by_obstacle[Obstacle.LEAVING] = FOREVER_S
+    if signals.is_data_centre_out:
+        until_s_by_obstacle[Obstacle.DATA_CENTRE_OUT] = FOREVER_S
+    if now < signals.backoff_until_s:
+        until_s_by_obstacle[Obstacle.BACKOFF] = signals.backoff_until_s
+    if now < signals.ejected_until_s:
+        until_s_by_obstacle[Obstacle.EJECTED] = signals.ejected_until_s
+    if signals.is_loading:
+        until_s_by_obstacle[Obstacle.LOADING] = FOREVER_S
+    if now < signals.full_until_s:
+        until_s_by_obstacle[Obstacle.FULL] = signals.full_until_s
+    return Availability(until_s_by_obstacle)
--- a/sycamorespoke/decisions/_stream_origins.py
+++ b/sycamorespoke/decisions/_stream_origins.py
@@ -112,8 +112,9 @@
 
 
 def _rank(request_id, data_centres_by_host):
-    keeping = {
-        host: data_centres_by_host[host]
-        for host in choose_keeping_hosts(data_centres_by_host)
-    }
-    return _placement.rank_spread(request_id, keeping)
+    if len(data_centres_by_host) > MAX_KEEPING_HOSTS:
+        data_centres_by_host = {
+            host: data_centres_by_host[host]
+            for host in choose_keeping_hosts(data_centres_by_host)
+        }
+    return _placement.rank_spread(request_id, data_centres_by_host)
--- a/sycamorespoke/gateway/_candidates.py
+++ b/sycamorespoke/gateway/_candidates.py
@@ -64,17 +64,21 @@
 
     upstreams = select_without(decisions.Obstacle.LOADING, upstreams)
     histories_by_boot = {
-        each.boot_id: attrs.evolve(
-            states_by_boot[each.boot_id].failures,
-            ejected_until_s=states_by_boot[each.boot_id].ejected_until_s,
-        )
-        for each in upstreams
+        each.boot_id: _get_failures(states_by_boot[each.boot_id]) for each in upstreams
     }
     not_ejected_ids = set(decisions.select_not_ejected(histories_by_boot, now))
     upstreams = [each for each in upstreams if each.boot_id in not_ejected_ids]
     return select_without(decisions.Obstacle.FULL, upstreams)
 
 
+def _get_failures(state):
+    """Return the failures of an upstream, with an ejection by others, if any."""
+    failures = state.failures
+    if state.ejected_until_s == failures.ejected_until_s:
+        return failures
+    return attrs.evolve(failures, ejected_until_s=state.ejected_until_s)
+
+
 def make_refusal(reasons):
     """Return a refusal that says how many upstreams each reason keeps away."""
     counts = ", ".join(f"{reason} {count}" for reason, count in sorted(reasons.items()))
--- a/sycamorespoke/gateway/_model.py
+++ b/sycamorespoke/gateway/_model.py
@@ -265,6 +265,11 @@
         Weight versions that it holds.
     software_version : str, default=""
         Version of its software, which has no order; empty if unknown.
+
+    Attributes
+    ----------
+    boot_id : str
+        Identifies one start of the upstream by its ID and start time.
     """
 
     id: str
@@ -278,10 +283,10 @@
     seen_s: float = 0.0
     versions_by_model: dict[str, int] = attrs.field(factory=dict)
     software_version: str = ""
+    boot_id: str = attrs.field(init=False, eq=False, repr=False)
 
-    @property
-    def boot_id(self):
-        """Boot ID: identifies one start of the upstream by its ID and start time."""
+    @boot_id.default
+    def _make_boot_id(self):
         return f"{self.id}@{self.started_ms}"
 
     def is_same_start(self, other):
--- a/sycamorespoke/gateway/_origin_directory.py
+++ b/sycamorespoke/gateway/_origin_directory.py
@@ -25,6 +25,8 @@
         self.origins = _stream_origins.StreamOrigins()
         self._stored = None
         self._codec = None
+        # Hosts that keep records, for one list of hosts.
+        self._keeping = (None, {})
         self._lock = threading.Lock()
         self._links_by_address = {}
 
@@ -142,16 +144,28 @@
         if codec is None:
             return []
         hosts_by_name = self.views.get().hosts_by_name
-        data_centres_by_host = {
-            host.name: host.data_centre for host in hosts_by_name.values()
-        }
-        names = choose(request_id, data_centres_by_host)
+        names = choose(request_id, self._list_keeping(hosts_by_name))
         return [
             self._get_link(hosts_by_name[name].peer_address, codec)
             for name in names
             if name != self.host
         ]
 
+    def _list_keeping(self, hosts_by_name):
+        """Return the data centres of the hosts that keep records, by host."""
+        listed, keeping = self._keeping
+        if hosts_by_name is listed:
+            return keeping
+        data_centres_by_host = {
+            host.name: host.data_centre for host in hosts_by_name.values()
+        }
+        keeping = {
+            name: data_centres_by_host[name]
+            for name in decisions.choose_keeping_hosts(data_centres_by_host)
+        }
+        self._keeping = (hosts_by_name, keeping)
+        return keeping
+
     def _get_link(self, address, codec):
         with self._lock:
             link = self._links_by_address.get(address)
--- a/sycamorespoke/gateway/_peering.py
+++ b/sycamorespoke/gateway/_peering.py
@@ -63,6 +63,8 @@
     forwarded: object
     reachability: object
     _plan: decisions.ReaderPlan = attrs.field(init=False)
+    _planned_hosts_by_name: dict | None = attrs.field(init=False, default=None)
+    _planned_configuration: object = attrs.field(init=False, default=None)
 
     def __attrs_post_init__(self):
         self._plan = decisions.ReaderPlan(is_reader=True)
@@ -85,7 +87,17 @@
             loguru.logger.info("host could not be unregistered")
 
     def update_plan(self, view):
-        """Plan whether this host is a reader, by the hosts and stores of a view."""
+        """Plan whether this host is a reader, by the hosts and stores of a view.
+
+        Nothing is done if neither has changed since the last call.
+        """
+        if (
+            view.hosts_by_name is self._planned_hosts_by_name
+            and view.configuration is self._planned_configuration
+        ):
+            return
+        self._planned_hosts_by_name = view.hosts_by_name
+        self._planned_configuration = view.configuration
         data_centres_by_host = {
             host.name: host.data_centre for host in view.hosts_by_name.values()
         }
--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -13,7 +13,9 @@
 from sycamorespoke.gateway import (
     _crash_watch,
     _forwarding,
+    _listed_versions,
     _origin_directory,
+    _revision_log,
     _stored_origins,
     _stream_body,
     _table,
@@ -147,6 +149,22 @@
     _stored_origins.StoredOrigins.find = lambda *_: None
 
 
+def _decode_documents_whole():
+    clients.salvage_document = lambda data, keys: clients.decode_document(data)
+
+
+def _trust_pending_watches():
+    _revision_log.RevisionLog.is_unchanged = lambda *_: True
+
+
+def _learn_nothing_of_other_hosts():
+    _table.UpstreamTable.set_pooled_ejections = lambda *_: None
+
+
+def _trust_the_known_versions():
+    _listed_versions.ListedVersions.read = lambda *_: frozenset()
+
+
 OFF_BY_NAME = {
     **mechanisms_off_run_once.OFF_BY_NAME,
     "block-checks": _skip_block_checks,
@@ -162,6 +180,10 @@
     "backoff": _ignore_backoff,
     "stream-versions": _ignore_software_versions,
     "stream-records": _ask_no_host,
+    "listed-versions": _trust_the_known_versions,
+    "lost-watches": _trust_pending_watches,
+    "pooled-outcomes": _learn_nothing_of_other_hosts,
+    "salvage": _decode_documents_whole,
     "stored-origins": _read_no_stored_origins,
     "forwarding": _forward_nothing,
     "quarantine": _ignore_quarantine,
