--- a/sycamorespoke/gateway/_program_state.py
+++ b/sycamorespoke/gateway/_program_state.py
@@ -1,6 +1,7 @@
 """What operators see of a gateway process: its dump and its gauges."""
 
 from sycamorespoke import decisions, serving
+from sycamorespoke.gateway import _upstream_counts
 
 
 class ProgramState:
@@ -66,7 +67,8 @@
             gauge("malformed_objects", count, part=section)
         for task_lease in program.task_leases:
             gauge("lease_held", int(task_lease.is_held()), lease=task_lease.name)
-        for (service, state), count in program.table.count_states(view, now).items():
+        counts = _upstream_counts.count_states(program.table, view, now)
+        for (service, state), count in counts.items():
             gauge("upstreams", count, service=service, state=state)
         self._refresh_links(view, now)
 
--- a/sycamorespoke/gateway/_table.py
+++ b/sycamorespoke/gateway/_table.py
@@ -5,15 +5,7 @@
 import attrs
 
 from sycamorespoke import decisions
-from sycamorespoke.gateway import _outcome_pool, _upstream_gate, _upstream_state
-
-DRAINING = decisions.Obstacle.LEAVING.value
-EJECTED = decisions.Obstacle.EJECTED.value
-LOADING = decisions.Obstacle.LOADING.value
-FULL = decisions.Obstacle.FULL.value
-COLD = "cold"
-READY = "ready"
-STATES = (*(obstacle.value for obstacle in decisions.Obstacle), COLD, READY)
+from sycamorespoke.gateway import _outcome_pool, _upstream_state
 
 
 class UpstreamTable:
@@ -281,31 +273,6 @@
             state.leaving_since_s = now
             return True
 
-    def count_states(self, view, now):
-        """Count the registered upstreams by service and state.
-
-        Parameters
-        ----------
-        view : View
-            View that lists the upstreams.
-        now : float
-            Current time, seconds of the boot clock.
-
-        Returns
-        -------
-        dict of (str, str) to int
-            Counts by service and state, one of `STATES`, including counts of 0.
-        """
-        upstreams = (view.upstreams_by_id or {}).values()
-        states_by_boot = self.read(upstreams)
-        counts = {
-            (upstream.service, state): 0 for upstream in upstreams for state in STATES
-        }
-        for upstream in upstreams:
-            state = _classify(upstream, states_by_boot[upstream.boot_id], view, now)
-            counts[upstream.service, state] += 1
-        return counts
-
     def retain(self, boot_ids, now):
         """Drop the states of boots that are not listed and have no request in flight.
 
@@ -348,13 +315,3 @@
         if state is None:
             state = self._states_by_boot[boot_id] = _upstream_state.UpstreamState()
         return state
-
-
-def _classify(upstream, state, view, now):
-    """Return the state that most restricts the use of an upstream."""
-    obstacle = _upstream_gate.assess(view, upstream, state, now).strongest
-    if obstacle not in (None, decisions.Obstacle.FULL):
-        return obstacle.value
-    if upstream.is_cold(now):
-        return COLD
-    return READY if obstacle is None else FULL
--- a/sycamorespoke/messages/__init__.py
+++ b/sycamorespoke/messages/__init__.py
@@ -26,10 +26,12 @@
     HeartbeatReply,
     InForceReply,
     InForceRequest,
-    ObjectsPage,
     PermitReply,
     PermitRequest,
     PermitReturn,
+)
+from sycamorespoke.messages._update_messages import (
+    ObjectsPage,
     StorePage,
     UpdatesReply,
     UpdatesRequest,
--- a/tests/gateway/test_leaving_upstreams.py
+++ b/tests/gateway/test_leaving_upstreams.py
@@ -6,7 +6,13 @@
 import pytest
 
 from sycamorespoke import serving
-from sycamorespoke.gateway import _model, _table, _upstream_state, _views
+from sycamorespoke.gateway import (
+    _model,
+    _table,
+    _upstream_counts,
+    _upstream_state,
+    _views,
+)
 from tests.fakes import scripted_upstream
 
 UPSTREAM = _model.Upstream("i-1", 1, "s", "127.0.0.1:1", "dc-1")
@@ -182,4 +188,5 @@
     table = _table.UpstreamTable()
     table.record_leaving(UPSTREAM, 10.0)
     view = _views.View(upstreams_by_id={UPSTREAM.id: UPSTREAM})
-    assert table.count_states(view, 11.0)["s", _table.DRAINING] == 1
+    counts = _upstream_counts.count_states(table, view, 11.0)
+    assert counts["s", _upstream_counts.DRAINING] == 1
--- a/tests/gateway/test_table.py
+++ b/tests/gateway/test_table.py
@@ -3,7 +3,7 @@
 import attrs
 import pytest
 
-from sycamorespoke.gateway import _model, _table, _views
+from sycamorespoke.gateway import _model, _table, _upstream_counts, _views
 
 NOW = 100.0
 UPSTREAM = _model.Upstream(
@@ -20,9 +20,9 @@
 
 def count_state(upstream, table=None, **view_fields):
     view = _views.View(upstreams_by_id={upstream.id: upstream}, **view_fields)
-    counts = (table or _table.UpstreamTable()).count_states(view, NOW)
+    counts = _upstream_counts.count_states(table or _table.UpstreamTable(), view, NOW)
     assert {service for service, _ in counts} == {"s"}
-    assert {state for _, state in counts} == set(_table.STATES)
+    assert {state for _, state in counts} == set(_upstream_counts.STATES)
     assert sum(counts.values()) == 1
     return next(state for (_, state), number in counts.items() if number)
 
@@ -30,10 +30,10 @@
 @pytest.mark.parametrize(
     ("fields", "state"),
     [
-        ({}, _table.READY),
-        ({"is_draining": True}, _table.DRAINING),
-        ({"cold_s": 3.0}, _table.COLD),
-        ({"cold_s": 3.0, "is_draining": True}, _table.DRAINING),
+        ({}, _upstream_counts.READY),
+        ({"is_draining": True}, _upstream_counts.DRAINING),
+        ({"cold_s": 3.0}, _upstream_counts.COLD),
+        ({"cold_s": 3.0, "is_draining": True}, _upstream_counts.DRAINING),
     ],
 )
 def test_registered_state_is_counted(fields, state):
@@ -42,20 +42,24 @@
 
 def test_upstream_that_loads_weights_counts_as_loading():
     loading = frozenset({UPSTREAM.boot_id})
-    assert count_state(UPSTREAM, loading=loading, loading_seen_s=NOW) == _table.LOADING
+    assert (
+        count_state(UPSTREAM, loading=loading, loading_seen_s=NOW)
+        == _upstream_counts.LOADING
+    )
 
 
 def test_observed_state_is_counted():
     table = _table.UpstreamTable()
     table.record_full(UPSTREAM, NOW + 1.0)
-    assert count_state(UPSTREAM, table) == _table.FULL
+    assert count_state(UPSTREAM, table) == _upstream_counts.FULL
     while not table.record_failure(UPSTREAM, 1.0, NOW):
         pass
-    assert count_state(UPSTREAM, table) == _table.EJECTED
+    assert count_state(UPSTREAM, table) == _upstream_counts.EJECTED
 
 
 def test_nothing_is_counted_before_the_upstreams_are_known():
-    assert _table.UpstreamTable().count_states(_views.View(), NOW) == {}
+    table = _table.UpstreamTable()
+    assert _upstream_counts.count_states(table, _views.View(), NOW) == {}
 
 
 def test_overdue_first_event_raises_the_wait_until_the_request_ends():
