Logs: each choice of older weights, with the age of the target, and how long the request waited

The lines of hosts did not tell on which age of the target an engine with older weights was chosen, nor how long the request waited there before its first event.

--- a/sycamorespoke/gateway/_attempt_log.py
+++ b/sycamorespoke/gateway/_attempt_log.py
@@ -3,6 +3,7 @@
 import loguru
 
 MAX_LOGGED_BLOCKS = 8
+MS_PER_S = 1000
 
 
 class AttemptLog:
@@ -60,6 +61,12 @@
             caller_resumes_after=self.request.last_event_id,
             resumed_request=self.request.resumed_request_id,
         )
+        self._log_older_weights("older weights chosen", dispatch)
+
+    def record_first_event(self, dispatch, waited_s):
+        """Record that the first event of a stream arrived after a wait, seconds."""
+        waited_ms = int(waited_s * MS_PER_S)
+        self._log_older_weights("older weights used", dispatch, waited_ms=waited_ms)
 
     def record_failed(self, upstream, reason):
         """Record that an attempt got no response, or a refusal."""
@@ -104,6 +111,25 @@
             "blocks": list(block_ids[-MAX_LOGGED_BLOCKS:]),
         }
 
+    def _log_older_weights(self, event, dispatch, **fields):
+        """Log a dispatch to an upstream whose weights are older than the target."""
+        if self.request.prompt is None or dispatch.weight_version is None:
+            return
+        targets_by_model = self.gateway.views.get().targets_by_model or {}
+        target = targets_by_model.get(self.request.prompt.model)
+        if target is None or dispatch.weight_version >= target.version:
+            return
+        target_age_s = self.gateway.read_clock() - target.seen_s
+        self._log(
+            event,
+            dispatch.upstream,
+            model=target.model,
+            weight_version=dispatch.weight_version,
+            target_version=target.version,
+            target_age_ms=int(target_age_s * MS_PER_S),
+            **fields,
+        )
+
     def _log(self, event, upstream, level="INFO", **fields):
         now = self.gateway.read_clock()
         view = self.gateway.views.get()
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -287,6 +287,8 @@
         if self._forwarder.peer is not None:
             return
         upstream = self.exchange.upstream
+        waited_s = now - self._dispatcher.sent_s
+        self.log.record_first_event(self.exchange.dispatch, waited_s)
         self.gateway.table.record_first_event(upstream, self, now)
         self.origin = decisions.StreamOrigin(
             upstream.service, upstream.software_version
