Gateway: the age of a target version counts from the last time at which it was known not to be named

Callers' requests began on older weights up to 9 s after a newer version was acknowledged. Cause: the grace counted from when this process first saw the target, so a process that started, whose reads were interrupted or that was suspended began it anew (all such requests in the traces came from hosts that had started after the naming). Class: the age of a fact measured from the observer's start. Now a target has a naming time: not before the source last confirmed the list without it, unknown at a start. Older weights are used only while even that earliest time is within the grace; seen_s stays for freeing blocks, where the later time is the safe one.

--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -212,6 +212,11 @@
     choose_origin_keepers,
     choose_origin_sources,
 )
+from sycamorespoke.decisions._target_age import (
+    NamingTime,
+    combine_naming_times,
+    may_begin_on_older_weights,
+)
 from sycamorespoke.decisions._upstream_limit import (
     AttemptOutcome,
     UpstreamLimit,
@@ -274,6 +279,7 @@
     "LinkState",
     "LoadOrder",
     "Malformed",
+    "NamingTime",
     "Neighbours",
     "Obstacle",
     "Outcome",
@@ -332,6 +338,7 @@
     "choose_urgency",
     "choose_watch_timing",
     "classify_read_back",
+    "combine_naming_times",
     "combine_refusals",
     "compute_acquire_delay_s",
     "compute_cold_share",
@@ -366,6 +373,7 @@
     "make_lease_record",
     "make_link_budget",
     "may_acquire",
+    "may_begin_on_older_weights",
     "may_grant_permits",
     "may_import",
     "may_send_order",
--- a/sycamorespoke/gateway/__init__.py
+++ b/sycamorespoke/gateway/__init__.py
@@ -11,7 +11,6 @@
     Route,
     RouteKind,
     Service,
-    TargetVersion,
     Upstream,
 )
 from sycamorespoke.gateway._orders import (
@@ -43,6 +42,7 @@
 )
 from sycamorespoke.gateway._statements import Statements
 from sycamorespoke.gateway._store_index import StoreEvent, StoreEvents
+from sycamorespoke.gateway._target_versions import TargetVersion
 
 __all__ = [
     "SOCKET_OPTIONS",
--- a/sycamorespoke/gateway/_attempt_log.py
+++ b/sycamorespoke/gateway/_attempt_log.py
@@ -119,14 +119,15 @@
         target = targets_by_model.get(self.request.prompt.model)
         if target is None or dispatch.weight_version >= target.version:
             return
-        target_age_s = self.gateway.read_clock() - target.seen_s
+        now = self.gateway.read_clock()
         self._log(
             event,
             dispatch.upstream,
             model=target.model,
             weight_version=dispatch.weight_version,
             target_version=target.version,
-            target_age_ms=int(target_age_s * MS_PER_S),
+            target_age_ms=target.compute_max_age_ms(now),
+            seen_here_ms=int((now - target.seen_s) * MS_PER_S),
             **fields,
         )
 
--- a/sycamorespoke/gateway/_chooser.py
+++ b/sycamorespoke/gateway/_chooser.py
@@ -228,7 +228,9 @@
         return (view.targets_by_model or {}).get(model)
 
     def _is_switch_due(self, target, now):
-        return now - target.seen_s >= self.limits.version_grace_s - OLD_VERSION_MARGIN_S
+        return not decisions.may_begin_on_older_weights(
+            target.named, now + OLD_VERSION_MARGIN_S, self.limits.version_grace_s
+        )
 
     def _place(self, view, upstreams, states_by_boot, request, now):
         if request.prompt is None:
--- a/sycamorespoke/gateway/_model.py
+++ b/sycamorespoke/gateway/_model.py
@@ -316,22 +316,3 @@
     name: str
     data_centre: str
     peer_address: str
-
-
-@attrs.frozen
-class TargetVersion:
-    """Weight version of a model that the operators want in use.
-
-    Parameters
-    ----------
-    model : str
-        Name of the model.
-    version : int
-        Weight version, which increases with each target.
-    seen_s : float
-        When this host received the target version, seconds of the boot clock.
-    """
-
-    model: str
-    version: int
-    seen_s: float
--- a/sycamorespoke/gateway/_view_updater.py
+++ b/sycamorespoke/gateway/_view_updater.py
@@ -163,17 +163,17 @@
         loguru.logger.bind(data_centres=sorted(out)).info("data centres out")
 
     def _handle_versions(self, items_by_name, now):
-        previous = self.views.get().targets_by_model or {}
-        targets_by_model = {}
-        for target in items_by_name.values():
-            current = previous.get(target.model)
-            is_older = current is not None and target.version <= current.version
-            targets_by_model[target.model] = current if is_older else target
-        self.views.replace_fields(targets_by_model=targets_by_model)
-        target_versions = {
-            model: target.version for model, target in targets_by_model.items()
-        }
-        loguru.logger.bind(versions=target_versions).info("weights named")
+        self.views.set_targets(items_by_name.values(), now)
+        targets_by_model = self.views.get().targets_by_model
+        loguru.logger.bind(
+            versions={
+                model: target.version for model, target in targets_by_model.items()
+            },
+            max_age_ms={
+                model: target.compute_max_age_ms(now)
+                for model, target in targets_by_model.items()
+            },
+        ).info("weights named")
         self.actors_by_lease[_rollout.LEASE_NAME].tell(_rollout.Tick(now))
 
     def _handle_hosts(self, items_by_name, now):
--- a/sycamorespoke/gateway/_views.py
+++ b/sycamorespoke/gateway/_views.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from sycamorespoke import quarantine
-from sycamorespoke.gateway import _model
+from sycamorespoke import decisions, quarantine
+from sycamorespoke.gateway import _model, _target_versions
 
 CONFIGURATION = "configuration"
 VERSIONS = "versions"
@@ -43,7 +43,7 @@
     configuration: _model.Configuration | None = None
     upstreams_by_id: dict[str, _model.Upstream] | None = None
     data_centres_out: frozenset[str] | None = None
-    targets_by_model: dict[str, _model.TargetVersion] | None = None
+    targets_by_model: dict[str, _target_versions.TargetVersion] | None = None
     loading: frozenset[str] = frozenset()
     loading_seen_s: float = float("-inf")
     hosts_by_name: dict[str, _model.Host] = attrs.field(factory=dict)
@@ -115,6 +115,27 @@
             self._view = attrs.evolve(self._view, configuration=configuration)
             return True
 
+    def set_targets(self, targets, now):
+        """Adopt target versions, but none that is older than the one in force.
+
+        Parameters
+        ----------
+        targets : iterable of TargetVersion
+            The targets that are listed.
+        now : float
+            Current time, seconds of the boot clock.
+        """
+        with self._lock:
+            current_by_model = self._view.targets_by_model or {}
+            named = decisions.NamingTime(self._view.versions_confirmed_s, now)
+            targets_by_model = {
+                target.model: _choose_newer(
+                    current_by_model.get(target.model), target, named
+                )
+                for target in targets
+            }
+            self._view = attrs.evolve(self._view, targets_by_model=targets_by_model)
+
     def replace_fields(self, **fields):
         """Replace fields of the view by name, see `View`."""
         with self._lock:
@@ -125,3 +146,10 @@
         with self._lock:
             confirmed = {**self._view.confirmed_s_by_section, section: now}
             self._view = attrs.evolve(self._view, confirmed_s_by_section=confirmed)
+
+
+def _choose_newer(current, target, named):
+    """Return the newer of two targets; ``named`` says when a new one was named."""
+    if current is not None and target.version <= current.version:
+        return current
+    return attrs.evolve(target, named=named)
--- a/tests/gateway/test_chooser.py
+++ b/tests/gateway/test_chooser.py
@@ -12,6 +12,7 @@
     _peer_loads,
     _requests,
     _table,
+    _target_versions,
     _views,
 )
 from tests.fakes import in_process_gateway
@@ -47,6 +48,11 @@
     return attrs.evolve(view, **changes)
 
 
+def make_target(named_s):
+    named = decisions.NamingTime(named_s, named_s)
+    return _target_versions.TargetVersion("m", 2, named_s, named)
+
+
 def make_request(prompt=PROMPT, request_id="c-1"):
     return _requests.Request(
         request_id, "a", "POST", "/stream/x", (), b"", NOW, prompt=prompt
@@ -111,7 +117,7 @@
 
 @pytest.mark.parametrize(("age_s", "expected"), [(1.0, {1, 2}), (4.5, {2})])
 def test_older_weights_are_not_used_after_the_grace_period(age_s, expected):
-    target = _model.TargetVersion("m", 2, NOW - age_s)
+    target = make_target(NOW - age_s)
     view = make_view(
         make_upstream("old"),
         make_upstream("new", versions_by_model={"m": 2}),
@@ -127,7 +133,7 @@
 
 
 def test_refusal_is_version_loading_when_all_engines_have_old_weights():
-    target = _model.TargetVersion("m", 2, NOW - 5.0)
+    target = make_target(NOW - 5.0)
     view = make_view(make_upstream("old"), targets_by_model={"m": target})
     assert ChooserHarness().choose(view).kind is domain.ErrorKind.VERSION_LOADING
 
--- a/tests/gateway/test_older_weights.py
+++ b/tests/gateway/test_older_weights.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from sycamorespoke import serving
-from sycamorespoke.gateway import _model
+from sycamorespoke import decisions, serving
+from sycamorespoke.gateway import _target_versions
 from tests.fakes import scripted_upstream
 
 MODEL = "m"
@@ -30,7 +30,9 @@
 
 
 def name_target(gateway, version, age_s):
-    target = _model.TargetVersion(MODEL, version, serving.read_clock() - age_s)
+    named_s = serving.read_clock() - age_s
+    named = decisions.NamingTime(named_s, named_s)
+    target = _target_versions.TargetVersion(MODEL, version, named_s, named)
     gateway.views.replace_fields(targets_by_model={MODEL: target})
 
 
--- a/tests/gateway/test_retirement.py
+++ b/tests/gateway/test_retirement.py
@@ -11,6 +11,7 @@
     _source,
     _statements,
     _store_index,
+    _target_versions,
     _task_lease,
     _views as views_module,
 )
@@ -49,7 +50,7 @@
         views = views_module.Views()
         seen_s = serving.read_clock() - target_age_s
         views.replace_fields(
-            targets_by_model={"m": _model.TargetVersion("m", 2, seen_s)}
+            targets_by_model={"m": _target_versions.TargetVersion("m", 2, seen_s)}
         )
         blocks = _blocks.BlockPlanner(client=None)
         blocks._indexes_by_address[STORE.address] = index
--- a/tests/gateway/test_rollout.py
+++ b/tests/gateway/test_rollout.py
@@ -13,6 +13,7 @@
     _source,
     _statements,
     _table,
+    _target_versions,
     _task_lease,
     _views as views_module,
 )
@@ -21,6 +22,10 @@
 MODEL = "m"
 
 
+def make_target(version, now):
+    return _target_versions.TargetVersion(MODEL, version, now)
+
+
 @attrs.define
 class FakeEngine:
     version: int = 1
@@ -88,7 +93,9 @@
         now = serving.read_clock()
         views.replace_fields(
             upstreams_by_id=upstreams,
-            targets_by_model={MODEL: _model.TargetVersion(MODEL, target_version, now)},
+            targets_by_model={
+                MODEL: _target_versions.TargetVersion(MODEL, target_version, now)
+            },
         )
         table = _table.UpstreamTable()
         task_lease = _task_lease.TaskLease(
--- a/tests/gateway/test_target_age.py
+++ b/tests/gateway/test_target_age.py
@@ -15,6 +15,7 @@
     _software_versions,
     _source,
     _table,
+    _target_versions,
     _view_updater,
     _views,
 )
@@ -126,7 +127,7 @@
 
 
 def parse_target(value, now):
-    return _model.TargetVersion(MODEL, value["Spec"], now)
+    return _target_versions.TargetVersion(MODEL, value["Spec"], now)
 
 
 def make_target(version, revision):
