Gateway: hosts that did not see a target named ask others how old it is

A host that starts inside the grace, while no engine has the target yet, refuses every request of the model since it cannot know the age; others know. Cause: what hosts know of a naming time stays in their memories. Now a host asks the others, one after the other, while a target that some engine lacks was named at an uncertain time; replies carry ages, so clocks need not agree, and are taken at their earliest. An older build does not know the question and is passed over. tests/gateway/test_target_ages.py (real messages) passes; it fails without the module.

--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -155,6 +155,7 @@
     pick_weighted,
     place_by_key,
     place_by_load,
+    rank_by_key,
 )
 from sycamorespoke.decisions._pooled_failures import (
     Outcomes,
@@ -389,6 +390,7 @@
     "plan_preparations",
     "plan_readers",
     "pool_outcomes",
+    "rank_by_key",
     "rank_hosts",
     "record_failure",
     "record_link_failure",
--- a/sycamorespoke/gateway/_peering.py
+++ b/sycamorespoke/gateway/_peering.py
@@ -9,7 +9,7 @@
 import loguru
 
 from sycamorespoke import decisions, messages, serving
-from sycamorespoke.gateway import _model, _reader_exchange, _relay
+from sycamorespoke.gateway import _model, _reader_exchange, _relay, _target_ages
 
 KEY_BYTES = 32
 REPLY_THREADS = 2
@@ -63,11 +63,15 @@
     forwarded: object
     reachability: object
     _plan: decisions.ReaderPlan = attrs.field(init=False)
+    _target_ages: object = attrs.field(init=False)
     _planned_hosts_by_name: dict | None = attrs.field(init=False, default=None)
     _planned_configuration: object = attrs.field(init=False, default=None)
 
     def __attrs_post_init__(self):
         self._plan = decisions.ReaderPlan(is_reader=True)
+        self._target_ages = _target_ages.TargetAges(
+            self.host.name, self.views, self.table
+        )
 
     def join(self, stop_requested):
         """Register this host and serve the others, in a background thread.
@@ -170,6 +174,7 @@
         )
         self.directory.start(messages.Codec(key))
         self.forwarding.start(key)
+        self._target_ages.start(messages.Codec(key), stop_requested)
         _relay.UpdateRequester(
             self.host.name,
             self.blocks.list_indexes,
@@ -210,6 +215,10 @@
             self._has_lost_links(serving.read_clock()),
         )
 
+    @_handle_request.register
+    def _(self, message: messages.TargetAgesRequest):
+        return self._target_ages.make_reply(serving.read_clock())
+
     def _list_other_readers(self):
         """Return the other readers of a large deployment; empty if this is none."""
         is_large = len(self.views.get().hosts) > decisions.MAX_DIRECT_HOSTS
--- a/sycamorespoke/gateway/_views.py
+++ b/sycamorespoke/gateway/_views.py
@@ -136,6 +136,36 @@
             }
             self._view = attrs.evolve(self._view, targets_by_model=targets_by_model)
 
+    def refine_target(self, model, version, named):
+        """Add what another host knows of when a target version was named.
+
+        Parameters
+        ----------
+        model : str
+            Name of the model.
+        version : int
+            Target version that the other host means.
+        named : decisions.NamingTime
+            What it knows.
+
+        Returns
+        -------
+        bool
+            Whether this host knows more than before.
+        """
+        with self._lock:
+            targets_by_model = self._view.targets_by_model or {}
+            target = targets_by_model.get(model)
+            if target is None or target.version != version:
+                return False
+            combined = decisions.combine_naming_times(target.named, named)
+            if combined == target.named:
+                return False
+            refined = attrs.evolve(target, named=combined)
+            targets_by_model = {**targets_by_model, model: refined}
+            self._view = attrs.evolve(self._view, targets_by_model=targets_by_model)
+            return True
+
     def replace_fields(self, **fields):
         """Replace fields of the view by name, see `View`."""
         with self._lock:
--- a/sycamorespoke/messages/__init__.py
+++ b/sycamorespoke/messages/__init__.py
@@ -15,6 +15,11 @@
 from sycamorespoke.messages._peer import NoReply, Peer, send_request
 from sycamorespoke.messages._reach_messages import ReachReply, ReachRequest
 from sycamorespoke.messages._server import Server
+from sycamorespoke.messages._target_messages import (
+    TargetAge,
+    TargetAgesReply,
+    TargetAgesRequest,
+)
 from sycamorespoke.messages._types import (
     MESSAGE_TYPES,
     DocumentKind,
@@ -68,6 +73,9 @@
     "Server",
     "StorePage",
     "StreamOriginRecord",
+    "TargetAge",
+    "TargetAgesReply",
+    "TargetAgesRequest",
     "UpdatesReply",
     "UpdatesRequest",
     "send_request",
--- /dev/null
+++ b/sycamorespoke/messages/_target_messages.py
@@ -0,0 +1,40 @@
+"""Messages about when target weight versions were named."""
+
+from sycamorespoke.messages import _message
+
+
+class TargetAge(_message.Message, tag="ta"):
+    """What a host knows of when a target version was named.
+
+    Parameters
+    ----------
+    model : str
+        Name of the model.
+    version : int
+        Target version.
+    max_age_s : float
+        Seconds since the earliest time at which it may have been named.
+    seen_age_s : float
+        Seconds since a host first saw it.
+    """
+
+    model: str
+    version: int
+    max_age_s: float
+    seen_age_s: float
+
+
+class TargetAgesRequest(_message.Message, tag="tq"):
+    """Ask a host when the target versions were named."""
+
+
+class TargetAgesReply(_message.Message, tag="tr"):
+    """Reply to a `TargetAgesRequest`.
+
+    Parameters
+    ----------
+    targets : list of TargetAge
+        Target versions of which the host knows when they were named.
+    """
+
+    targets: list[TargetAge] = []
--- a/sycamorespoke/messages/_types.py
+++ b/sycamorespoke/messages/_types.py
@@ -12,6 +12,7 @@
     _message,
     _origin_messages,
     _reach_messages,
+    _target_messages,
     _update_messages,
 )
 
@@ -238,4 +239,6 @@
     _reach_messages.ReachRequest,
     _reach_messages.ReachReply,
     _forward_messages.ForwardedRequest,
+    _target_messages.TargetAgesRequest,
+    _target_messages.TargetAgesReply,
 )
