Gateway: the budget of one request's attempts in a module of its own

gateway/_attempts.py had grown to 375 lines and holds two jobs: going from upstream to upstream, and counting how many more may receive the request.

--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -2,6 +2,7 @@
 
 from sycamorespoke import decisions, domain
 from sycamorespoke.gateway import (
+    _attempt_budget,
     _attempt_log,
     _chooser,
     _crash_watch,
@@ -62,7 +63,7 @@
         self._work = _chooser.estimate_work(request.prompt) if request.prompt else 1.0
         self._active_upstream = None
         self._refusal = None
-        self._deposited_services = set()
+        self._budget = _attempt_budget.AttemptBudget(gateway, request, route)
         # Upstreams that received the request, whether or not they ran it.
         self._reached_boot_ids = set()
         self.gate = _upstream_gate.UpstreamGate(gateway.views, gateway.table)
@@ -227,8 +228,8 @@
         """
         mark = _requests.ForwardMark(
             self.gateway.forwarding.host,
-            self._count_attempts_left(),
-            is_counted=bool(self._deposited_services),
+            self._budget.count_left(len(self._reached_boot_ids)),
+            is_counted=self._budget.is_counted,
         )
         if self.timing.sent_s is None:
             self.timing.sent_s = self.gateway.read_clock()
@@ -255,7 +256,7 @@
 
     def _attempt(self, choice, last_event_id):
         upstream = choice.upstream
-        self._deposit_to_budget(upstream.service)
+        self._budget.deposit(upstream.service)
         dispatch = self._dispatcher.build(choice, last_event_id)
         exchange = _exchange.Exchange(
             self.gateway.protocol,
@@ -339,30 +340,9 @@
 
     def _may_send_again(self, service):
         """Decide whether the request is sent again; uses up one retry if so."""
-        if self.cancelled or self._count_attempts_left() <= 0:
+        if self.cancelled:
             return False
-        return self._withdraw_from_budget(service)
-
-    def _count_attempts_left(self):
-        """Return how many more upstreams may receive the request."""
-        attempts = self.route.attempts
-        if self.request.forward_mark is not None:
-            attempts = min(attempts, self.request.forward_mark.attempts)
-        return attempts - len(self._reached_boot_ids)
-
-    def _withdraw_from_budget(self, service):
-        view = self.gateway.views.get()
-        return self.gateway.budgets.withdraw(service, max(len(view.hosts), 1))
-
-    def _deposit_to_budget(self, service):
-        mark = self.request.forward_mark
-        if mark is not None and mark.is_counted:
-            return
-        if service in self._deposited_services:
-            return
-        self._deposited_services.add(service)
-        view = self.gateway.views.get()
-        self.gateway.budgets.deposit(service, max(len(view.hosts), 1))
+        return self._budget.withdraw(service, len(self._reached_boot_ids))
 
     def _add_refusal(self, refusal):
         self._refusal = decisions.combine_refusals(self._refusal, refusal)
