Gateway: requests that wait at engines with older weights are taken back before the grace ends

Cause: the margin was a fixed guess of the wait, and nobody looked at the request again. Now a stream that has not begun 0.75 s before the grace ends is taken back and may go to another engine; the engine is not blamed. A request that may not be sent again gets 502 withdrawn, since it may have run. Where the estimated wait is longer than the margin, the engine gets nothing any more.

--- a/scenarios/test_not_run.py
+++ b/scenarios/test_not_run.py
@@ -27,6 +27,7 @@
     "internal",
     "stream_unknown",
     "version_loading",
+    "withdrawn",
 }
 SHORT_WAIT_S = 0.3
 
--- a/sycamorespoke/domain/_errors.py
+++ b/sycamorespoke/domain/_errors.py
@@ -40,6 +40,7 @@
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
     UPSTREAM_LOST = "upstream_lost"
     ANSWER_MISMATCH = "answer_mismatch"
+    WITHDRAWN = "withdrawn"
     CANCELLED = "cancelled"
     INTERNAL = "internal"
 
@@ -89,6 +90,7 @@
     ErrorKind.UPSTREAM_UNREACHABLE: ErrorResponse(503, Execution.NOT_RUN, 2),
     ErrorKind.UPSTREAM_LOST: ErrorResponse(502, Execution.UNKNOWN),
     ErrorKind.ANSWER_MISMATCH: ErrorResponse(502, Execution.UNKNOWN),
+    ErrorKind.WITHDRAWN: ErrorResponse(502, Execution.UNKNOWN),
     ErrorKind.CANCELLED: ErrorResponse(499, Execution.UNKNOWN),
     ErrorKind.INTERNAL: ErrorResponse(500, Execution.UNKNOWN),
 }
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -62,6 +62,7 @@
         self._excluded_boot_ids = set()
         self._work = _chooser.estimate_work(request.prompt) if request.prompt else 1.0
         self._active_upstream = None
+        self._watched_exchange = None
         self._refusal = None
         self._budget = _attempt_budget.AttemptBudget(gateway, request, route)
         # Upstreams that received the request, whether or not they ran it.
@@ -184,6 +185,7 @@
 
     def finish(self):
         """Mark the current attempt, if any, as ended."""
+        self.record_begun()
         if self._active_upstream is not None:
             self.gateway.table.discard_expected_event(self._active_upstream, self)
             self.gateway.table.end_request(self._active_upstream, self._work)
@@ -273,6 +275,7 @@
         self.log.record_sent(dispatch)
         self.gateway.table.begin_request(upstream, self._work)
         self._active_upstream = upstream
+        self._watch_grace(exchange)
         if self._dispatcher.has_full_priority:
             expected_s = self._dispatcher.sent_s + self._dispatcher.prefill_s
             self.gateway.table.expect_first_event(upstream, self, expected_s)
@@ -281,6 +284,19 @@
         self._observer.record_opened(exchange, result)
         return result
 
+    def _watch_grace(self, exchange):
+        """Have the request taken back if it waits too long at older weights."""
+        # Whether a request without a stream has begun does not show.
+        if self.route.kind is _model.RouteKind.STREAM and self.request.prompt:
+            self._watched_exchange = exchange
+            self.gateway.version_grace.watch(exchange, self.request.prompt.model)
+
+    def record_begun(self):
+        """Record that the upstream has begun the request, or that it has ended."""
+        if self._watched_exchange is not None:
+            self.gateway.version_grace.unwatch(self._watched_exchange)
+            self._watched_exchange = None
+
     def record_first_event(self):
         """Record the time at which the first event of the stream arrived."""
         now = self.gateway.read_clock()
--- a/sycamorespoke/gateway/_chooser.py
+++ b/sycamorespoke/gateway/_chooser.py
@@ -17,7 +17,7 @@
 GLOBAL_AFFINITY_SLACK_REQUESTS = 8.0
 NEAR_UTILISATION_BONUS = 0.25
 # Requests stop going to engines with older weights this long before the grace period
-# ends, because a request may wait in the queue of the engine first.
+# ends, or earlier by as much as requests wait there.
 OLD_VERSION_MARGIN_S = 2.0
 DEFAULT_CONNECTION_LIMIT = 64
 # The rest of an upstream's connections is left for hosts that have not registered yet.
@@ -213,23 +213,27 @@
     def _filter_by_target_version(self, view, upstreams, states_by_boot, request, now):
         """Return upstreams whose weights may be used; ``None`` if all are too old."""
         target = self._get_target_version(view, request)
-        if target is None or not upstreams or not self._is_switch_due(target, now):
+        if target is None or not upstreams:
             return upstreams
-        current = [
+        usable = [
             upstream
             for upstream in upstreams
             if latest_weight_version(upstream, states_by_boot, target.model)
             >= target.version
+            or self._may_begin(target, states_by_boot[upstream.boot_id], now)
         ]
-        return current or None
+        return usable or None
 
     def _get_target_version(self, view, request):
         model = request.prompt.model if request.prompt else ""
         return (view.targets_by_model or {}).get(model)
 
-    def _is_switch_due(self, target, now):
-        return not decisions.may_begin_on_older_weights(
-            target.named, now + OLD_VERSION_MARGIN_S, self.limits.version_grace_s
+    def _may_begin(self, target, state, now):
+        """Decide whether a request that is sent now begins within the grace period."""
+        expected_s = state.expected_s_by_request.values()
+        wait_s = max(state.wait_estimate.read(now, expected_s), OLD_VERSION_MARGIN_S)
+        return decisions.may_begin_on_older_weights(
+            target.named, now + wait_s, self.limits.version_grace_s
         )
 
     def _place(self, view, upstreams, states_by_boot, request, now):
--- a/sycamorespoke/gateway/_exchange.py
+++ b/sycamorespoke/gateway/_exchange.py
@@ -66,6 +66,7 @@
         self._connection = None
         self._response = None
         self._cancelled = False
+        self._is_withdrawn = False
 
     @property
     def upstream(self):
@@ -82,6 +83,14 @@
         if connection is not None:
             connection.abort()
 
+    def withdraw(self):
+        """Take the request back from the upstream, so that it may go to another one.
+
+        Safe to call from any thread.
+        """
+        self._is_withdrawn = True
+        self.cancel()
+
     def open(self, limit, fresh):
         """Send the request and read the head of the response.
 
@@ -108,7 +117,7 @@
                 return failure
         if self._cancelled:
             self.close()
-            return _make_cancelled()
+            return self._make_cancelled()
         return self._send(connection)
 
     def read_whole(self):
@@ -178,7 +187,7 @@
         if self._cancelled:
             # Our own shutdown of the connection ends the read.
             self.close()
-            return _make_cancelled()
+            return self._make_cancelled()
         self._finish()
         return chunk
 
@@ -278,17 +287,20 @@
             "the upstream did not respond before the deadline",
         )
 
+    def _make_cancelled(self):
+        if self._is_withdrawn:
+            return _make_failure(
+                domain.ErrorKind.WITHDRAWN, "taken back from an upstream"
+            )
+        return _make_failure(domain.ErrorKind.CANCELLED, "the caller disconnected")
+
     def _fail_connection(self, error):
         self.close()
         if self._cancelled:
-            return _make_cancelled()
+            return self._make_cancelled()
         reason = f"the connection to the upstream broke: {type(error).__name__}"
         return _make_failure(domain.ErrorKind.UPSTREAM_LOST, reason)
 
 
-def _make_cancelled():
-    return _make_failure(domain.ErrorKind.CANCELLED, "the caller disconnected")
-
-
 def _make_failure(kind, reason):
     return _requests.Failure(domain.Refusal(kind, reason))
--- a/sycamorespoke/gateway/_gateway.py
+++ b/sycamorespoke/gateway/_gateway.py
@@ -47,6 +47,8 @@
         Which services this host reaches.
     forwarding : Forwarding
         Forwards requests to other hosts.
+    version_grace : VersionGrace
+        Takes back requests that wait too long at older weights.
     budgets : RetryBudgets
         Limits the retries of each service.
     request_metrics : RequestMetrics
@@ -65,6 +67,7 @@
     stream_versions: object
     reachability: object
     forwarding: object
+    version_grace: object
     budgets: object
     request_metrics: object
     read_clock: object
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -32,6 +32,7 @@
     _stream_versions,
     _table,
     _task_lease,
+    _version_grace,
     _view_updater,
     _views,
 )
@@ -200,6 +201,7 @@
         view = self.views.get()
         self.rollout.tell(_rollout.Tick(now))
         self.retirement.tell(_rollout.Tick(now))
+        self.gateway.version_grace.withdraw_late(now)
         boot_ids = view.list_boot_ids()
         self.pool.retain(boot_ids, now)
         self.forwarding.pool.retain(self.forwarding.peers.list_addresses(), now)
@@ -279,6 +281,9 @@
             ),
             reachability=self.reachability,
             forwarding=self.forwarding,
+            version_grace=_version_grace.VersionGrace(
+                self.views, self.table, settings.version_ms / MS_PER_S
+            ),
             budgets=_retry_budgets.RetryBudgets(
                 settings.retry_ratio, settings.retry_slack
             ),
--- a/sycamorespoke/gateway/_stream_body.py
+++ b/sycamorespoke/gateway/_stream_body.py
@@ -90,6 +90,7 @@
                 return self._splitter.flush()
             events = self._splitter.split_chunk(chunk)
             if events:
+                self.attempts.record_begun()
                 return events
             if self._splitter.is_event_too_long:
                 return self.attempts.exchange.fail_too_long()
--- /dev/null
+++ b/sycamorespoke/gateway/_version_grace.py
@@ -0,0 +1,81 @@
+"""Until when requests may begin on weights older than the target version."""
+
+import threading
+
+from sycamorespoke import decisions
+from sycamorespoke.gateway import _chooser
+
+# A request that still waits is taken back this long before the grace period ends, so
+# that its connection is closed in time.
+WITHDRAWAL_MARGIN_S = 0.75
+
+
+class VersionGrace:
+    """Takes requests back that wait at engines with older weights; thread-safe.
+
+    Parameters
+    ----------
+    views : Views
+        Current view, which has the target versions.
+    table : UpstreamTable
+        States of the engines, among them their weight versions.
+    grace_s : float
+        Time after a target was named for which older weights may be used, seconds.
+    """
+
+    def __init__(self, views, table, grace_s):
+        self.views = views
+        self.table = table
+        self.grace_s = grace_s
+        self._lock = threading.Lock()
+        self._models_by_exchange = {}
+
+    def watch(self, exchange, model):
+        """Watch a request that waits for its first event.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            Has the ``upstream`` of the request, and ``withdraw()``.
+        model : str
+            Model that the request needs.
+        """
+        with self._lock:
+            self._models_by_exchange[exchange] = model
+
+    def unwatch(self, exchange):
+        """Stop watching a request, which has begun or ended."""
+        with self._lock:
+            self._models_by_exchange.pop(exchange, None)
+
+    def withdraw_late(self, now):
+        """Take back the requests that would begin too late.
+
+        Parameters
+        ----------
+        now : float
+            Current time, seconds of the boot clock.
+        """
+        late_models = self._list_late_models(now)
+        if not late_models:
+            return
+        with self._lock:
+            for exchange, model in self._models_by_exchange.items():
+                if model in late_models and self._is_behind(exchange.upstream, model):
+                    exchange.withdraw()
+
+    def _list_late_models(self, now):
+        targets_by_model = self.views.get().targets_by_model or {}
+        return {
+            model
+            for model, target in targets_by_model.items()
+            if not decisions.may_begin_on_older_weights(
+                target.named, now + WITHDRAWAL_MARGIN_S, self.grace_s
+            )
+        }
+
+    def _is_behind(self, upstream, model):
+        target = (self.views.get().targets_by_model or {}).get(model)
+        states_by_boot = self.table.read([upstream])
+        version = _chooser.latest_weight_version(upstream, states_by_boot, model)
+        return target is not None and version < target.version
--- a/tests/fakes/in_process_gateway.py
+++ b/tests/fakes/in_process_gateway.py
@@ -22,6 +22,7 @@
     _source,
     _stream_versions,
     _table,
+    _version_grace,
     _views,
 )
 from sycamorespoke.platform import _protocol
@@ -127,6 +128,7 @@
             ),
             reachability=self.reachability,
             forwarding=self.forwarding,
+            version_grace=_version_grace.VersionGrace(self.views, self.table, 6.0),
             budgets=_retry_budgets.RetryBudgets(0.2, 100.0),
             request_metrics=_request_metrics.RequestMetrics(self.metrics),
             read_clock=serving.read_clock,
