Gateway: what a host receives after it was suspended does not confirm the state of now

A host that was suspended reads on waking the responses that have lain in its sockets, and took each as a confirmation of that moment that nothing else had changed; so a target named meanwhile seemed to have been named on waking (up to the length of the suspension too late), and blocks could count as confirmed. Now a monitor notices the suspension, and such responses confirm only the time before it. Red before (1 test: test_response_read_after_a_suspension_does_not_confirm_what_is_listed_now), green after.

--- a/sycamorespoke/gateway/_direct_reads.py
+++ b/sycamorespoke/gateway/_direct_reads.py
@@ -41,11 +41,15 @@
         Has ``list(kind)`` and ``watch(kind, revision, wait_s)``.
     read_clock : callable
         Returns seconds of the boot clock.
+    find_arrival_s : callable or None, default=None
+        Takes the time and returns the earliest time at which what is received then
+        may have arrived, see `SuspensionMonitor`.
     """
 
-    def __init__(self, source, read_clock):
+    def __init__(self, source, read_clock, find_arrival_s=None):
         self.source = source
         self.read_clock = read_clock
+        self.find_arrival_s = find_arrival_s or _find_no_delay
         self._log = _revision_log.RevisionLog()
         self._pending_by_kind = {}
         self._is_asking = False
@@ -123,9 +127,10 @@
     def _run_watch(self, kind, pending):
         response = self.source.watch(kind, pending.revision, WATCH_S)
         now = self.read_clock()
+        arrived_s = self.find_arrival_s(now)
         with self._changed:
             pending.response = response
-            self._log.record(kind, response, now, now)
+            self._log.record(kind, response, arrived_s, now)
             self._changed.notify_all()
 
     def _wait(self, pending, kind, revision, deadline_s, wanted_s):
@@ -148,3 +153,8 @@
         with self._changed:
             self._log.record(kind, response, requested_s, now)
             self._changed.notify_all()
+
+
+def _find_no_delay(now):
+    """Return ``now``, for processes that are never suspended."""
+    return now
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -30,6 +30,7 @@
     _software_versions,
     _stored_origins,
     _stream_versions,
+    _suspension,
     _table,
     _task_lease,
     _version_grace,
@@ -79,8 +80,11 @@
         self.loads = _peer_loads.PeerLoads()
         self.pool = _connections.ConnectionPool()
         self.block_planner = _blocks.BlockPlanner(deployment.block_stores)
+        self.suspension = _suspension.SuspensionMonitor(serving.read_clock)
         self.source = _shared_source.SharedSource(
-            _direct_reads.DirectReads(deployment.source, serving.read_clock),
+            _direct_reads.DirectReads(
+                deployment.source, serving.read_clock, self.suspension.find_arrival_s
+            ),
             frozenset({deployment.kinds.configuration.name}),
             serving.read_clock,
         )
@@ -159,6 +163,7 @@
             self.deployment.ready_path, self.is_ready
         )
         telemetry.OperatorsServer(self.settings.ready_listen, readiness_app).start()
+        self.suspension.start()
         self.view_updater.start(self.peering.wait_for_hosts)
         self.server.start()
         self.forwarded_server.start()
--- a/tests/gateway/test_direct_reads.py
+++ b/tests/gateway/test_direct_reads.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from sycamorespoke.gateway import _direct_reads, _source
+from sycamorespoke.gateway import _direct_reads, _source, _suspension
 
 KINDS = ("config", "servers", "evacuations", "versions", "hosts", "leases", "crashes")
 WAIT_S = 0.3
@@ -190,3 +190,34 @@
         lambda: all(each.revision == 11 for each in watchers.by_kind.values())
     )
     assert watchers.source.calls["ask"] >= asked + len(KINDS) - 1
+
+
+class SuspendedSource:
+    """A source whose response to a watch lies unread while the host is suspended."""
+
+    def __init__(self):
+        self.now = 100.0
+        self.asked_kinds = []
+
+    def read_clock(self):
+        return self.now
+
+    def watch(self, kind, revision, wait_s):
+        if wait_s:
+            self.now += 5.0
+            change = _source.Change(make_value("a", 11), False)
+            return _source.Changes((change,), 11)
+        self.asked_kinds.append(kind)
+        return _source.Changes((), 12)
+
+
+def test_response_read_after_a_suspension_does_not_confirm_what_is_listed_now():
+    source = SuspendedSource()
+    monitor = _suspension.SuspensionMonitor(source.read_clock)
+    reads = _direct_reads.DirectReads(source, source.read_clock, monitor.find_arrival_s)
+    reads._log.record("versions", _source.Listing((), 10), 99.9, 100.0)
+    reads._run_watch("servers", _direct_reads._PendingWatch(10))
+    reads._pending_by_kind["versions"] = _direct_reads._PendingWatch(10)
+    response = reads.watch("versions", 10, 0.0)
+    assert source.asked_kinds == ["versions"]
+    assert response.age_s == 0.0
