Gateway: each target version is judged from its own naming

A version may be named before the one before it is in place. Callers' requests could then begin on weights that had been replaced twice for as long as the grace of the newest target ran, since a host remembered the naming of the newest one only; each naming began the grace anew for all older weights. Now a target remembers those before it that engines may lack, and an engine is judged from the first naming after its version; hosts tell each other all that they remember, also a target of unknown age, so that it counts as due.

--- a/sycamorespoke/gateway/_attempt_log.py
+++ b/sycamorespoke/gateway/_attempt_log.py
@@ -2,6 +2,8 @@
 
 import loguru
 
+from sycamorespoke.gateway import _target_versions
+
 MAX_LOGGED_BLOCKS = 8
 MS_PER_S = 1000
 
@@ -117,7 +119,8 @@
             return
         targets_by_model = self.gateway.views.get().targets_by_model or {}
         target = targets_by_model.get(self.request.prompt.model)
-        if target is None or dispatch.weight_version >= target.version:
+        replacement = target and target.find_replacement(dispatch.weight_version)
+        if replacement is None:
             return
         now = self.gateway.read_clock()
         self._log(
@@ -126,8 +129,9 @@
             model=target.model,
             weight_version=dispatch.weight_version,
             target_version=target.version,
-            target_age_ms=target.compute_max_age_ms(now),
-            seen_here_ms=int((now - target.seen_s) * MS_PER_S),
+            replaced_by=replacement.version,
+            target_age_ms=_target_versions.compute_max_age_ms(replacement.named, now),
+            seen_ms=int((now - replacement.named.seen_s) * MS_PER_S),
             **fields,
         )
 
--- a/sycamorespoke/gateway/_chooser.py
+++ b/sycamorespoke/gateway/_chooser.py
@@ -218,9 +218,7 @@
         usable = [
             upstream
             for upstream in upstreams
-            if latest_weight_version(upstream, states_by_boot, target.model)
-            >= target.version
-            or self._may_begin(target, states_by_boot[upstream.boot_id], now)
+            if self._may_begin(target, upstream, states_by_boot, now)
         ]
         return usable or None
 
@@ -228,12 +226,17 @@
         model = request.prompt.model if request.prompt else ""
         return (view.targets_by_model or {}).get(model)
 
-    def _may_begin(self, target, state, now):
-        """Decide whether a request that is sent now begins within the grace period."""
+    def _may_begin(self, target, upstream, states_by_boot, now):
+        """Decide whether a request that is sent now may begin on the weights there."""
+        version = latest_weight_version(upstream, states_by_boot, target.model)
+        replacement = target.find_replacement(version)
+        if replacement is None:
+            return True
+        state = states_by_boot[upstream.boot_id]
         expected_s = state.expected_s_by_request.values()
         wait_s = max(state.wait_estimate.read(now, expected_s), OLD_VERSION_MARGIN_S)
         return decisions.may_begin_on_older_weights(
-            target.named, now + wait_s, self.limits.version_grace_s
+            replacement.named, now + wait_s, self.limits.version_grace_s
         )
 
     def _place(self, view, upstreams, states_by_boot, request, now):
--- a/sycamorespoke/gateway/_target_ages.py
+++ b/sycamorespoke/gateway/_target_ages.py
@@ -1,18 +1,18 @@
 """Asks other hosts how old target versions are that this host did not see named."""
 
+import collections
 import math
 import threading
 
 import loguru
 
 from sycamorespoke import decisions, messages, serving
-from sycamorespoke.gateway import _chooser
+from sycamorespoke.gateway import _chooser, _target_versions
 
 ASK_INTERVAL_S = 0.1
 # Pause after all other hosts have been asked in vain.
 ROUND_PAUSE_S = 1.0
 REPLY_TIMEOUT_S = 0.25
-MS_PER_S = 1000
 
 
 class TargetAges:
@@ -60,14 +60,9 @@
         targets = (self.views.get().targets_by_model or {}).values()
         return messages.TargetAgesReply(
             [
-                messages.TargetAge(
-                    target.model,
-                    target.version,
-                    target.named.compute_max_age_s(now),
-                    now - target.named.seen_s,
-                )
+                _make_message(target.model, each, now)
                 for target in targets
-                if math.isfinite(target.named.after_s)
+                for each in target.named_versions
             ]
         )
 
@@ -97,23 +92,19 @@
         self._close_peers()
 
     def _has_uncertain_target(self, view):
-        targets_by_model = {
-            model: target
-            for model, target in (view.targets_by_model or {}).items()
-            if target.named.is_uncertain
-        }
-        if not targets_by_model:
-            return False
-        upstreams = list((view.upstreams_by_id or {}).values())
-        states_by_boot = self.table.read(upstreams)
         return any(
-            _chooser.latest_weight_version(upstream, states_by_boot, model)
-            < targets_by_model[model].version
-            for upstream in upstreams
-            for model in upstream.versions_by_model
-            if model in targets_by_model
+            self._is_uncertain(target, upstream)
+            for model, target in (view.targets_by_model or {}).items()
+            for upstream in (view.upstreams_by_id or {}).values()
+            if upstream.versions_by_model.get(model, target.version) < target.version
         )
 
+    def _is_uncertain(self, target, upstream):
+        states_by_boot = self.table.read([upstream])
+        version = _chooser.latest_weight_version(upstream, states_by_boot, target.model)
+        replacement = target.find_replacement(version)
+        return replacement is not None and replacement.named.is_uncertain
+
     def _choose_host(self, view):
         others = view.hosts - {self.host} - self._asked_hosts
         if not others:
@@ -135,21 +126,42 @@
         self._apply(reply, requested_s, serving.read_clock(), address)
 
     def _apply(self, reply, requested_s, now, address):
+        named_versions_by_model = collections.defaultdict(list)
         for age in reply.targets:
-            # The reply was made at some time since the request.
-            named = decisions.NamingTime(
-                requested_s - age.max_age_s, now - age.seen_age_s
+            named_versions_by_model[age.model].append(
+                _read_message(age, requested_s, now)
             )
-            if self.views.refine_target(age.model, age.version, named):
-                max_age_ms = int(named.compute_max_age_s(now) * MS_PER_S)
+        for model, named_versions in named_versions_by_model.items():
+            if self.views.refine_target(model, named_versions):
+                max_age_ms_by_version = {
+                    each.version: _target_versions.compute_max_age_ms(each.named, now)
+                    for each in named_versions
+                }
                 loguru.logger.bind(
-                    peer=address,
-                    model=age.model,
-                    version=age.version,
-                    max_age_ms=max_age_ms,
-                ).info("age of target learnt")
+                    peer=address, model=model, max_age_ms=max_age_ms_by_version
+                ).info("ages of targets learnt")
 
     def _close_peers(self):
         while self._peers_by_address:
             _, peer = self._peers_by_address.popitem()
             peer.close()
+
+
+def _make_message(model, named_version, now):
+    named = named_version.named
+    max_age_s = named.compute_max_age_s(now)
+    return messages.TargetAge(
+        model,
+        named_version.version,
+        max_age_s if math.isfinite(max_age_s) else None,
+        now - named.seen_s,
+    )
+
+
+def _read_message(age, requested_s, now):
+    """Return the `NamedVersion` of a reply, which was made after the request."""
+    after_s = float("-inf")
+    if age.max_age_s is not None:
+        after_s = requested_s - age.max_age_s
+    named = decisions.NamingTime(after_s, now - age.seen_age_s)
+    return _target_versions.NamedVersion(age.version, named)
--- a/sycamorespoke/gateway/_version_grace.py
+++ b/sycamorespoke/gateway/_version_grace.py
@@ -56,26 +56,18 @@
         now : float
             Current time, seconds of the boot clock.
         """
-        late_models = self._list_late_models(now)
-        if not late_models:
-            return
         with self._lock:
             for exchange, model in self._models_by_exchange.items():
-                if model in late_models and self._is_behind(exchange.upstream, model):
+                if self._is_late(exchange.upstream, model, now):
                     exchange.withdraw()
 
-    def _list_late_models(self, now):
-        targets_by_model = self.views.get().targets_by_model or {}
-        return {
-            model
-            for model, target in targets_by_model.items()
-            if not decisions.may_begin_on_older_weights(
-                target.named, now + WITHDRAWAL_MARGIN_S, self.grace_s
-            )
-        }
-
-    def _is_behind(self, upstream, model):
+    def _is_late(self, upstream, model, now):
         target = (self.views.get().targets_by_model or {}).get(model)
+        if target is None:
+            return False
         states_by_boot = self.table.read([upstream])
         version = _chooser.latest_weight_version(upstream, states_by_boot, model)
-        return target is not None and version < target.version
+        replacement = target.find_replacement(version)
+        return replacement is not None and not decisions.may_begin_on_older_weights(
+            replacement.named, now + WITHDRAWAL_MARGIN_S, self.grace_s
+        )
--- a/sycamorespoke/gateway/_view_updater.py
+++ b/sycamorespoke/gateway/_view_updater.py
@@ -10,6 +10,7 @@
     _follower,
     _orders,
     _rollout,
+    _target_versions,
     _views,
 )
 
@@ -170,7 +171,7 @@
                 model: target.version for model, target in targets_by_model.items()
             },
             max_age_ms={
-                model: target.compute_max_age_ms(now)
+                model: _target_versions.compute_max_age_ms(target.named, now)
                 for model, target in targets_by_model.items()
             },
         ).info("weights named")
--- a/sycamorespoke/gateway/_views.py
+++ b/sycamorespoke/gateway/_views.py
@@ -130,22 +130,20 @@
             named = decisions.NamingTime(self._view.versions_confirmed_s, now)
             targets_by_model = {
                 target.model: _choose_newer(
-                    current_by_model.get(target.model), target, named
+                    current_by_model.get(target.model), target, named, now
                 )
                 for target in targets
             }
             self._view = attrs.evolve(self._view, targets_by_model=targets_by_model)
 
-    def refine_target(self, model, version, named):
-        """Add what another host knows of when a target version was named.
+    def refine_target(self, model, named_versions):
+        """Add what another host knows of when the targets of a model were named.
 
         Parameters
         ----------
         model : str
             Name of the model.
-        version : int
-            Target version that the other host means.
-        named : decisions.NamingTime
+        named_versions : iterable of NamedVersion
             What it knows.
 
         Returns
@@ -156,12 +154,9 @@
         with self._lock:
             targets_by_model = self._view.targets_by_model or {}
             target = targets_by_model.get(model)
-            if target is None or target.version != version:
+            refined = target and target.refine(named_versions)
+            if refined == target:
                 return False
-            combined = decisions.combine_naming_times(target.named, named)
-            if combined == target.named:
-                return False
-            refined = attrs.evolve(target, named=combined)
             targets_by_model = {**targets_by_model, model: refined}
             self._view = attrs.evolve(self._view, targets_by_model=targets_by_model)
             return True
@@ -178,8 +173,10 @@
             self._view = attrs.evolve(self._view, confirmed_s_by_section=confirmed)
 
 
-def _choose_newer(current, target, named):
+def _choose_newer(current, target, named, now):
     """Return the newer of two targets; ``named`` says when a new one was named."""
-    if current is not None and target.version <= current.version:
+    if current is None:
+        return attrs.evolve(target, named=named)
+    if target.version <= current.version:
         return current
-    return attrs.evolve(target, named=named)
+    return current.replace_by(target, named, now)
--- a/sycamorespoke/messages/_target_messages.py
+++ b/sycamorespoke/messages/_target_messages.py
@@ -12,15 +12,16 @@
         Name of the model.
     version : int
         Target version.
-    max_age_s : float
-        Seconds since the earliest time at which it may have been named.
+    max_age_s : float or None
+        Seconds since the earliest time at which it may have been named; ``None`` if
+        that is unknown.
     seen_age_s : float
         Seconds since a host first saw it.
     """
 
     model: str
     version: int
-    max_age_s: float
+    max_age_s: float | None
     seen_age_s: float
 
 
@@ -34,7 +35,7 @@
     Parameters
     ----------
     targets : list of TargetAge
-        Target versions of which the host knows when they were named.
+        All target versions that the host remembers.
     """
 
     targets: list[TargetAge] = []
--- a/tests/gateway/test_target_age.py
+++ b/tests/gateway/test_target_age.py
@@ -207,3 +207,23 @@
     host.step(list_target(2, 8))
     clock.now += 1.0
     assert host.choose_versions() == {1}
+
+
+def test_grace_of_a_version_does_not_begin_anew_when_the_next_one_is_named(clock):
+    host = FollowingHost(clock, {"i1": 1, "i2": 2})
+    host.step(list_target(1, 7))
+    clock.now += 0.3
+    host.step(change_target(2, 8))
+    clock.now += 3.0
+    host.step(_source.Changes((), 8))
+    host.step(change_target(3, 9))
+    clock.now += 1.2
+    assert host.choose_versions() == {2}
+
+
+def test_grace_of_a_version_that_a_host_found_does_not_begin_anew_with_the_next(clock):
+    host = FollowingHost(clock, {"i1": 1, "i2": 2})
+    host.step(list_target(2, 7))
+    clock.now += 0.3
+    host.step(change_target(3, 8))
+    assert host.choose_versions() == {2}
