Gateway: responses carry the time for which they show the state of the source

The response of a kind's own watch, of a list and of a question without waiting were still confirmed at the moment in which the follower handled them, so a host that had been suspended, or whose response was held up on the way, confirmed a state that was up to the length of the suspension old; the grace of a target began on waking, and blocks could count as confirmed. Same class: a time taken on receipt. Now each response has confirmed_s (the time of the request; of a watch, its arrival as the suspension monitor knows it, and without changes at most its timeout after its request), used as it is by everyone; a confirmation never moves back. Two places in tests name confirmed_s where they named age_s, with the same bounds. Open: a watch with changes whose response is held up on the way counts from its arrival.

--- a/sycamorespoke/gateway/_direct_reads.py
+++ b/sycamorespoke/gateway/_direct_reads.py
@@ -2,6 +2,8 @@
 
 import threading
 
+import attrs
+
 from sycamorespoke.gateway import _revision_log, _source
 
 # A watch without changes lasts so long, since other reads confirm meanwhile that
@@ -60,7 +62,7 @@
         with self._changed:
             self._pending_by_kind.pop(kind, None)
         requested_s = self.read_clock()
-        response = self.source.list(kind)
+        response = _confirm(self.source.list(kind), requested_s)
         self._record(kind, response, requested_s)
         return response
 
@@ -85,8 +87,9 @@
                 self._pending_by_kind.pop(kind, None)
                 return pending.response
             if self._is_confirmed(kind, revision, wanted_s):
-                age_s = self.read_clock() - self._log.confirmed_s
-                return _source.Changes((), max(self._log.revision, revision), age_s)
+                confirmed_s = self._log.confirmed_s
+                revision = max(self._log.revision, revision)
+                return _source.Changes((), revision, confirmed_s)
             self._is_asking = True
         try:
             return self._ask(kind, revision)
@@ -98,7 +101,7 @@
     def _ask(self, kind, revision):
         """Ask the source for changes without waiting for any."""
         requested_s = self.read_clock()
-        response = self.source.watch(kind, revision, 0.0)
+        response = _confirm(self.source.watch(kind, revision, 0.0), requested_s)
         self._record(kind, response, requested_s)
         is_empty = isinstance(response, _source.Changes) and not response.changes
         if not is_empty:
@@ -125,12 +128,16 @@
         return pending
 
     def _run_watch(self, kind, pending):
+        requested_s = self.read_clock()
         response = self.source.watch(kind, pending.revision, WATCH_S)
         now = self.read_clock()
-        arrived_s = self.find_arrival_s(now)
+        confirmed_s = self.find_arrival_s(now)
+        if isinstance(response, _source.Changes) and not response.changes:
+            # It may have been held up on the way.
+            confirmed_s = min(confirmed_s, requested_s + WATCH_S)
         with self._changed:
-            pending.response = response
-            self._log.record(kind, response, arrived_s, now)
+            pending.response = _confirm(response, confirmed_s)
+            self._log.record(kind, response, confirmed_s, now)
             self._changed.notify_all()
 
     def _wait(self, pending, kind, revision, deadline_s, wanted_s):
@@ -155,6 +162,13 @@
             self._changed.notify_all()
 
 
+def _confirm(response, confirmed_s):
+    """Return a response with the time for which it shows the state of the source."""
+    if isinstance(response, _source.Listing | _source.Changes):
+        return attrs.evolve(response, confirmed_s=confirmed_s)
+    return response
+
+
 def _find_no_delay(now):
     """Return ``now``, for processes that are never suspended."""
     return now
--- a/sycamorespoke/gateway/_follower.py
+++ b/sycamorespoke/gateway/_follower.py
@@ -118,7 +118,8 @@
         if changed or not self._published:
             self._published = True
             self.subscription.publish(dict(self.items_by_name), now)
-        self.confirm(self.subscription.section, now - response.age_s)
+        confirmed_s = _source.get_confirmed_s(response, now)
+        self.confirm(self.subscription.section, confirmed_s)
         return self.choose_timing().pause_s if changed else 0.0
 
     def _run(self):
--- a/sycamorespoke/gateway/_object_history.py
+++ b/sycamorespoke/gateway/_object_history.py
@@ -109,4 +109,4 @@
 
     def _confirm(self, response, now):
         self.revision = response.revision
-        self._confirmed_s = now - response.age_s
+        self._confirmed_s = _source.get_confirmed_s(response, now)
--- a/sycamorespoke/gateway/_shared_source.py
+++ b/sycamorespoke/gateway/_shared_source.py
@@ -216,12 +216,11 @@
     def _read_relayed(self, kind, relayed):
         page = relayed.page
         self._known_revisions_by_kind[kind] = page.revision
-        age_s = max(self.read_clock() - relayed.confirmed_s, 0.0)
         if page.is_whole:
             values = tuple(value for value, _ in page.changes)
-            return _source.Listing(values, page.revision, age_s)
+            return _source.Listing(values, page.revision, relayed.confirmed_s)
         changes = tuple(_source.Change(*change) for change in page.changes)
-        return _source.Changes(changes, page.revision, age_s)
+        return _source.Changes(changes, page.revision, relayed.confirmed_s)
 
     def _record(self, kind, response):
         history = self._histories_by_kind.get(kind)
--- a/sycamorespoke/gateway/_source.py
+++ b/sycamorespoke/gateway/_source.py
@@ -15,13 +15,14 @@
         JSON values of the objects.
     revision : int
         Revision of the source from which to watch for later changes.
-    age_s : float, default=0.0
-        Seconds since the source confirmed the response, if another host relayed it.
+    confirmed_s : float or None, default=None
+        Latest time for which the response is known to show the state of the source,
+        seconds of the boot clock; ``None`` for the time at which it is handled.
     """
 
     values: tuple
     revision: int
-    age_s: float = 0.0
+    confirmed_s: float | None = None
 
 
 @attrs.frozen
@@ -50,13 +51,14 @@
         Changes in order; may be empty.
     revision : int
         Revision from which to watch for later changes.
-    age_s : float, default=0.0
-        Seconds since the source confirmed the response, if another host relayed it.
+    confirmed_s : float or None, default=None
+        Latest time for which the response is known to show the state of the source,
+        seconds of the boot clock; ``None`` for the time at which it is handled.
     """
 
     changes: tuple[Change, ...]
     revision: int
-    age_s: float = 0.0
+    confirmed_s: float | None = None
 
 
 @attrs.frozen
@@ -86,6 +88,24 @@
     statements: _statements.Statements | None = None
 
 
+def get_confirmed_s(response, now):
+    """Return for which time a `Listing` or `Changes` shows the state of the source.
+
+    Parameters
+    ----------
+    response : Listing or Changes
+        The response.
+    now : float
+        Current time, seconds of the boot clock.
+
+    Returns
+    -------
+    float
+        Seconds of the boot clock, not after ``now``.
+    """
+    return now if response.confirmed_s is None else min(response.confirmed_s, now)
+
+
 def get_name(value):
     """Return the name of an object from its JSON value, ``""`` if it has none."""
     name = get_metadata(value, "Name")
--- a/sycamorespoke/gateway/_views.py
+++ b/sycamorespoke/gateway/_views.py
@@ -169,7 +169,8 @@
     def confirm(self, section, now):
         """Record that the source confirmed a section at ``now``."""
         with self._lock:
-            confirmed = {**self._view.confirmed_s_by_section, section: now}
+            confirmed = dict(self._view.confirmed_s_by_section)
+            confirmed[section] = max(confirmed.get(section, now), now)
             self._view = attrs.evolve(self._view, confirmed_s_by_section=confirmed)
 
 
--- a/tests/gateway/test_direct_reads.py
+++ b/tests/gateway/test_direct_reads.py
@@ -81,7 +81,8 @@
                 assert response.revision >= self.revision
                 self.revision = response.revision
                 self.changes += response.changes
-                self.confirmed_s.append(time.monotonic() - response.age_s)
+                now = time.monotonic()
+                self.confirmed_s.append(_source.get_confirmed_s(response, now))
 
 
 class Watchers:
@@ -220,4 +221,54 @@
     reads._pending_by_kind["versions"] = _direct_reads._PendingWatch(10)
     response = reads.watch("versions", 10, 0.0)
     assert source.asked_kinds == ["versions"]
-    assert response.age_s == 0.0
+    assert response.confirmed_s == source.now
+
+
+class SlowResponses(SuspendedSource):
+    """A source that responds at once; the host reads the response 5 s later."""
+
+    def list(self, kind):
+        self.now += 5.0
+        return _source.Listing((), 10)
+
+    def watch(self, kind, revision, wait_s):
+        self.now += 5.0
+        return _source.Changes((), 10)
+
+
+def make_suspended_reads(source):
+    monitor = _suspension.SuspensionMonitor(source.read_clock)
+    return _direct_reads.DirectReads(source, source.read_clock, monitor.find_arrival_s)
+
+
+def test_own_watch_that_is_read_after_a_suspension_confirms_the_time_before_it():
+    source = SlowResponses()
+    reads = make_suspended_reads(source)
+    pending = reads._pending_by_kind["versions"] = _direct_reads._PendingWatch(10)
+    reads._run_watch("versions", pending)
+    response = reads.watch("versions", 10, 1.0)
+    assert response.confirmed_s <= source.now - 5.0
+
+
+@pytest.mark.parametrize("read", ["list", "ask"])
+def test_slow_response_confirms_the_time_of_its_request(read):
+    source = SlowResponses()
+    reads = make_suspended_reads(source)
+    if read == "list":
+        response = reads.list("versions")
+    else:
+        response = reads._ask("versions", 10)
+    assert response.confirmed_s <= source.now - 5.0
+
+
+def test_watch_whose_response_is_held_up_confirms_no_more_than_it_lasted():
+    source = SlowResponses()
+    reads = _direct_reads.DirectReads(source, source.read_clock)
+
+    def watch(kind, revision, wait_s):
+        source.now += wait_s + 4.0
+        return _source.Changes((), 10)
+
+    source.watch = watch
+    reads._run_watch("servers", _direct_reads._PendingWatch(10))
+    assert reads._log.confirmed_s <= 100.0 + _direct_reads.WATCH_S
--- a/tests/gateway/test_shared_source.py
+++ b/tests/gateway/test_shared_source.py
@@ -107,7 +107,7 @@
     pair.relay(delay_s=0.25)
     response = pair.receiver.watch(KIND, 5, 0.0)
     assert response.changes == ()
-    assert 0.75 <= response.age_s < 100.0
+    assert 0.75 <= pair.clock.now - response.confirmed_s < 100.0
 
 
 def test_host_reads_the_source_once_relayed_pages_are_too_old(pair):
