Gateway: a target version that is missing from the list for a moment keeps its age

A target that was deleted, or unreadable for one change, dropped out of the view with its naming time; meanwhile no weights counted as old, and when it was back its grace began anew, which this host then told others too. Now a target that is not listed stays in force, with its age, until a newer one is named.

--- a/sycamorespoke/gateway/_views.py
+++ b/sycamorespoke/gateway/_views.py
@@ -118,6 +118,8 @@
     def set_targets(self, targets, now):
         """Adopt target versions, but none that is older than the one in force.
 
+        A target that is no longer listed stays in force.
+
         Parameters
         ----------
         targets : iterable of TargetVersion
@@ -128,12 +130,14 @@
         with self._lock:
             current_by_model = self._view.targets_by_model or {}
             named = decisions.NamingTime(self._view.versions_confirmed_s, now)
-            targets_by_model = {
+            listed_by_model = {
                 target.model: _choose_newer(
                     current_by_model.get(target.model), target, named, now
                 )
                 for target in targets
             }
+            # One that is missing may only be unreadable for a moment.
+            targets_by_model = {**current_by_model, **listed_by_model}
             self._view = attrs.evolve(self._view, targets_by_model=targets_by_model)
 
     def refine_target(self, model, named_versions):
--- a/tests/gateway/test_target_age.py
+++ b/tests/gateway/test_target_age.py
@@ -227,3 +227,38 @@
     clock.now += 0.3
     host.step(change_target(3, 8))
     assert host.choose_versions() == {2}
+
+
+def see_named(host, clock, version, revision):
+    """Have a host see a target named within 0.2 s of a confirmation."""
+    host.step(NO_CHANGES)
+    clock.now += 0.2
+    host.step(change_target(version, revision))
+
+
+def test_target_that_is_deleted_and_created_again_keeps_its_age(clock):
+    host = FollowingHost(clock, {"i1": 1, "i2": 2})
+    host.step(list_target(1, 7))
+    see_named(host, clock, 2, 8)
+    clock.now += 3.5
+    deleted = _source.Change(make_target(2, 9), True)
+    host.step(_source.Changes((deleted,), 9))
+    clock.now += 0.2
+    host.step(change_target(2, 10))
+    clock.now += 1.3
+    assert host.choose_versions() == {2}
+
+
+def test_target_that_cannot_be_read_for_a_moment_keeps_its_age(clock):
+    host = FollowingHost(clock, {"i1": 1, "i2": 2})
+    host.step(list_target(1, 7))
+    see_named(host, clock, 2, 8)
+    clock.now += 3.5
+    malformed = make_target(2, 9)
+    del malformed["Spec"]
+    host.step(_source.Changes((_source.Change(malformed, False),), 9))
+    assert host.views.get().targets_by_model[MODEL].version == 2
+    clock.now += 0.2
+    host.step(change_target(2, 10))
+    clock.now += 1.3
+    assert host.choose_versions() == {2}
