Gateway: whether a request may begin on the weights of an engine is asked again right before it is sent

A request that was held up between the choice and the send, by a slow connection or because the host was suspended, went to an engine with older weights after their grace had ended. Cause: the last check before the first byte asked what stands against the upstream, but not the grace. Now it asks both.

--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -13,6 +13,7 @@
     _requests,
     _upstream_gate,
     _upstream_observer,
+    _version_grace,
 )
 
 # Kinds of failures after which nothing has been sent to the upstream.
@@ -67,7 +68,11 @@
         self._budget = _attempt_budget.AttemptBudget(gateway, request, route)
         # Upstreams that received the request, whether or not they ran it.
         self._reached_boot_ids = set()
-        self.gate = _upstream_gate.UpstreamGate(gateway.views, gateway.table)
+        self.gate = _version_grace.RequestGate(
+            _upstream_gate.UpstreamGate(gateway.views, gateway.table),
+            gateway.version_grace,
+            request.prompt.model if request.prompt else None,
+        )
         self._forwarder = _forwarding.Forwarder(gateway, request, route, deadline_s)
         self._dispatcher = _dispatcher.Dispatcher(
             gateway, request, route, account, deadline_s
--- a/sycamorespoke/gateway/_version_grace.py
+++ b/sycamorespoke/gateway/_version_grace.py
@@ -1,5 +1,6 @@
 """Until when requests may begin on weights older than the target version."""
 
+import enum
 import threading
 
 from sycamorespoke import decisions
@@ -10,6 +11,12 @@
 WITHDRAWAL_MARGIN_S = 0.75
 
 
+class VersionBar(enum.Enum):
+    """Why the weights of an upstream forbid to send a request to it."""
+
+    OLDER_WEIGHTS = "older_weights"
+
+
 class VersionGrace:
     """Takes requests back that wait at engines with older weights; thread-safe.
 
@@ -58,10 +65,21 @@
         """
         with self._lock:
             for exchange, model in self._models_by_exchange.items():
-                if self._is_late(exchange.upstream, model, now):
+                if self.is_late(exchange.upstream, model, now):
                     exchange.withdraw()
 
-    def _is_late(self, upstream, model, now):
+    def is_late(self, upstream, model, now):
+        """Return whether no request may begin any more on the weights of an upstream.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            The upstream.
+        model : str
+            Model that the request needs.
+        now : float
+            Current time, seconds of the boot clock.
+        """
         target = (self.views.get().targets_by_model or {}).get(model)
         if target is None:
             return False
@@ -71,3 +89,44 @@
         return replacement is not None and not decisions.may_begin_on_older_weights(
             replacement.named, now + WITHDRAWAL_MARGIN_S, self.grace_s
         )
+
+
+class RequestGate:
+    """Answers whether one request may go to an upstream, also as to its weights.
+
+    Parameters
+    ----------
+    gate : UpstreamGate
+        Answers whether any request may go to an upstream.
+    version_grace : VersionGrace
+        Answers whether one may begin on its weights.
+    model : str or None
+        Model that the request needs; ``None`` if it needs none.
+    """
+
+    def __init__(self, gate, version_grace, model):
+        self.gate = gate
+        self.version_grace = version_grace
+        self.model = model
+
+    def find_bar(self, upstream, now):
+        """Return what forbids sending to an upstream.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            The upstream.
+        now : float
+            Current time, seconds of the boot clock.
+
+        Returns
+        -------
+        decisions.Obstacle or VersionBar or None
+            ``None`` if sending is allowed.
+        """
+        bar = self.gate.find_bar(upstream, now)
+        if bar is not None or self.model is None:
+            return bar
+        if self.version_grace.is_late(upstream, self.model, now):
+            return VersionBar.OLDER_WEIGHTS
+        return None
--- a/tests/gateway/test_older_weights.py
+++ b/tests/gateway/test_older_weights.py
@@ -7,7 +7,7 @@
 import attrs
 
 from sycamorespoke import decisions, serving
-from sycamorespoke.gateway import _target_versions
+from sycamorespoke.gateway import _connections, _target_versions
 from tests.fakes import in_process_gateway, scripted_upstream
 
 MODEL = "m"
@@ -164,5 +164,25 @@
     assert not slow.requests
 
 
+def test_request_held_up_before_it_is_sent_does_not_go_to_older_weights(
+    harness, monkeypatch
+):
+    upstream = harness.start_upstream(answer_stream)
+    gateway = harness.start_gateway([upstream])
+    hold_version(gateway, 1)
+    name_target(gateway, 2, age_s=1.0)
+    connect = _connections.Connection.connect
+
+    def connect_late(connection):
+        connect(connection)
+        # As if the host had been suspended since the choice.
+        name_target(gateway, 2, age_s=6.5)
+
+    monkeypatch.setattr(_connections.Connection, "connect", connect_late)
+    status, _, _ = gateway.request("/stream/x", **PROMPT_HEADERS)
+    assert not upstream.requests
+    assert status == 503
+
+
 def find_upstream(gateway, name):
     return gateway.views.get().upstreams_by_id[name]
