Gateway: a host that stops takes waiting requests back too

Requests that wait at engines with older weights were taken back by the periodic update, which ends at SIGTERM, while the host serves for up to 8 s more; a request that had been sent before could begin after the grace. Now the grace has a thread of its own until the process ends. Red before: the new test of tests/platform/test_program.py (a real process, SIGTERM right after the naming); green after.

--- a/sycamorespoke/gateway/_version_grace.py
+++ b/sycamorespoke/gateway/_version_grace.py
@@ -3,12 +3,15 @@
 import enum
 import threading
 
-from sycamorespoke import decisions
+import loguru
+
+from sycamorespoke import decisions, serving
 from sycamorespoke.gateway import _chooser
 
 # A request that still waits is taken back this long before the grace period ends, so
 # that its connection is closed in time.
 WITHDRAWAL_MARGIN_S = 0.75
+INTERVAL_S = 0.25
 
 
 class VersionBar(enum.Enum):
@@ -37,6 +40,10 @@
         self._lock = threading.Lock()
         self._models_by_exchange = {}
 
+    def start(self):
+        """Take requests back in a background thread until the process ends."""
+        threading.Thread(target=self._run, name="version grace", daemon=True).start()
+
     def watch(self, exchange, model):
         """Watch a request that waits for its first event.
 
@@ -90,6 +97,14 @@
             replacement.named, now + WITHDRAWAL_MARGIN_S, self.grace_s
         )
 
+    def _run(self):
+        pause = threading.Event()
+        while not pause.wait(INTERVAL_S):
+            try:
+                self.withdraw_late(serving.read_clock())
+            except Exception:
+                loguru.logger.exception("taking requests back failed")
+
 
 class RequestGate:
     """Answers whether one request may go to an upstream, also as to its weights.
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -2,6 +2,7 @@
 
 import http.client
 import os
+import select
 import signal
 import subprocess
 import sys
@@ -220,3 +221,48 @@
         assert connection.getresponse().status == 200
     finally:
         upstream.close()
+
+
+class WaitingEngine:
+    """Engine at which a request waits until its connection ends, or for too long."""
+
+    def __init__(self, wait_s):
+        self.wait_s = wait_s
+        self.arrived = threading.Event()
+        self.has_begun = False
+
+    def __call__(self, request):
+        self.arrived.set()
+        ended, _, _ = select.select([request.connection], [], [], self.wait_s)
+        self.has_begun = not ended
+
+
+def test_stopping_host_takes_back_a_request_that_waits_at_older_weights(
+    start_gateway, fake_store
+):
+    engine = WaitingEngine(wait_s=2.5)
+    upstream = scripted_upstream.ScriptedUpstream(engine)
+    try:
+        register_service(fake_store, upstream)
+        entry = fake_store.objects["servers", "i-1"]["Spec"]
+        models = [{"Name": "m", "Version": 1, "Adapters": []}]
+        fake_store.put("servers", "i-1", {**entry, "Models": models})
+        fake_store.put("versions", "m", {"Model": "m", "Version": 1})
+        gateway = start_gateway(grace_s=8, version_ms=2500)
+        assert gateway.wait_ready()
+        connection = http.client.HTTPConnection("127.0.0.1", gateway.ports["listen"])
+        in_process_gateway.send_request(
+            connection,
+            "/once/x",
+            X_Sycamorespoke_Deadline_Ms="9000",
+            X_Sycamorespoke_Model="m",
+            X_Sycamorespoke_Token_Count="100,5",
+            X_Sycamorespoke_Prompt_Prefix="aa:90,bb:10",
+        )
+        assert engine.arrived.wait(TIMEOUT_S)
+        fake_store.put("versions", "m", {"Model": "m", "Version": 2})
+        gateway.process.send_signal(signal.SIGTERM)
+        assert connection.getresponse().status == 502
+        assert not engine.has_begun
+    finally:
+        upstream.close()
