Gateway: versions that engines are announced to have loaded are not lost at a start

A host that starts and reads the announcement before the list of engines applied it to no engine and never again, so it took engines for older than they are until their next entry; since the age of the target is unknown there, it refused their requests. Now the announced versions are recorded for each list. Red before: the new test of test_view_updater.py ({} in place of {'m': 2}).

--- a/sycamorespoke/gateway/_view_updater.py
+++ b/sycamorespoke/gateway/_view_updater.py
@@ -73,6 +73,7 @@
         self.choose_timing = choose_timing
         self.on_configuration = on_configuration
         self._announced = None
+        self._versions_by_boot = {}
         self._followers = self._make_followers()
 
     def start(self, wait_for_hosts):
@@ -151,6 +152,8 @@
             if upstream.is_draining:
                 self.table.record_leaving(upstream, now)
         self.software_versions.record(items_by_name.values(), now)
+        # Before the list is in use, so that no request is sent with an older version.
+        self._record_announced(items_by_name.values())
         self.views.replace_fields(upstreams_by_id=items_by_name)
         for name in previous.keys() - items_by_name.keys():
             loguru.logger.bind(upstream=name).info("upstream gone")
@@ -198,17 +201,21 @@
         crashes.log_changes(previous)
 
     def _handle_announcement(self, announcement, now):
-        upstreams = (self.views.get().upstreams_by_id or {}).values()
+        self._versions_by_boot = announcement.versions_by_boot
         # Record versions before the engines stop counting as loading, so that no
         # request is sent with the previous version.
-        for upstream in upstreams:
-            loaded = announcement.versions_by_boot.get(upstream.boot_id, {})
-            for model, version in loaded.items():
-                self.table.record_version(upstream, model, version)
+        self._record_announced((self.views.get().upstreams_by_id or {}).values())
         loading = frozenset(announcement.loading)
         self.views.replace_fields(loading=loading, loading_seen_s=now)
         loguru.logger.bind(upstreams=sorted(loading)).info("engines load weights")
 
+    def _record_announced(self, upstreams):
+        """Record the versions that some upstreams are announced to have loaded."""
+        for upstream in upstreams:
+            loaded = self._versions_by_boot.get(upstream.boot_id, {})
+            for model, version in loaded.items():
+                self.table.record_version(upstream, model, version)
+
 
 def _log_upstream(name, upstream):
     loguru.logger.bind(
--- a/tests/gateway/test_view_updater.py
+++ b/tests/gateway/test_view_updater.py
@@ -148,3 +148,13 @@
     harness.items_by_kind["upstreams"] = {UPSTREAM.id: restarted}
     harness.list_all_kinds()
     assert not harness.table.read([restarted])[restarted.boot_id].is_leaving
+
+
+def test_announcement_that_is_read_before_the_list_of_engines_is_not_lost():
+    harness = UpdaterHarness()
+    announcement = _orders.LoadAnnouncement([], {UPSTREAM.boot_id: {"m": 2}})
+    harness.announce(announcement.to_value())
+    harness.list_all_kinds()
+    harness.items_by_kind["upstreams"] = {UPSTREAM.id: UPSTREAM}
+    harness.list_all_kinds()
+    assert loaded_versions(harness) == {"m": 2}
