Tests: the pair of hosts of which one forwards is a fake of its own

The class moves to tests/fakes/forwarding_pair.py, its fixture to tests/gateway/conftest.py; no test changes.

--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -1,9 +1,10 @@
+import contextlib
 import time
 
 import loguru
 import pytest
 
-from tests.fakes import in_process_gateway, scripted_upstream
+from tests.fakes import forwarding_pair, in_process_gateway, scripted_upstream
 
 
 @pytest.fixture
@@ -25,6 +26,23 @@
         server.close()
 
 
+@pytest.fixture
+def make_pair(harness):
+    """Start a pair of gateways with an upstream for each of some scripts."""
+    with contextlib.ExitStack() as stack:
+
+        def make(*handles):
+            upstreams = [
+                harness.start_upstream(handle, f"i-{number}")
+                for number, handle in enumerate(handles)
+            ]
+            pair = forwarding_pair.Pair(harness, *upstreams)
+            stack.callback(pair.close)
+            return pair
+
+        yield make
+
+
 @pytest.fixture
 def log_lines():
     """Collect the log lines that are written during the test."""
