Fix: an interim response was taken for the response itself

What callers saw: an upstream that sent 102, 103 or another interim status first had that forwarded as its response, with status 103 and an empty body, if it bore the request's ID, else a 502 although the upstream answered; so also if it stopped inside the head that should have followed. The response itself stayed on the connection: a service that echoes no request ID had it given to the next caller. A status of 101, for which nobody asks, was forwarded too.

Cause: http.client skips heads with status 100 only and takes the others for final ones without a body. Change: checked connections read on until a head is final, within the limits that hold for all lines before a body; a switch to another protocol is a broken response.

--- a/sycamorespoke/clients/_checked_http.py
+++ b/sycamorespoke/clients/_checked_http.py
@@ -4,9 +4,11 @@
 of headers counts as complete, without the length of the body, and a cut-off chunk
 size may be read as 0, which ends the body. It also limits each read of a socket but
 not all of them together, so that a head or a list of trailers may go on without end.
+Of interim responses, it takes all but those with status 100 for the response itself.
 """
 
 import contextlib
+import http
 import http.client
 import io
 import time
@@ -20,6 +22,7 @@
 MAX_BODY_S = 30.0
 READ_BYTES = 65_536
 MIN_TIMEOUT_S = 0.001
+INTERIM_STATUSES = range(100, 200)
 
 
 class _TimedReader(io.RawIOBase):
@@ -111,9 +114,20 @@
         self.fp = _LineReader(_TimedReader(self.fp.detach(), sock))
 
     def begin(self):
-        super().begin()
-        if self.fp is not None and self.fp.has_ended:
-            raise http.client.IncompleteRead(b"")
+        """Read the head of the response, and those of interim responses before it.
+
+        Raises
+        ------
+        http.client.HTTPException
+            If a head is cut off, or switches to another protocol.
+        """
+        self._read_head()
+        while self.status in INTERIM_STATUSES:
+            if self.status == http.HTTPStatus.SWITCHING_PROTOCOLS:
+                raise http.client.UnknownProtocol("switched to another protocol")
+            # The base class reads a head only if it has none yet.
+            self.headers = None
+            self._read_head()
 
     def read(self, amt=None):
         """Read up to ``amt`` bytes of the body, or all of it.
@@ -139,6 +153,11 @@
             super().read()
         return bytes(body)
 
+    def _read_head(self):
+        super().begin()
+        if self.fp is not None and self.fp.has_ended:
+            raise http.client.IncompleteRead(b"")
+
 
 class CheckedConnection(urllib3.connection.HTTPConnection):
     """Connection that raises for a response whose lines are cut off or endless."""
--- a/tests/clients/test_checked_http.py
+++ b/tests/clients/test_checked_http.py
@@ -8,7 +8,7 @@
 import pytest
 import urllib3
 
-from sycamorespoke import clients
+from sycamorespoke import clients, domain
 from sycamorespoke.clients import _checked_http
 from tests.fakes import scripted_upstream
 
@@ -93,3 +93,30 @@
         assert pool.num_connections == 1
     finally:
         upstream.close()
+
+
+def test_response_after_an_interim_one_is_not_taken_for_that_of_the_next_request():
+    def respond(request):
+        request.wfile.write(b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n")
+        time.sleep(0.05)
+        scripted_upstream.respond(request, body=request.path.encode())
+
+    upstream = scripted_upstream.ScriptedUpstream(respond)
+    host = domain.Host("host-1", "dc-1", domain.HostRole.UPSTREAM, upstream.address)
+    client = clients.ServiceClient()
+    paths = [f"/{number}" for number in range(4)]
+    try:
+        responses = [
+            client.send(
+                host, "GET", path, [], b"", 5.0, path, True, echoes_request_id=False
+            )
+            for path in paths
+        ]
+    finally:
+        upstream.close()
+    assert [each.body.decode() for each in responses] == paths
+
+
+def test_switch_to_another_protocol_raises():
+    with pytest.raises(urllib3.exceptions.ProtocolError):
+        read(b"HTTP/1.1 101 Switching Protocols\r\n\r\n")
