Fix: headers after a malformed line were lost, and the length of the body with them

What callers saw: a 200 with a short body, as whole, from an upstream that stopped inside the head of its response and had something else written behind it, such as a second head by a proxy or a supervisor ("HTTP/1.1 500 Fault"); also after any line without a colon and after a line of a carriage return alone.

Cause: the parser of http.client ends the list of headers at the first line that is no header; the response then has no framing and ends with its connection. Change: checked connections reject a carriage return inside a line and a head whose parser has stopped early.

--- a/sycamorespoke/clients/_checked_http.py
+++ b/sycamorespoke/clients/_checked_http.py
@@ -1,13 +1,15 @@
-"""HTTP connections that reject responses which are cut off or do not end.
+"""HTTP connections that reject responses which are cut off, malformed or endless.
 
 `http.client` accepts the end of the connection as the end of a line: a cut-off list
 of headers counts as complete, without the length of the body, and a cut-off chunk
 size may be read as 0, which ends the body. It also limits each read of a socket but
 not all of them together, so that a head or a list of trailers may go on without end.
 Of interim responses, it takes all but those with status 100 for the response itself.
+A line without a colon ends its list of headers, so that it loses those that follow.
 """
 
 import contextlib
+import email.errors
 import http
 import http.client
 import io
@@ -23,6 +25,8 @@
 READ_BYTES = 65_536
 MIN_TIMEOUT_S = 0.001
 INTERIM_STATUSES = range(100, 200)
+# The headers after a malformed line have not been parsed.
+LOST_HEADERS_DEFECT = email.errors.MissingHeaderBodySeparatorDefect
 
 
 class _TimedReader(io.RawIOBase):
@@ -65,7 +69,7 @@
 
 
 class _LineReader(io.BufferedReader):
-    """Reader that raises if lines are cut off, or together too long or too slow.
+    """Reader that raises for lines that are malformed, or together too long or slow.
 
     Lines count together until a part of a body is read. They have the time that the
     timeout of the socket allows for a single read.
@@ -87,6 +91,8 @@
             raise http.client.LineTooLong("head or chunk")
         if line and len(line) != size and not line.endswith(b"\n"):
             raise http.client.IncompleteRead(line)
+        if b"\r" in line.removesuffix(b"\n").removesuffix(b"\r"):
+            raise http.client.HTTPException("a carriage return inside a line")
         return line
 
     def read(self, size=-1):
@@ -119,7 +125,7 @@
         Raises
         ------
         http.client.HTTPException
-            If a head is cut off, or switches to another protocol.
+            If a head is cut off or malformed, or switches to another protocol.
         """
         self._read_head()
         while self.status in INTERIM_STATUSES:
@@ -157,6 +163,8 @@
         super().begin()
         if self.fp is not None and self.fp.has_ended:
             raise http.client.IncompleteRead(b"")
+        if any(isinstance(each, LOST_HEADERS_DEFECT) for each in self.headers.defects):
+            raise http.client.HTTPException("a line of the head is no header")
 
 
 class CheckedConnection(urllib3.connection.HTTPConnection):
