Fix: a body whose length or encoding could not be read ended with its connection

What callers saw: a 200 with a body that the upstream had cut off, as whole, if its length was no number ("90x", "-90", empty); lengths that are none, such as "0_7" and "+7", were guessed; of a body in another encoding than chunks, callers got the sizes of the chunks as contents.

Cause: http.client takes a length that int() rejects, and each transfer encoding but exactly "chunked", for none, so that the end of the connection ends the body. Change: checked connections reject such heads.

--- a/sycamorespoke/clients/_checked_http.py
+++ b/sycamorespoke/clients/_checked_http.py
@@ -5,7 +5,8 @@
 size may be read as 0, which ends the body. It also limits each read of a socket but
 not all of them together, so that a head or a list of trailers may go on without end.
 Of interim responses, it takes all but those with status 100 for the response itself.
-A line without a colon ends its list of headers, so that it loses those that follow.
+A line without a colon ends its list of headers, so that it loses those that follow,
+and a body whose length or encoding it cannot read ends with the connection.
 """
 
 import contextlib
@@ -13,6 +14,7 @@
 import http
 import http.client
 import io
+import re
 import time
 
 import urllib3
@@ -28,6 +30,8 @@
 # The headers after a malformed line have not been parsed.
 LOST_HEADERS_DEFECT = email.errors.MissingHeaderBodySeparatorDefect
 
+_LENGTH = re.compile(r"[0-9]+[ \t]*")
+
 
 class _TimedReader(io.RawIOBase):
     """Reader of a socket that may have to end by a point in time."""
@@ -165,6 +169,15 @@
             raise http.client.IncompleteRead(b"")
         if any(isinstance(each, LOST_HEADERS_DEFECT) for each in self.headers.defects):
             raise http.client.HTTPException("a line of the head is no header")
+        self._check_framing()
+
+    def _check_framing(self):
+        lengths = self.headers.get_all("Content-Length", [])
+        if not all(map(_LENGTH.fullmatch, lengths)):
+            raise http.client.HTTPException("the length of the body is no number")
+        encodings = self.headers.get_all("Transfer-Encoding", [])
+        if encodings and not (self.chunked and len(encodings) == 1):
+            raise http.client.HTTPException("the body is not only chunked")
 
 
 class CheckedConnection(urllib3.connection.HTTPConnection):
