Tests: a cut-off head in response to a request for a block's metadata

The fake upstream answered no HEAD requests, so that the one request of the clients that has no body in its response was missing from the tests of cut-off heads.

--- a/tests/clients/test_cut_heads.py
+++ b/tests/clients/test_cut_heads.py
@@ -150,6 +150,7 @@
             lambda: blocks.export_block(host, key, "v1"),
             lambda: blocks.import_block(host, clients.Envelope(key, "v1", b"x")),
             lambda: store.read(host, key, "v1"),
+            lambda: store.describe(host, key),
             lambda: store.free(host, key),
             lambda: store.list_least_used(host, 1),
             lambda: store.read_usage(host),
--- a/tests/fakes/scripted_upstream.py
+++ b/tests/fakes/scripted_upstream.py
@@ -50,7 +50,7 @@
             def log_message(self, *arguments):
                 pass
 
-        for method in ("GET", "POST", "PUT", "DELETE"):
+        for method in ("GET", "HEAD", "POST", "PUT", "DELETE"):
             setattr(Handler, f"do_{method}", Handler._serve)
 
         class Server(http.server.ThreadingHTTPServer):
