--- a/sycamorespoke/clients/_store.py
+++ b/sycamorespoke/clients/_store.py
@@ -12,6 +12,7 @@
     _http,
     _json_documents,
     _platform,
+    _store_responses,
     _store_results,
 )
 
@@ -91,7 +92,7 @@
         if isinstance(response, _platform.Unavailable):
             return response
         if response.status != 201:
-            return _make_error(host, response)
+            return _store_responses.make_error(host, response)
         try:
             result = _json_documents.decode_document(response.data)
             number, generation = int(result["slot"]), int(result["generation"])
@@ -117,7 +118,7 @@
         """
         path = _slot_path(slot, "")
         response = self._pool.request("PUT", slot.host, path, encoded)
-        return _check_response(slot.host, response, slot)
+        return _store_responses.check_response(slot.host, response, slot)
 
     def commit(self, slot):
         """Make a written block visible to readers.
@@ -134,7 +135,7 @@
         """
         path = _slot_path(slot, "/commit")
         response = self._pool.request("POST", slot.host, path)
-        return _check_response(slot.host, response, slot.block)
+        return _store_responses.check_response(slot.host, response, slot.block)
 
     def read(self, host, key, version):
         """Read a block and verify it.
@@ -164,8 +165,8 @@
         if isinstance(response, _platform.Unavailable):
             return response
         if response.status != 200:
-            return _make_error(host, response)
-        metadata = _parse_metadata(response)
+            return _store_responses.make_error(host, response)
+        metadata = _store_responses.parse_metadata(response)
         if metadata is None:
             return _store_results.Invalid("the block metadata is malformed")
         error = _block_checks.find_block_error(key, version, metadata, response.data)
@@ -219,8 +220,8 @@
         if isinstance(response, _platform.Unavailable):
             return response
         if response.status != 200:
-            return _make_error(host, response)
-        metadata = _parse_metadata(response)
+            return _store_responses.make_error(host, response)
+        metadata = _store_responses.parse_metadata(response)
         if metadata is None or metadata.key != key:
             return _store_results.Invalid(
                 "the metadata is malformed or of another block"
@@ -243,7 +244,7 @@
             ``None`` if the space was freed.
         """
         response = self._pool.request("DELETE", host, _block_path(key))
-        return _check_response(host, response, None)
+        return _store_responses.check_response(host, response, None)
 
     def list_least_used(self, host, blocks):
         """List the least recently read blocks of a store host.
@@ -310,41 +311,3 @@
 def _check_key(key):
     bytes.fromhex(key)
     return key
-
-
-def _parse_metadata(response):
-    headers = response.headers
-    try:
-        return domain.Block(
-            key=headers["X-Key"],
-            length=int(headers["X-Length"]),
-            checksum=headers["X-Checksum"],
-            generation=int(headers["X-Generation"]),
-        )
-    except (KeyError, ValueError):
-        return None
-
-
-def _check_response(host, response, result):
-    if isinstance(response, _platform.Unavailable):
-        return response
-    if response.status in (200, 204):
-        return result
-    return _make_error(host, response)
-
-
-def _make_error(host, response):
-    status = response.status
-    if status == 404:
-        return _platform.Missing(f"{host.name} does not have the block")
-    if status == 409:
-        return _store_results.Stale(
-            f"{host.name} has reallocated the slot to another block"
-        )
-    if status == 422:
-        return _store_results.Invalid(
-            f"{host.name} reported a length or checksum mismatch"
-        )
-    if status == 507:
-        return _store_results.Full(f"{host.name} is full")
-    return _platform.Unavailable(f"{host.name} returned {status}")
