Fix: the load generator took an entry host for ready whose response ended inside its head

What users of sycamorespoke-load saw: requests sent to an entry host that had stopped inside the head of its readiness response. Cause: the check judged by the status alone, on connections that take the end of the connection for the end of a head. Change: it uses checked connections. (The counts that the load generator reads are JSON, which a cut response is not.)

Evidence: tests/load/test_entries.py failed on the code before (ready after the 12 bytes "HTTP/1.1 200"); now tests/load passes, 26 of 26.

--- a/sycamorespoke/load/_entries.py
+++ b/sycamorespoke/load/_entries.py
@@ -4,6 +4,8 @@
 
 import urllib3
 
+from sycamorespoke import clients
+
 CHECK_INTERVAL_S = 0.5
 CHECK_TIMEOUT_S = 1.0
 
@@ -23,7 +25,7 @@
         self._next = 0
         self._lock = threading.Lock()
         self._stopped = threading.Event()
-        self._pool = urllib3.PoolManager(retries=False, timeout=CHECK_TIMEOUT_S)
+        self._pool = clients.CheckedPoolManager(retries=False, timeout=CHECK_TIMEOUT_S)
 
     def start(self):
         """Check each address now, then every half second in the background."""
