Gateway: a refusal without an ID proves nothing on a connection in use before

Callers got 503, which promises that a request has not run, for requests of non-resumable streams that an upstream was running; with two attempts left such a request also ran at a second upstream.

Cause: a refusal that says "not run" was believed if it carried the ID of the request or none at all. An earlier refusal without an ID that an upstream writes once more, after the next request has been sent on the kept connection, was taken for the refusal of that request. A copy that arrives while the connection is idle was noticed before, as was one that names an earlier request.

Change: a refusal without an ID proves "not run" only on a connection that has carried no request before. On a reused one it is a response that does not carry our ID: the connection is closed, and only an idempotent request is sent again.

--- a/sycamorespoke/gateway/_exchange.py
+++ b/sycamorespoke/gateway/_exchange.py
@@ -249,22 +249,29 @@
 
     def _parse_head(self):
         self.head = self.protocol.parse_response_head(self._response)
-        has_our_id = self.head.request_id == self.request.id
-        # An upstream may refuse a request before it has read the request ID.
-        if self.head.is_not_run and (has_our_id or not self.head.request_id):
+        if self._proves_not_run():
             self.discard_body()
             kind = domain.ErrorKind.UPSTREAM_REFUSED
             return _requests.Failure(
                 domain.Refusal(kind, "the upstream refused the request"), self.head
             )
-        if not has_our_id:
+        if self.head.request_id != self.request.id:
             self.close()
             return _make_failure(
                 domain.ErrorKind.ANSWER_MISMATCH,
-                "the response belongs to another request",
+                "the response does not carry the ID of the request",
             )
         return self.head
 
+    def _proves_not_run(self):
+        if not self.head.is_not_run:
+            return False
+        if self.head.request_id:
+            return self.head.request_id == self.request.id
+        # An upstream may refuse a request before it has read the request ID. On a
+        # reused connection, it may be an earlier refusal that was written once more.
+        return not self._connection.is_reused
+
     def _finish(self):
         connection = self._connection
         self._connection = None
