Gateway: a second try at the same upstream gets a connection of its own

Callers got 503 for a request that the upstream was running: a 421 for the weight version was followed by a second try at the same upstream, and a copy of that 421 on the kept connection was taken for the answer to the second try.

Cause: both tries carry the request ID of the caller, so the ID does not tell an answer to the first one from an answer to the second.

Change: the dispatcher remembers the upstreams to which it has dispatched the request and asks for a new connection for a further try. The choice of the connection is part of the dispatch, for upstreams as for other hosts, which get a request once each.

Evidence: test_copy_of_a_refusal_does_not_answer_the_second_try_at_its_upstream on the commit before: 1 failed, 19 passed (503 in place of 200, the request ran); with this change 20 passed.

--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -284,8 +284,7 @@
         if self._dispatcher.has_full_priority:
             expected_s = self._dispatcher.sent_s + self._dispatcher.prefill_s
             self.gateway.table.expect_first_event(upstream, self, expected_s)
-        fresh = self.route.kind is _model.RouteKind.UNSAFE
-        result = exchange.open(choice.connections, fresh)
+        result = exchange.open(choice.connections)
         self._observer.record_opened(exchange, result)
         return result
 
--- a/sycamorespoke/gateway/_dispatcher.py
+++ b/sycamorespoke/gateway/_dispatcher.py
@@ -1,7 +1,7 @@
 """Builds the instructions that an upstream gets together with a request."""
 
 from sycamorespoke import decisions
-from sycamorespoke.gateway import _requests
+from sycamorespoke.gateway import _model, _requests
 
 # Prefill rate of an engine that does nothing else.
 PREFILL_TOKENS_PER_S = 90000.0
@@ -43,6 +43,7 @@
         self.has_full_priority = False
         self.sent_s = 0.0
         self.prefill_s = 0.0
+        self._dispatched_boot_ids = set()
 
     def build(self, choice, last_event_id):
         """Build the dispatch of an attempt.
@@ -75,8 +76,15 @@
             last_event_id=last_event_id,
             block_plan=block_plan,
             import_until_ms=until_ms,
+            needs_new_connection=self._needs_new_connection(choice.upstream),
         )
 
+    def _needs_new_connection(self, upstream):
+        # A response to an earlier attempt at the same upstream has the same ID.
+        is_repeated = upstream.boot_id in self._dispatched_boot_ids
+        self._dispatched_boot_ids.add(upstream.boot_id)
+        return is_repeated or self.route.kind is _model.RouteKind.UNSAFE
+
     def _make_scope(self, choice):
         """Return the cache scope in which this request may reuse blocks."""
         is_private = self.account is not None and self.account.is_isolated
--- a/sycamorespoke/gateway/_exchange.py
+++ b/sycamorespoke/gateway/_exchange.py
@@ -91,15 +91,13 @@
         self._is_withdrawn = True
         self.cancel()
 
-    def open(self, limit, fresh):
+    def open(self, limit):
         """Send the request and read the head of the response.
 
         Parameters
         ----------
         limit : int
             Maximum number of open connections of this host to the upstream.
-        fresh : bool
-            Use a new connection, not an idle one.
 
         Returns
         -------
@@ -107,7 +105,9 @@
             Status and headers; the body is read with `read_whole` or `read_chunk`.
         """
         now = self.read_clock()
-        connection = self.pool.acquire(self.upstream, limit, now, fresh)
+        connection = self.pool.acquire(
+            self.upstream, limit, now, self.dispatch.needs_new_connection
+        )
         if connection is None:
             return _make_failure(domain.ErrorKind.OVERLOADED, "no connection is free")
         self._connection = connection
--- a/sycamorespoke/gateway/_forwarding.py
+++ b/sycamorespoke/gateway/_forwarding.py
@@ -188,13 +188,17 @@
                 method=_forward_format.METHOD,
                 target=_forward_format.TARGET,
             ),
-            _requests.Dispatch(_Target(peer.host, peer.address), None, 0.0),
+            _requests.Dispatch(
+                _Target(peer.host, peer.address),
+                None,
+                0.0,
+                needs_new_connection=self.route.kind is _model.RouteKind.UNSAFE,
+            ),
             self.deadline_s,
             _OpenGate(),
         )
         set_exchange(exchange)
-        fresh = self.route.kind is _model.RouteKind.UNSAFE
-        result = exchange.open(CONNECTION_LIMIT, fresh)
+        result = exchange.open(CONNECTION_LIMIT)
         self._record(result)
         return _reject_refusal(exchange, result)
 
--- a/sycamorespoke/gateway/_requests.py
+++ b/sycamorespoke/gateway/_requests.py
@@ -175,6 +175,8 @@
     import_until_ms : int, default=0
         Time after which an import is discarded, Unix milliseconds of the stores'
         clock.
+    needs_new_connection : bool, default=False
+        Whether the request must not be sent on a connection in use before.
     """
 
     upstream: object
@@ -186,6 +188,7 @@
     last_event_id: int | None = None
     block_plan: decisions.BlockPlan = attrs.field(factory=decisions.BlockPlan)
     import_until_ms: int = 0
+    needs_new_connection: bool = False
 
 
 class Framing(enum.Enum):
--- a/tests/gateway/test_earlier_refusals.py
+++ b/tests/gateway/test_earlier_refusals.py
@@ -2,6 +2,7 @@
 
 import time
 
+import attrs
 import pytest
 
 from sycamorespoke.gateway import _model
@@ -20,9 +21,11 @@
     received on the same connection.
     """
 
-    def __init__(self, status, refused_id, is_late):
+    def __init__(self, status, refused_id, is_late, **headers):
         self.status = status
-        self.refused_id = refused_id
+        self.headers = {**NOT_RUN, "Content-Length": "0", **headers}
+        if refused_id:
+            self.headers["X-Sycamorespoke-Request-Id"] = refused_id
         self.is_late = is_late
         self.runs = []
         self.copies = 0
@@ -49,10 +52,7 @@
         self._refuse(request)
 
     def _refuse(self, request):
-        headers = {**NOT_RUN, "Content-Length": "0"}
-        if self.refused_id:
-            headers["X-Sycamorespoke-Request-Id"] = self.refused_id
-        scripted_upstream.send_head(request, self.status, headers)
+        scripted_upstream.send_head(request, self.status, self.headers)
 
 
 def send(gateway, path, request_id):
@@ -123,3 +123,23 @@
     gateway = harness.start_gateway([harness.start_upstream(faulty.handle)])
     assert send(gateway, "/unsafe/x", "call-1") == 503
     assert faulty.runs == []
+
+
+def test_copy_of_a_refusal_does_not_answer_the_second_try_at_its_upstream(harness):
+    # After a refusal for its weight version, the same upstream is tried again.
+    version = {"X-Sycamorespoke-Weight-Versions": "2"}
+    faulty = RefusingUpstream(421, "call-1", is_late=True, **version)
+    upstream = harness.start_upstream(faulty.handle)
+    gateway = harness.start_gateway([upstream])
+    (registered,) = gateway.views.get().upstreams_by_id.values()
+    registered = attrs.evolve(registered, versions_by_model={"m": 1})
+    gateway.views.replace_fields(upstreams_by_id={registered.id: registered})
+    prompt = {
+        "X_Sycamorespoke_Model": "m",
+        "X_Sycamorespoke_Prompt_Prefix": "aa:9,bb:1",
+    }
+    assert gateway.request("/once/x", **prompt)[0] == 200
+    expected = [
+        each.headers["X-Sycamorespoke-Expect-Version"] for each in upstream.requests
+    ]
+    assert (expected, faulty.runs) == (["1", "2"], ["call-1"])
