Gateway: a request without an ID gets a connection of its own

A caller that sent no request ID got an earlier refusal of another request, with its status, while the upstream ran its request: what an upstream had written once more on a kept connection without an ID passed for the answer.

Cause: the empty ID of the request equals the missing ID of any response, so the check of the ID said nothing.

Change: the exchange uses a new connection for a request without an ID, on which only its own answer can arrive.

--- a/sycamorespoke/gateway/_exchange.py
+++ b/sycamorespoke/gateway/_exchange.py
@@ -105,9 +105,9 @@
             Status and headers; the body is read with `read_whole` or `read_chunk`.
         """
         now = self.read_clock()
-        connection = self.pool.acquire(
-            self.upstream, limit, now, self.dispatch.needs_new_connection
-        )
+        # No response names a request without an ID.
+        fresh = self.dispatch.needs_new_connection or not self.request.id
+        connection = self.pool.acquire(self.upstream, limit, now, fresh)
         if connection is None:
             return _make_failure(domain.ErrorKind.OVERLOADED, "no connection is free")
         self._connection = connection
--- a/tests/gateway/test_earlier_refusals.py
+++ b/tests/gateway/test_earlier_refusals.py
@@ -143,3 +143,12 @@
         each.headers["X-Sycamorespoke-Expect-Version"] for each in upstream.requests
     ]
     assert (expected, faulty.runs) == (["1", "2"], ["call-1"])
+
+
+def test_copy_of_a_refusal_does_not_answer_a_request_without_an_id(harness):
+    faulty = RefusingUpstream(400, "", is_late=True)
+    gateway = harness.start_gateway([harness.start_upstream(faulty.handle)])
+    assert send(gateway, "/safe/x", "call-1") == 503
+    time.sleep(ARRIVAL_S)
+    status = send(gateway, "/safe/x", None)
+    assert (status, faulty.copies, faulty.runs) == (200, 0, [None])
