Entry: a refusal of an engine has to name its completion

Callers of the product's own interface were told "not run" (503, X-Execution) for completions that an engine was running, if the engine wrote an earlier refusal once more on the kept connection after it had received the next request.

Cause: 409, 429 and 503 of an engine were believed without any check of the request; only the lines of a stream named theirs.

Change: refusals of engines name the request in X-Request-Id, as the responses of plain services do (PROTOCOLS.md, stand-in). One without it is believed only on a connection that has carried no other request. Any other is an answer mismatch: the connection is closed, and the completion may have run.

Engines that do not name their refusals are served as before but for refusals on kept connections.

--- a/sycamorespoke/clients/_checked_http.py
+++ b/sycamorespoke/clients/_checked_http.py
@@ -181,9 +181,26 @@
 
 
 class CheckedConnection(urllib3.connection.HTTPConnection):
-    """Connection that raises for a response whose lines are cut off or endless."""
+    """Connection that raises for a response whose lines are cut off or endless.
+
+    Attributes
+    ----------
+    sent_requests : int
+        Requests that were sent since it was last opened.
+    """
 
     response_class = _CheckedResponse
+    sent_requests = 0
+
+    def connect(self):
+        """Open the connection."""
+        super().connect()
+        self.sent_requests = 0
+
+    def request(self, *args, **kwargs):
+        """Send a request, see `urllib3.connection.HTTPConnection.request`."""
+        super().request(*args, **kwargs)
+        self.sent_requests += 1
 
 
 class CheckedPool(urllib3.HTTPConnectionPool):
--- a/sycamorespoke/clients/_engine.py
+++ b/sycamorespoke/clients/_engine.py
@@ -17,6 +17,7 @@
 CANCEL_TIMEOUT_S = 1.0
 REPORT_TIMEOUT_S = 1.0
 STATUS_OVERLOADED = 503
+REQUEST_ID_HEADER = "X-Request-Id"
 
 
 class GenerationRequest(msgspec.Struct, kw_only=True):
@@ -161,6 +162,12 @@
             _boot.BootCheckingPool.set_expected_boot_id("")
         if response.status == 200:
             return _engine_stream.EngineStream(response, request)
+        if not _is_response_to(response, request.request_id):
+            response.close()
+            return domain.Refusal(
+                domain.ErrorKind.ANSWER_MISMATCH,
+                "the response does not carry the ID of the request",
+            )
         return _make_refusal(response)
 
     def cancel(self, host, request_id):
@@ -248,6 +255,15 @@
         return domain.Refusal(domain.ErrorKind.UPSTREAM_UNREACHABLE, reason)
 
 
+def _is_response_to(response, request_id):
+    named_id = response.headers.get(REQUEST_ID_HEADER)
+    if named_id is not None:
+        return named_id == request_id
+    # On a connection that has carried another request, it may be the response to
+    # that one, written once more.
+    return response.connection.sent_requests == 1
+
+
 def _make_refusal(response):
     status = response.status
     response.drain_conn()
--- a/sycamorespoke/standins/_engine.py
+++ b/sycamorespoke/standins/_engine.py
@@ -188,16 +188,16 @@
 
     def _check_admission(self, value):
         if self._loader.loading:
-            return _wsgi.make_json_response(503, {"error": "starting"})
+            return _refuse(503, "starting", value)
         is_other = (value["model"], value["version"]) != (
             self._loader.model,
             self._loader.version,
         )
         if is_other and not self.faults["ignores_version"]:
-            return _wsgi.make_json_response(409, {"error": "version"})
+            return _refuse(409, "version", value)
         is_waiting = not self._state.has_capacity()
         if is_waiting and len(self._queue) >= self.options.queue_limit:
-            return _wsgi.make_json_response(429, {"error": "full"})
+            return _refuse(429, "full", value)
         return None
 
     def _wait_for_turn(self, run, request):
@@ -326,3 +326,9 @@
             )
             value = {"boot_id": self._state.boot_id, "events": events}
         return _wsgi.make_json_response(200, value)
+
+
+def _refuse(status, error, value):
+    """Make the refusal of a generation request, which names the request."""
+    headers = {"X-Request-Id": value["request_id"]}
+    return _wsgi.make_json_response(status, {"error": error}, headers)
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -194,3 +194,10 @@
     load = json.loads(http.request("GET", f"{handle.url}/v1/load").data)
     thread.join()
     assert (load["running"], load["queued"]) == (0, 0)
+
+
+def test_refusal_names_its_request(run, http):
+    handle = start_engine(run)
+    body = json.dumps(make_request(request_id="r7", version="v9"))
+    response = http.request("POST", f"{handle.url}/v1/generate", body=body)
+    assert (response.status, response.headers["X-Request-Id"]) == (409, "r7")
