Entry: upstreams that do not echo IDs get each request on a new connection

Callers of an idempotent route were told "not run" for a request that a plain service was running, if the service does not echo request IDs (contract "echo no") and wrote an earlier refusal once more on the kept connection.

Cause: without an echo nothing tells a response from an earlier one on the same connection, yet idempotent requests shared connections there too.

Change: only requests whose ID is echoed may use an idle connection; the others get a new one, as non-idempotent requests did before.

Non-idempotent requests and services that echo passed before too.

--- a/sycamorespoke/clients/_service.py
+++ b/sycamorespoke/clients/_service.py
@@ -73,8 +73,9 @@
     -----
     No request is sent twice. A non-idempotent request uses a new connection: the
     upstream may have closed an idle one, and if sending on it fails, it is unknown
-    whether the request ran. A connection is closed after a timeout, an incomplete
-    response or a request ID mismatch.
+    whether the request ran. So does a request to an upstream that does not echo
+    request IDs: nothing else tells its response from an earlier one. A connection is
+    closed after a timeout, an incomplete response or a request ID mismatch.
     """
 
     def __init__(self, connections=32):
@@ -114,7 +115,7 @@
         request_id : str
             Request ID, sent as ``X-Request-Id``.
         is_idempotent : bool, default=False
-            Whether the request may use an idle connection.
+            Whether the request may use an idle connection, if its ID is echoed.
         echoes_request_id : bool, default=True
             Whether the response must echo the request ID, see `domain.Contract`.
 
@@ -136,7 +137,8 @@
                 "the deadline passed before the request was sent",
             )
         expires_at_s = time.monotonic() + remaining_s
-        pool = self._open_pool(host, is_idempotent)
+        may_reuse = is_idempotent and echoes_request_id
+        pool = self._open_pool(host, may_reuse)
         try:
             response = _send_request(pool, method, path, headers, body, remaining_s)
             if isinstance(response, domain.Refusal):
@@ -149,11 +151,11 @@
                 )
             return _read_response(response, expires_at_s)
         finally:
-            if not is_idempotent:
+            if not may_reuse:
                 pool.close()
 
-    def _open_pool(self, host, is_idempotent):
-        if is_idempotent:
+    def _open_pool(self, host, may_reuse):
+        if may_reuse:
             return self._pool_manager.connection_from_url(f"http://{host.address}")
         address, _, port = host.address.rpartition(":")
         return _checked_http.CheckedPool(address, int(port), maxsize=1)
--- a/tests/clients/test_earlier_refusals.py
+++ b/tests/clients/test_earlier_refusals.py
@@ -113,3 +113,41 @@
         server.close()
     assert kinds == {domain.ErrorKind.UPSTREAM_REFUSED}
     assert len(set(connections)) == 1
+
+
+@pytest.mark.parametrize("is_idempotent", [True, False])
+@pytest.mark.parametrize("echoes_request_id", [True, False])
+def test_copy_of_a_refusal_does_not_refuse_a_service_request_that_runs(
+    start_server, is_idempotent, echoes_request_id
+):
+    def serve(request):
+        headers = {"X-Request-Id": request.headers["X-Request-Id"]}
+        scripted_upstream.send_head(request, 200, {**headers, "Content-Length": "0"})
+
+    refusal = {"X-Not-Run": "1"}
+    if echoes_request_id:
+        refusal["X-Request-Id"] = "request-1"
+    server = start_server(503, refusal, serve)
+    client = clients.ServiceClient()
+
+    def send(request_id, is_idempotent):
+        return client.send(
+            server.host,
+            "POST",
+            "/bookings",
+            [],
+            b"{}",
+            2.0,
+            request_id,
+            is_idempotent=is_idempotent,
+            echoes_request_id=echoes_request_id,
+        )
+
+    first = send("request-1", is_idempotent=True)
+    assert first.kind is domain.ErrorKind.UPSTREAM_REFUSED
+    second = send("request-2", is_idempotent)
+    assert server.runs == 1
+    if isinstance(second, domain.Refusal):
+        assert second.kind is domain.ErrorKind.ANSWER_MISMATCH
+    else:
+        assert second.status == 200
