Orders: each order to an engine has a connection of its own

A host that ordered weights took an earlier response of the engine for the answer to its order: "fenced" for an accepted order (it gave its lease up), "accepted" for a refused or fenced one, a copied report for "holds already".

Cause: responses to orders do not name the order, and orders shared kept connections with each other and, at the gateway, with the reports.

Reports still share kept connections: an older one costs a poll, and an order that follows from it is refused by its number of accepted orders.

--- a/sycamorespoke/clients/__init__.py
+++ b/sycamorespoke/clients/__init__.py
@@ -14,6 +14,7 @@
     CheckedConnection,
     CheckedPool,
     CheckedPoolManager,
+    open_single_use_pool,
 )
 from sycamorespoke.clients._engine import (
     EngineClient,
@@ -127,6 +128,7 @@
     "find_block_error",
     "is_event_stream",
     "make_continuation",
+    "open_single_use_pool",
     "parse_connection_options",
     "parse_decimal",
     "parse_envelope",
--- a/sycamorespoke/clients/_checked_http.py
+++ b/sycamorespoke/clients/_checked_http.py
@@ -209,6 +209,23 @@
     ConnectionCls = CheckedConnection
 
 
+def open_single_use_pool(address):
+    """Open a pool for one request, whose connection has carried no other.
+
+    Parameters
+    ----------
+    address : str
+        IP address and port.
+
+    Returns
+    -------
+    CheckedPool
+        Pool to close after the request; it does not retry.
+    """
+    url = urllib3.util.parse_url(f"http://{address}")
+    return CheckedPool(url.host, url.port, maxsize=1, retries=False)
+
+
 class CheckedPoolManager(urllib3.PoolManager):
     """Pools of checked connections to many hosts.
 
--- a/sycamorespoke/clients/_orders.py
+++ b/sycamorespoke/clients/_orders.py
@@ -16,10 +16,12 @@
 
 
 class OrderClient:
-    """Client for sending orders to every model engine; thread-safe."""
+    """Client for sending orders to every model engine; thread-safe.
 
-    def __init__(self):
-        self._pool = _checked_http.CheckedPoolManager(maxsize=4, retries=False)
+    Notes
+    -----
+    Responses do not name their order, so each order has a connection of its own.
+    """
 
     def order_load(self, host, model, version, fencing_number):
         """Order an engine to load a weight version.
@@ -49,13 +51,14 @@
         }
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=ORDER_TIMEOUT_S)
         try:
-            response = self._pool.request(
-                "POST",
-                f"http://{host.address}/v1/orders",
-                body=msgspec.json.encode(order),
-                headers={"Content-Type": "application/json"},
-                timeout=timeout,
-            )
+            with _checked_http.open_single_use_pool(host.address) as pool:
+                response = pool.request(
+                    "POST",
+                    "/v1/orders",
+                    body=msgspec.json.encode(order),
+                    headers={"Content-Type": "application/json"},
+                    timeout=timeout,
+                )
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
--- a/sycamorespoke/clients/_service.py
+++ b/sycamorespoke/clients/_service.py
@@ -157,8 +157,7 @@
     def _open_pool(self, host, may_reuse):
         if may_reuse:
             return self._pool_manager.connection_from_url(f"http://{host.address}")
-        address, _, port = host.address.rpartition(":")
-        return _checked_http.CheckedPool(address, int(port), maxsize=1)
+        return _checked_http.open_single_use_pool(host.address)
 
 
 def _send_request(pool, method, path, headers, body, remaining_s):
--- a/sycamorespoke/platform/_engines.py
+++ b/sycamorespoke/platform/_engines.py
@@ -50,7 +50,8 @@
         gateway.EngineReport or gateway.Unavailable
             Accepted orders, whether weights are being loaded, and weight versions.
         """
-        response = self._send("GET", upstream, _names.REPORT_PATH)
+        pool = self._pools.connection_from_url(f"http://{upstream.address}")
+        response = _send(pool, "GET", _names.REPORT_PATH)
         if isinstance(response, gateway.Unavailable):
             return response
         statements = _protocol.parse_statements(response)
@@ -101,7 +102,9 @@
             "Precondition": order.after_orders,
         }
         headers = {_names.EXPECT_INSTANCE: upstream.id}
-        response = self._send("POST", upstream, _names.ORDER_PATH, content, headers)
+        # Responses do not name their order.
+        with clients.open_single_use_pool(upstream.address) as pool:
+            response = _send(pool, "POST", _names.ORDER_PATH, content, headers)
         if isinstance(response, gateway.Unavailable):
             return gateway.OrderResult(gateway.OrderOutcome.UNKNOWN)
         return gateway.OrderResult(
@@ -109,16 +112,17 @@
             _protocol.parse_statements(response),
         )
 
-    def _send(self, method, upstream, path, content=None, headers=None):
-        body = None if content is None else msgspec.json.encode(content)
-        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S)
-        try:
-            return self._pools.request(
-                method,
-                f"http://{upstream.address}{path}",
-                body=body,
-                headers={"Content-Type": "application/json", **(headers or {})},
-                timeout=timeout,
-            )
-        except (urllib3.exceptions.HTTPError, OSError) as error:
-            return gateway.Unavailable(f"no response: {type(error).__name__}")
+
+def _send(pool, method, path, content=None, headers=None):
+    body = None if content is None else msgspec.json.encode(content)
+    timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S)
+    try:
+        return pool.request(
+            method,
+            path,
+            body=body,
+            headers={"Content-Type": "application/json", **(headers or {})},
+            timeout=timeout,
+        )
+    except (urllib3.exceptions.HTTPError, OSError) as error:
+        return gateway.Unavailable(f"no response: {type(error).__name__}")
--- a/tests/clients/test_earlier_refusals.py
+++ b/tests/clients/test_earlier_refusals.py
@@ -151,3 +151,15 @@
         assert second.kind is domain.ErrorKind.ANSWER_MISMATCH
     else:
         assert second.status == 200
+
+
+def test_copy_of_a_refusal_is_not_taken_for_the_response_to_an_order(start_server):
+    def accept(request):
+        scripted_upstream.send_head(request, 202, {"Content-Length": "0"})
+
+    server = start_server(409, {}, accept)
+    client = clients.OrderClient()
+    first = client.order_load(server.host, "scribe", "v2", 1)
+    assert isinstance(first, clients.Conflict)
+    second = client.order_load(server.host, "scribe", "v2", 2)
+    assert isinstance(second, clients.OrderAccepted)
