Rollout: a host that stops hands its tasks over

What callers saw: while the holder of the lease `weights` was stopping, nobody ordered engines to load a new weight version until the lease had ended by its duration, so that requests began on old weights for seconds more.

Cause: a stopping host ended the actors of its tasks at once and left their leases to expire; hosts that started meanwhile counted the whole duration again.

Change: a stopping host with others registered starts no new loads, waits for those that run (1 s at most) and for orders under way, and releases the lease. The fencing number stays in the record. The others acquire a released lease without waiting for its duration. If all hosts stop, they go on until their processes end. A load whose lease was lost orders nothing under a newer one. The lease `stores` had the same cause and gets the same change.

--- a/sycamorespoke/decisions/_lease_state.py
+++ b/sycamorespoke/decisions/_lease_state.py
@@ -29,12 +29,16 @@
     renewal : int, default=0
         Increases with each renewal, since a platform may ignore a write that
         changes nothing and not report it to watches.
+    barred_s_by_name : dict of str to float
+        Objects that the next holder must not act on for the given number of seconds
+        after a release, since the last holder acted on them shortly before.
     """
 
     holder: str
     fencing_number: int
     duration_s: float = LEASE_DURATION_S
     renewal: int = 0
+    barred_s_by_name: dict[str, float] = attrs.field(factory=dict, hash=False)
 
 
 @attrs.frozen
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -28,6 +28,7 @@
     _rollout,
     _shared_source,
     _software_versions,
+    _stopping_tasks,
     _stored_origins,
     _stream_versions,
     _suspension,
@@ -234,8 +235,10 @@
         self.server.close_connections_after_responses()
         self.forwarded.address = ""
         self.forwarded_server.close_connections_after_responses()
-        self.rollout.stop(block=False)
-        self.retirement.stop(block=False)
+        tasks = _stopping_tasks.StoppingTasks(
+            [self.rollout, self.retirement], self.task_leases, deadline_s
+        )
+        tasks.start()
         self.peering.leave()
         self._wait_until(begun_s + LOAD_BALANCER_NOTICE_S)
         self.server.close_listener()
@@ -244,6 +247,7 @@
             server.wait_closed(max(deadline_s - serving.read_clock(), 0.0))
             for server in (self.server, self.forwarded_server)
         )
+        tasks.finish()
         duration_s = round(serving.read_clock() - begun_s, 3)
         loguru.logger.bind(drained=drained, duration_s=duration_s).info(
             "shutdown ended"
--- a/sycamorespoke/gateway/_retirement.py
+++ b/sycamorespoke/gateway/_retirement.py
@@ -43,10 +43,13 @@
         self._next_s = 0.0
 
     def on_receive(self, message):
-        """Handle a `Tick` or a `LeaseUpdate`."""
+        """Handle a `Tick`, a `Stop` or a `LeaseUpdate`."""
         try:
             if isinstance(message, _orders.LeaseUpdate):
                 self.task_lease.observe(message)
+            elif isinstance(message, _rollout.Stop):
+                self.task_lease.set_stopping(message.release_at_s)
+                self.step(message.now)
             elif isinstance(message, _rollout.Tick) and message.now >= self._next_s:
                 self._next_s = message.now + STEP_S
                 self.step(message.now)
@@ -54,7 +57,13 @@
             loguru.logger.exception("freeing old blocks failed")
 
     def step(self, now):
-        """Free the blocks that are retired at ``now``, seconds of the boot clock."""
+        """Free the blocks that are retired at ``now``, seconds of the boot clock.
+
+        A host that stops hands the task over instead if it must.
+        """
+        if self.task_lease.must_hand_over(now):
+            self.task_lease.release({}, now)
+            return
         targets = self.views.get().targets_by_model or {}
         newest = {
             model: (target.version, target.seen_s) for model, target in targets.items()
--- a/sycamorespoke/gateway/_rollout.py
+++ b/sycamorespoke/gateway/_rollout.py
@@ -11,6 +11,7 @@
 from sycamorespoke.gateway import (
     _chooser,
     _orders,
+    _sent_orders,
     _statements,
     _upstream_gate,
     _weight_load,
@@ -25,6 +26,8 @@
 # Wait before a load that failed is tried again.
 RETRY_DELAY_S = 0.7
 MAX_LOADS = 24
+# A host that stops waits this long for its loads before it hands the task over.
+HANDOVER_WAIT_S = 1.0
 
 
 @attrs.frozen
@@ -40,6 +43,23 @@
     now: float
 
 
+@attrs.frozen
+class Stop:
+    """Message that this host stops and leaves its tasks to the other hosts.
+
+    Parameters
+    ----------
+    now : float
+        Current time, seconds of the boot clock.
+    release_at_s : float
+        When to hand the tasks over even if no other host is registered, seconds of
+        the boot clock.
+    """
+
+    now: float
+    release_at_s: float
+
+
 class Rollout(pykka.ThreadingActor):
     """Orders engines to load weights while this host holds the lease of the task.
 
@@ -68,6 +88,8 @@
         self.recorder = _statements.StatementRecorder(table, views)
         self.engines = engines
         self.leases = leases
+        self.sent_orders = _sent_orders.SentOrders()
+        self._handover_since_s = None
         self._executor = concurrent.futures.ThreadPoolExecutor(MAX_LOADS, "load")
         self._loading_by_boot = {}
         self._versions_by_boot = {}
@@ -77,12 +99,14 @@
         self._pause = threading.Event()
 
     def on_receive(self, message):
-        """Handle a `Tick` or a `LeaseUpdate`."""
+        """Handle a `Tick`, a `Stop` or a `LeaseUpdate`."""
         try:
             if isinstance(message, _orders.LeaseUpdate):
                 self.task_lease.observe(message)
-            else:
-                self.step(message.now)
+                return
+            if isinstance(message, Stop):
+                self.task_lease.set_stopping(message.release_at_s)
+            self.step(message.now)
         except Exception:
             loguru.logger.exception("weight rollout step failed")
 
@@ -93,6 +117,8 @@
     def step(self, now):
         """Acquire or renew the lease and start loads if engines are outdated.
 
+        A host that stops hands the task over instead if it must.
+
         Parameters
         ----------
         now : float
@@ -101,6 +127,10 @@
         view = self.views.get()
         engines = self._list_engines(view, now)
         self._discard_deregistered({engine.boot_id for engine in engines})
+        if self.task_lease.must_hand_over(now):
+            self._hand_over(now)
+            return
+        self._handover_since_s = None
         targets_by_model = {
             model: target.version
             for model, target in (view.targets_by_model or {}).items()
@@ -116,8 +146,24 @@
             return
         if not self.task_lease.try_acquire(str(sorted(targets_by_model.items())), now):
             return
+        self.sent_orders.open()
         self._start_loads(view, engines, targets_by_model, now)
 
+    def _hand_over(self, now):
+        """Release the lease once the running loads and orders have ended."""
+        if not self.task_lease.is_held():
+            return
+        if self._handover_since_s is None:
+            self._handover_since_s = now
+        self.task_lease.renew()
+        self._announce()
+        with self._lock:
+            is_loading = bool(self._loading_by_boot)
+        if is_loading and now - self._handover_since_s < HANDOVER_WAIT_S:
+            return
+        if self.sent_orders.close():
+            self.task_lease.release(self.sent_orders.get_sent_s_by_boot(), now)
+
     def _find_bar(self, upstream, now):
         return self.gate.find_bar(upstream, now, decisions.Purpose.ORDER)
 
@@ -143,6 +189,7 @@
         with self._lock:
             for boot_id in self._versions_by_boot.keys() - boot_ids:
                 del self._versions_by_boot[boot_id]
+        self.sent_orders.retain(boot_ids)
 
     def _start_loads(self, view, engines, targets_by_model, now):
         deferred = {
@@ -160,6 +207,7 @@
             for engine in engines
             if self._find_bar(upstreams_by_boot[engine.boot_id], now) is not None
         }
+        deferred |= self.task_lease.list_barred(now)
         number = self.task_lease.fencing_number
         loads_by_boot = {}
         for engine in decisions.select_engines_to_load(
--- a/sycamorespoke/gateway/_weight_load.py
+++ b/sycamorespoke/gateway/_weight_load.py
@@ -84,12 +84,18 @@
         """Send the order; return whether to continue the load."""
         # Checked immediately before the order, since the host may have been suspended.
         now = serving.read_clock()
-        if not self.rollout.task_lease.is_held() or self._is_barred():
+        if not self._is_lease_held() or self._is_barred():
             return False
         order = _orders.VersionOrder(
             self.model, version, self.fencing_number, report.orders
         )
-        result = self.rollout.engines.order_version(self.upstream, order)
+        sent_orders = self.rollout.sent_orders
+        if not sent_orders.begin(self.upstream.boot_id, now):
+            return False
+        try:
+            result = self.rollout.engines.order_version(self.upstream, order)
+        finally:
+            sent_orders.end(self.upstream.boot_id, serving.read_clock())
         self._record_statements(result.statements)
         outcome = result.outcome
         self._log(
@@ -106,6 +112,11 @@
             self._ordered_s = now
         return outcome is not _orders.OrderOutcome.REFUSED
 
+    def _is_lease_held(self):
+        """Return whether the lease under which this load began is still held."""
+        task_lease = self.rollout.task_lease
+        return task_lease.is_held() and task_lease.fencing_number == self.fencing_number
+
     def _is_barred(self):
         now = serving.read_clock()
         obstacle = self.rollout.gate.find_bar(
--- a/sycamorespoke/membership/_lease_keeper.py
+++ b/sycamorespoke/membership/_lease_keeper.py
@@ -71,6 +71,14 @@
         seen = self._state.seen
         return seen.record.holder if seen is not None and seen.record else ""
 
+    @property
+    def released(self):
+        """The `decisions.SeenLease` of a release, ``None`` if there is a holder."""
+        seen = self._state.seen
+        if seen is None or seen.record is None or seen.record.holder:
+            return None
+        return seen
+
     def observe(self, value, version, now):
         """Handle a version of the lease that was received from a watch.
 
@@ -105,11 +113,31 @@
             self.holder, duration_s=self.duration_s, is_watched=self.is_watched
         )
 
-    def release(self):
-        """Release the lease for other processes; if that fails, the lease expires."""
+    def release(self, barred_s_by_name=None):
+        """Release the lease for other processes; if that fails, the lease expires.
+
+        Parameters
+        ----------
+        barred_s_by_name : dict of str to float or None, default=None
+            Objects that the next holder must leave alone, see
+            `decisions.LeaseRecord`.
+
+        Returns
+        -------
+        bool
+            Whether the release was confirmed.
+        """
+        if self._state.must_read:
+            self._read()
         held = self._state.held
-        if held is not None:
-            self._write(decisions.LeaseRecord("", held.fencing_number))
+        if held is None:
+            return False
+        self._write(
+            decisions.LeaseRecord(
+                "", held.fencing_number, barred_s_by_name=barred_s_by_name or {}
+            )
+        )
+        return self.released is not None
 
     def _read(self):
         requested_s = self.clock()
--- a/tests/gateway/test_retirement.py
+++ b/tests/gateway/test_retirement.py
@@ -46,8 +46,11 @@
 def start():
     actors = []
 
-    def make(index, client, host="h1", leases=None, target_age_s=7.0):
+    def make(index, client, host="h1", leases=None, target_age_s=7.0, hosts=()):
         views = views_module.Views()
+        views.replace_fields(
+            hosts_by_name={name: _model.Host(name, "z", "x:1") for name in hosts}
+        )
         seen_s = serving.read_clock() - target_age_s
         views.replace_fields(
             targets_by_model={"m": _target_versions.TargetVersion("m", 2, seen_s)}
@@ -124,3 +127,25 @@
     index.record_unavailable(overloaded, serving.read_clock())
     step(start(index, client))
     assert client.freed == []
+
+
+def test_other_host_frees_blocks_at_once_when_the_holder_stops(start):
+    leases = lease_objects.FakeLeaseStore()
+    first, second = StoreClient(works=False), StoreClient()
+    hosts = ("h1", "h2")
+    holder = start(make_index(("v1 m", "old")), first, "h1", leases, hosts=hosts)
+    other = start(make_index(("v1 m", "old")), second, "h2", leases, hosts=hosts)
+    step(holder)
+    now = serving.read_clock()
+    holder.ask(_rollout.Stop(now, now + 5.0), timeout=5.0)
+    step(other)
+    assert second.freed == [(STORE.address, [("v1 m", "old")], 7)]
+
+
+def test_stopping_host_frees_blocks_if_no_other_host_is_registered(start):
+    client = StoreClient()
+    actor = start(make_index(("v1 m", "old")), client)
+    now = serving.read_clock()
+    actor.ask(_rollout.Stop(now, now + 5.0), timeout=5.0)
+    step(actor)
+    assert client.freed == [(STORE.address, [("v1 m", "old")], 7)]
