Rollout: an engine without responses keeps no other engine waiting

What callers saw: while most orders got no response, engines that would have carried out an order waited for seconds behind three that did not respond, and requests began on old weights meanwhile.

Cause: a load whose order had no response occupied one of the places of loading engines (0.4 of them) until it timed out after 5 s.

Change: such a load does not count; its next order is sent once a place is free. Since the order may have been accepted and reports are some hundred milliseconds old, engines with an unanswered order within that time and those that load are twice the limit at most.

--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -233,6 +233,8 @@
 from sycamorespoke.decisions._weight_rollout import (
     EngineVersion,
     compute_acquire_delay_s,
+    compute_free_loads,
+    compute_max_loads_by_model,
     select_engines_to_load,
 )
 
@@ -343,7 +345,9 @@
     "combine_refusals",
     "compute_acquire_delay_s",
     "compute_cold_share",
+    "compute_free_loads",
     "compute_limit_without_owner",
+    "compute_max_loads_by_model",
     "compute_peers_confirmed_s",
     "compute_stated_share",
     "count_permitted_requests",
--- a/sycamorespoke/decisions/_weight_rollout.py
+++ b/sycamorespoke/decisions/_weight_rollout.py
@@ -4,6 +4,7 @@
 serving while the others load.
 """
 
+import collections
 import math
 
 import attrs
@@ -12,6 +13,9 @@
 
 # Maximum fraction of the engines of a model that load at the same time.
 MAX_LOADING_RATIO = 0.4
+# Maximum number of engines that load or may do so, as a multiple of those that may
+# load: an order without a response is known to be lost only after some reports.
+MAX_UNCERTAIN_FACTOR = 2
 # Each host waits this long for every host that is ranked before it.
 ACQUIRE_DELAY_STEP_S = 0.15
 
@@ -56,7 +60,59 @@
     return max(math.floor(engines * MAX_LOADING_RATIO), 1)
 
 
-def select_engines_to_load(engines, targets_by_model, loading, deferred):
+def compute_max_loads_by_model(engines):
+    """Compute how many engines of each model may load at the same time.
+
+    Parameters
+    ----------
+    engines : list of EngineVersion
+        All engines.
+
+    Returns
+    -------
+    dict of str to int
+        Maximum number of concurrent loads, by model.
+
+    Examples
+    --------
+    >>> compute_max_loads_by_model([EngineVersion(boot, "m", 1) for boot in "abcde"])
+    {'m': 2}
+    """
+    counts_by_model = collections.Counter(engine.model for engine in engines)
+    return {model: compute_max_loads(count) for model, count in counts_by_model.items()}
+
+
+def compute_free_loads(max_loads, loading, uncertain):
+    """Compute how many more engines of a model may be ordered to load.
+
+    Parameters
+    ----------
+    max_loads : int
+        Maximum number of concurrent loads.
+    loading : int
+        Engines that load as far as known.
+    uncertain : int
+        Other engines that may have begun to load: an order had no response and is too
+        recent to be seen in a report.
+
+    Returns
+    -------
+    int
+        Number of engines, 0 or more.
+
+    Examples
+    --------
+    >>> compute_free_loads(3, 1, 0), compute_free_loads(3, 1, 4)
+    (2, 1)
+    """
+    free = max_loads - loading
+    free_if_all_load = max_loads * MAX_UNCERTAIN_FACTOR - loading - uncertain
+    return max(min(free, free_if_all_load), 0)
+
+
+def select_engines_to_load(
+    engines, targets_by_model, loading, deferred, uncertain=frozenset()
+):
     """Select the engines that start to load now.
 
     Parameters
@@ -68,7 +124,10 @@
     loading : set of str
         Boot IDs of the engines that are already loading.
     deferred : set of str
-        Boot IDs of the engines that recently failed to respond.
+        Boot IDs of the engines that must not be ordered now, for instance since they
+        recently failed to respond.
+    uncertain : set of str, default=()
+        Boot IDs of the engines that may be loading, see `compute_free_loads`.
 
     Returns
     -------
@@ -86,7 +145,9 @@
     for model, version in targets_by_model.items():
         model_engines = [each for each in engines if each.model == model]
         busy = sum(each.boot_id in loading for each in model_engines)
-        free_loads = compute_max_loads(len(model_engines)) - busy
+        may_be_busy = sum(each.boot_id in uncertain for each in model_engines)
+        max_loads = compute_max_loads(len(model_engines))
+        free_loads = compute_free_loads(max_loads, busy, may_be_busy)
         behind = [
             each
             for each in model_engines
@@ -94,7 +155,7 @@
             and each.boot_id not in loading
             and each.boot_id not in deferred
         ]
-        selected.extend(behind[: max(free_loads, 0)])
+        selected.extend(behind[:free_loads])
     return selected
 
 
--- a/sycamorespoke/gateway/_rollout.py
+++ b/sycamorespoke/gateway/_rollout.py
@@ -11,6 +11,7 @@
 from sycamorespoke.gateway import (
     _chooser,
     _orders,
+    _running_loads,
     _sent_orders,
     _statements,
     _upstream_gate,
@@ -91,7 +92,7 @@
         self.sent_orders = _sent_orders.SentOrders()
         self._handover_since_s = None
         self._executor = concurrent.futures.ThreadPoolExecutor(MAX_LOADS, "load")
-        self._loading_by_boot = {}
+        self.running_loads = _running_loads.RunningLoads()
         self._versions_by_boot = {}
         self._announced = _orders.LoadAnnouncement()
         self._retry_at_s_by_boot = {}
@@ -155,10 +156,10 @@
             return
         if self._handover_since_s is None:
             self._handover_since_s = now
+            self.running_loads.set_ending()
         self.task_lease.renew()
         self._announce()
-        with self._lock:
-            is_loading = bool(self._loading_by_boot)
+        is_loading = bool(self.running_loads.list_counted())
         if is_loading and now - self._handover_since_s < HANDOVER_WAIT_S:
             return
         if self.sent_orders.close():
@@ -194,11 +195,13 @@
     def _start_loads(self, view, engines, targets_by_model, now):
         deferred = {
             boot_id
-            for boot_id, retry_at_s in self._retry_at_s_by_boot.items()
+            for boot_id, retry_at_s in list(self._retry_at_s_by_boot.items())
             if now < retry_at_s
         }
-        with self._lock:
-            loading = set(self._loading_by_boot)
+        self.running_loads.set_limits(decisions.compute_max_loads_by_model(engines))
+        loading = self.running_loads.list_counted()
+        uncertain = self.running_loads.list_uncertain(now)
+        deferred |= self.running_loads.list_all()
         upstreams_by_boot = {
             upstream.boot_id: upstream for upstream in view.upstreams_by_id.values()
         }
@@ -211,13 +214,12 @@
         number = self.task_lease.fencing_number
         loads_by_boot = {}
         for engine in decisions.select_engines_to_load(
-            engines, targets_by_model, loading, deferred
+            engines, targets_by_model, loading, deferred, uncertain
         ):
             load = _weight_load.WeightLoad(
                 self, upstreams_by_boot[engine.boot_id], engine.model, number
             )
-            with self._lock:
-                self._loading_by_boot[engine.boot_id] = load
+            self.running_loads.add(engine.boot_id, load)
             loads_by_boot[engine.boot_id] = load
         self._announce()
         for boot_id, load in loads_by_boot.items():
@@ -228,21 +230,26 @@
 
         Nothing is written if that has not changed.
         """
+        running = self.running_loads.list_all()
         with self._lock:
             versions_by_boot = {
                 boot_id: dict(versions_by_model)
                 for boot_id, versions_by_model in self._versions_by_boot.items()
-                if boot_id not in self._loading_by_boot
+                if boot_id not in running
             }
-            announcement = _orders.LoadAnnouncement(
-                sorted(self._loading_by_boot), versions_by_boot
-            )
+        announcement = _orders.LoadAnnouncement(
+            sorted(self.running_loads.list_counted()), versions_by_boot
+        )
         if announcement == self._announced or not self.task_lease.is_held():
             return
         self._announced = announcement
         if self.leases.announce(LOADING_NAME, announcement.to_value()):
             self._pause.wait(ANNOUNCE_LEAD_S)
 
+    def wake(self):
+        """Start further loads without waiting for the next periodic tick."""
+        self.actor_ref.tell(Tick(serving.read_clock()))
+
     def record_loaded(self, upstream, model, version):
         """Record a weight version that an engine reports, to be announced."""
         self.table.record_version(upstream, model, version)
@@ -255,10 +262,8 @@
         except Exception:
             loguru.logger.exception("weight load failed")
             is_done = False
-        with self._lock:
-            self._loading_by_boot.pop(boot_id, None)
-            if not is_done:
-                retry_at_s = serving.read_clock() + RETRY_DELAY_S
-                self._retry_at_s_by_boot[boot_id] = retry_at_s
-        # Start the next load without waiting for the next periodic tick.
-        self.actor_ref.tell(Tick(serving.read_clock()))
+        if not is_done:
+            retry_at_s = serving.read_clock() + RETRY_DELAY_S
+            self._retry_at_s_by_boot[boot_id] = retry_at_s
+        self.running_loads.remove(boot_id)
+        self.wake()
--- a/sycamorespoke/gateway/_weight_load.py
+++ b/sycamorespoke/gateway/_weight_load.py
@@ -26,6 +26,12 @@
         Name of the model.
     fencing_number : int
         Fencing number of the lease under which the orders are sent.
+
+    Attributes
+    ----------
+    is_unanswered : bool
+        Whether the last order had no response and the engine does not report that it
+        loads. Such a load does not count among those that may run at once.
     """
 
     def __init__(self, rollout, upstream, model, fencing_number):
@@ -33,9 +39,20 @@
         self.upstream = upstream
         self.model = model
         self.fencing_number = fencing_number
+        self.is_unanswered = False
         self._ordered_s = None
+        self._unanswered_s = None
         self._pause = threading.Event()
 
+    def may_be_running(self, now):
+        """Return whether an unanswered order may have been accepted at ``now``.
+
+        It is not known yet, since reports are some hundred milliseconds old.
+        """
+        if not self.is_unanswered:
+            return False
+        return now - self._unanswered_s < REPORT_LAG_S
+
     def run(self):
         """Send orders and poll reports until the engine has the target version.
 
@@ -76,14 +93,20 @@
 
     def _may_send_order(self, report):
         if report.is_loading:
+            self.is_unanswered = False
             return False
         now = serving.read_clock()
         return self._ordered_s is None or now - self._ordered_s >= REPORT_LAG_S
 
     def _send_order(self, report, version):
-        """Send the order; return whether to continue the load."""
+        """Send the order; return whether to continue the load.
+
+        An order that follows an unanswered one waits until another load may run.
+        """
         # Checked immediately before the order, since the host may have been suspended.
         now = serving.read_clock()
+        if not self.rollout.running_loads.try_count(self, now):
+            return True
         if not self._is_lease_held() or self._is_barred():
             return False
         order = _orders.VersionOrder(
@@ -108,6 +131,10 @@
         if outcome is _orders.OrderOutcome.FENCED:
             self.rollout.task_lease.discard()
             return False
+        if outcome is _orders.OrderOutcome.UNKNOWN:
+            self._unanswered_s = serving.read_clock()
+            self.is_unanswered = True
+            self.rollout.wake()
         if outcome is _orders.OrderOutcome.ACCEPTED:
             self._ordered_s = now
         return outcome is not _orders.OrderOutcome.REFUSED
--- a/tests/gateway/test_rollout.py
+++ b/tests/gateway/test_rollout.py
@@ -16,6 +16,7 @@
     _target_versions,
     _task_lease,
     _views as views_module,
+    _weight_load,
 )
 from tests.fakes import lease_objects
 
@@ -233,3 +234,16 @@
     actor.proxy().table.get().record_backoff(upstream, serving.read_clock() + 600.0)
     assert run_until(actor, lambda: engines.by_id["i2"].version == 2)
     assert engines.by_id["i1"].calls == 0
+
+
+def test_engines_without_responses_to_orders_do_not_keep_the_others_waiting(start):
+    silent = {f"i{n}": FakeEngine(lost_orders=1000) for n in range(3)}
+    engines = FakeEngines(**silent, i3=FakeEngine(), i4=FakeEngine())
+    actor = start(engines, lease_objects.FakeLeaseStore())
+    answering = [engines.by_id["i3"], engines.by_id["i4"]]
+    # The loads of the silent engines have not timed out by then.
+    timeout_s = 0.8 * _weight_load.LOAD_TIMEOUT_S
+    assert run_until(
+        actor, lambda: all(each.version == 2 for each in answering), timeout_s
+    )
+    assert any(engine.received_orders for engine in silent.values())
