Engines: the response to an order is waited for 0.2 s

What callers saw: with most orders without a response, the next order to the same engine went out 0.75 s later, so that the last engine kept old weights for more than ten seconds.

Cause: the response to an order was waited for as long as a report, 0.6 s, though normal ones take some 10 to 20 ms.

Change: it is waited for 0.2 s. Whether an order without a response was accepted is seen in the engine's reports, and `after_orders` keeps a second one from being carried out twice. Reports are waited for as before.

Evidence: tests/platform/test_engines.py:: test_late_response_to_an_order_does_not_hold_up_the_next_report failed on the code before (the response after 0.5 s was waited for: accepted), now passes.

--- a/sycamorespoke/platform/_engines.py
+++ b/sycamorespoke/platform/_engines.py
@@ -8,6 +8,8 @@
 
 CONNECT_TIMEOUT_S = 0.3
 READ_TIMEOUT_S = 0.6
+# A report shows whether an order without a response was accepted.
+ORDER_TIMEOUT_S = 0.2
 MAX_POOLS = 64
 WIRE_MODE_BY_ROLLOUT_MODE = {
     gateway.RolloutMode.FINISH_FIRST: "queue",
@@ -51,7 +53,7 @@
             Accepted orders, whether weights are being loaded, and weight versions.
         """
         pool = self._pools.connection_from_url(f"http://{upstream.address}")
-        response = _send(pool, "GET", _names.REPORT_PATH)
+        response = _send(pool, "GET", _names.REPORT_PATH, READ_TIMEOUT_S)
         if isinstance(response, gateway.Unavailable):
             return response
         statements = _protocol.parse_statements(response)
@@ -104,7 +106,9 @@
         headers = {_names.EXPECT_INSTANCE: upstream.id}
         # Responses do not name their order.
         with clients.open_single_use_pool(upstream.address) as pool:
-            response = _send(pool, "POST", _names.ORDER_PATH, content, headers)
+            response = _send(
+                pool, "POST", _names.ORDER_PATH, ORDER_TIMEOUT_S, content, headers
+            )
         if isinstance(response, gateway.Unavailable):
             return gateway.OrderResult(gateway.OrderOutcome.UNKNOWN)
         return gateway.OrderResult(
@@ -113,9 +117,9 @@
         )
 
 
-def _send(pool, method, path, content=None, headers=None):
+def _send(pool, method, path, timeout_s, content=None, headers=None):
     body = None if content is None else msgspec.json.encode(content)
-    timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S)
+    timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s)
     try:
         return pool.request(
             method,
--- a/tests/fakes/rollout_fleet.py
+++ b/tests/fakes/rollout_fleet.py
@@ -120,7 +120,7 @@
                 self._late_by_name[name].append((late_s, order.after_orders))
             outcome = None if is_lost else self._accept(name, order.after_orders, now)
         if is_lost:
-            time.sleep(_engines.READ_TIMEOUT_S)
+            time.sleep(_engines.ORDER_TIMEOUT_S)
             return _orders.OrderResult(_orders.OrderOutcome.UNKNOWN)
         time.sleep(self.response_s)
         return _orders.OrderResult(outcome)
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -1,6 +1,7 @@
 """Client of the model engines."""
 
 import json
+import threading
 
 import pytest
 
@@ -8,6 +9,8 @@
 from sycamorespoke.platform import _engines
 from tests.fakes import scripted_upstream
 
+# Longer than a host waits for the response to an order, shorter than for a report.
+READ_TIMEOUT_S = 0.5
 REPORT = {"Seq": 3, "Busy": False, "Models": [{"Name": "m", "Version": 2}]}
 
 
@@ -90,3 +93,29 @@
     assert client.read_report(upstream).orders == 3
     order = gateway.VersionOrder("m", 3, 7, 3)
     assert client.order_version(upstream, order).outcome is ACCEPTED
+
+
+def test_late_response_to_an_order_does_not_hold_up_the_next_report():
+    reported = threading.Event()
+
+    def serve(request):
+        if request.command == "GET":
+            reported.set()
+            body = json.dumps(REPORT).encode()
+            scripted_upstream.respond(request, body=body)
+            return
+        # The response comes once the host has asked for a report.
+        reported.wait(READ_TIMEOUT_S)
+        scripted_upstream.respond(request, status=202)
+
+    server = scripted_upstream.ScriptedUpstream(serve)
+    upstream = gateway.Upstream("i-1", 1, "s", server.address, "dc-1")
+    client = _engines.EngineClient("h1")
+    order = gateway.VersionOrder("m", 3, 1, 3)
+    try:
+        result = client.order_version(upstream, order)
+        report = client.read_report(upstream)
+    finally:
+        server.close()
+    assert result.outcome is gateway.OrderOutcome.UNKNOWN
+    assert report.orders == REPORT["Seq"]
