--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -13,6 +13,7 @@
     _forwarded,
     _forwarding,
     _gateway,
+    _host_tasks,
     _listed_versions,
     _model,
     _origin_directory,
@@ -23,17 +24,13 @@
     _reachability,
     _readiness,
     _request_metrics,
-    _retirement,
     _retry_budgets,
-    _rollout,
     _shared_source,
     _software_versions,
-    _stopping_tasks,
     _stored_origins,
     _stream_versions,
     _suspension,
     _table,
-    _task_lease,
     _version_grace,
     _view_updater,
     _views,
@@ -139,14 +136,8 @@
             int(self._usable_files * FORWARDED_FILES_SHARE),
             self._limits,
         )
-        rollout_lease = self._make_task_lease(_rollout.LEASE_NAME)
-        retirement_lease = self._make_task_lease(_retirement.LEASE_NAME)
-        self.task_leases = (rollout_lease, retirement_lease)
-        self.rollout = _rollout.Rollout.start(
-            rollout_lease, self.views, self.table, deployment.leases, deployment.engines
-        )
-        self.retirement = _retirement.Retirement.start(
-            retirement_lease, self.views, self.block_planner, deployment.block_stores
+        self.tasks = _host_tasks.HostTasks(
+            gateway_settings, deployment, self.views, self.table, self.block_planner
         )
         self.peering = self._make_peering()
         self.view_updater = self._make_view_updater()
@@ -206,8 +197,7 @@
             Current time, seconds of the boot clock.
         """
         view = self.views.get()
-        self.rollout.tell(_rollout.Tick(now))
-        self.retirement.tell(_rollout.Tick(now))
+        self.tasks.tick(now)
         boot_ids = view.list_boot_ids()
         self.pool.retain(boot_ids, now)
         self.forwarding.pool.retain(self.forwarding.peers.list_addresses(), now)
@@ -235,10 +225,7 @@
         self.server.close_connections_after_responses()
         self.forwarded.address = ""
         self.forwarded_server.close_connections_after_responses()
-        tasks = _stopping_tasks.StoppingTasks(
-            [self.rollout, self.retirement], self.task_leases, deadline_s
-        )
-        tasks.start()
+        self.tasks.start_stop(deadline_s)
         self.peering.leave()
         self._wait_until(begun_s + LOAD_BALANCER_NOTICE_S)
         self.server.close_listener()
@@ -247,7 +234,7 @@
             server.wait_closed(max(deadline_s - serving.read_clock(), 0.0))
             for server in (self.server, self.forwarded_server)
         )
-        tasks.finish()
+        self.tasks.finish_stop(deadline_s)
         duration_s = round(serving.read_clock() - begun_s, 3)
         loguru.logger.bind(drained=drained, duration_s=duration_s).info(
             "shutdown ended"
@@ -310,16 +297,6 @@
             self.metrics,
         )
 
-    def _make_task_lease(self, lease):
-        return _task_lease.TaskLease(
-            lease,
-            self.settings.name,
-            self.views,
-            self.deployment.leases,
-            serving.read_clock,
-            self.settings.lease_ms / MS_PER_S,
-        )
-
     def _make_limits(self):
         return _chooser.UpstreamLimits(
             self.settings.cold_tolerated,
@@ -343,15 +320,11 @@
         )
 
     def _make_view_updater(self):
-        actors_by_lease = {
-            _rollout.LEASE_NAME: self.rollout,
-            _retirement.LEASE_NAME: self.retirement,
-        }
         return _view_updater.ViewUpdater(
             self.deployment.kinds,
             self.source,
             self.views,
-            actors_by_lease,
+            self.tasks.actors_by_lease,
             self.table,
             self.software_versions,
             self.peering.choose_timing,
--- a/sycamorespoke/gateway/_program_state.py
+++ b/sycamorespoke/gateway/_program_state.py
@@ -65,7 +65,7 @@
             gauge("view_age_seconds", now - confirmed_s, part=section)
         for section, count in program.view_updater.count_malformed().items():
             gauge("malformed_objects", count, part=section)
-        for task_lease in program.task_leases:
+        for task_lease in program.tasks.leases_by_name.values():
             gauge("lease_held", int(task_lease.is_held()), lease=task_lease.name)
         counts = _upstream_counts.count_states(program.table, view, now)
         for (service, state), count in counts.items():
