Rollout: a log line while nobody performs the task, and a metric of outdated engines

What operators saw: nothing told that no host ordered loads for seconds while a holder stopped, was cut off or had ended, nor how long a target version had not been in place.

Cause: a host that waited for the lease logged nothing, and no gauge related the engines' versions to the targets.

Change: "waiting for the lease" once a second, with the holder and since when nothing was seen of it, if there is work and the holder is half a lease late; gauge weights_pending_seconds. The versions of the engines are listed in gateway/_engine_versions.py, for the rollout and for the gauge.

--- a/sycamorespoke/gateway/_program_state.py
+++ b/sycamorespoke/gateway/_program_state.py
@@ -1,7 +1,11 @@
 """What operators see of a gateway process: its dump and its gauges."""
 
 from sycamorespoke import decisions, serving
-from sycamorespoke.gateway import _upstream_counts
+from sycamorespoke.gateway import (
+    _engine_versions,
+    _upstream_counts,
+    _upstream_gate,
+)
 
 
 class ProgramState:
@@ -71,6 +75,15 @@
         for (service, state), count in counts.items():
             gauge("upstreams", count, service=service, state=state)
         self._refresh_links(view, now)
+        gauge("weights_pending_seconds", self._compute_weights_pending_s(view, now))
+
+    def _compute_weights_pending_s(self, view, now):
+        gate = _upstream_gate.UpstreamGate(self.program.views, self.program.table)
+        engines = _engine_versions.list_engine_versions(
+            view, self.program.table, gate, now
+        )
+        targets_by_model = view.targets_by_model or {}
+        return _engine_versions.compute_pending_s(targets_by_model, engines, now)
 
     def _refresh_links(self, view, now):
         if view.configuration is None:
--- a/sycamorespoke/gateway/_rollout.py
+++ b/sycamorespoke/gateway/_rollout.py
@@ -9,7 +9,7 @@
 
 from sycamorespoke import decisions, serving
 from sycamorespoke.gateway import (
-    _chooser,
+    _engine_versions,
     _orders,
     _running_loads,
     _sent_orders,
@@ -126,7 +126,9 @@
             Current time, seconds of the boot clock.
         """
         view = self.views.get()
-        engines = self._list_engines(view, now)
+        engines = _engine_versions.list_engine_versions(
+            view, self.table, self.gate, now
+        )
         self._discard_deregistered({engine.boot_id for engine in engines})
         if self.task_lease.must_hand_over(now):
             self._hand_over(now)
@@ -168,24 +170,6 @@
     def _find_bar(self, upstream, now):
         return self.gate.find_bar(upstream, now, decisions.Purpose.ORDER)
 
-    def _list_engines(self, view, now):
-        upstreams = [
-            upstream
-            for upstream in (view.upstreams_by_id or {}).values()
-            if upstream.versions_by_model
-            and self._find_bar(upstream, now) is not decisions.Obstacle.LEAVING
-        ]
-        states_by_boot = self.table.read(upstreams)
-        return [
-            decisions.EngineVersion(
-                upstream.boot_id,
-                model,
-                _chooser.latest_weight_version(upstream, states_by_boot, model),
-            )
-            for upstream in upstreams
-            for model in upstream.versions_by_model
-        ]
-
     def _discard_deregistered(self, boot_ids):
         with self._lock:
             for boot_id in self._versions_by_boot.keys() - boot_ids:
--- a/sycamorespoke/gateway/_task_lease.py
+++ b/sycamorespoke/gateway/_task_lease.py
@@ -4,6 +4,11 @@
 
 from sycamorespoke import decisions, membership
 
+# A holder that has not renewed the lease for this fraction of its duration is late.
+LATE_RATIO = 0.5
+MS_PER_S = 1000
+LOG_INTERVAL_S = 1.0
+
 
 class TaskLease:
     """Lease of a task, acquired only while there is work; used by one thread.
@@ -37,6 +42,7 @@
         self._release_at_s = None
         self._released_number = 0
         self._barred_until_s_by_name = {}
+        self._logged_s = float("-inf")
 
     @property
     def fencing_number(self):
@@ -95,6 +101,7 @@
         if self._work_since_s is None:
             self._work_since_s = now
         if not self.keeper.is_held(now):
+            self._log_waiting(now)
             acquire_delay_s = decisions.compute_acquire_delay_s(
                 self.host,
                 self.views.get().hosts,
@@ -174,6 +181,20 @@
                 lease=self.name, fencing_number=self.fencing_number
             ).info(event)
 
+    def _log_waiting(self, now):
+        """Log that, as far as this host knows, no host performs the task."""
+        idle_since_s = max(self._work_since_s, self.keeper.unchanged_since_s)
+        is_late = now - idle_since_s >= LATE_RATIO * self.keeper.duration_s
+        if not is_late or now - self._logged_s < LOG_INTERVAL_S:
+            return
+        self._logged_s = now
+        loguru.logger.bind(
+            lease=self.name,
+            holder=self.keeper.last_holder,
+            idle_ms=int((now - idle_since_s) * MS_PER_S),
+            pending_ms=int((now - self._work_since_s) * MS_PER_S),
+        ).info("waiting for the lease")
+
     def _compute_free_since_s(self):
         released = self.keeper.released
         if released is None:
--- a/sycamorespoke/membership/_lease_keeper.py
+++ b/sycamorespoke/membership/_lease_keeper.py
@@ -79,6 +79,12 @@
             return None
         return seen
 
+    @property
+    def unchanged_since_s(self):
+        """When the newest known version was received; ``-inf`` if none was."""
+        seen = self._state.seen
+        return seen.first_seen_s if seen is not None else float("-inf")
+
     def observe(self, value, version, now):
         """Handle a version of the lease that was received from a watch.
 
--- a/tests/gateway/test_task_lease.py
+++ b/tests/gateway/test_task_lease.py
@@ -1,5 +1,6 @@
 """Lease of a task that a stopping host hands over."""
 
+import loguru
 import pytest
 
 from sycamorespoke.gateway import _model, _orders, _task_lease, _views
@@ -40,6 +41,19 @@
     return make
 
 
+@pytest.fixture
+def logged():
+    """Log events with their fields, in order."""
+    events = []
+    handle = loguru.logger.add(
+        lambda message: events.append(
+            (message.record["message"], message.record["extra"])
+        )
+    )
+    yield events
+    loguru.logger.remove(handle)
+
+
 def acquire(task_lease, clock):
     """Step for as long as a free lease is waited for; return whether it is held."""
     end_s = clock.now + ACQUIRE_S
@@ -139,3 +153,36 @@
     assert not task_lease.must_hand_over(clock.now)
     task_lease.set_stopping(clock.now + 5.0)
     assert task_lease.must_hand_over(clock.now + after_s) is expected
+
+
+def test_work_that_no_host_performs_is_logged_with_the_holder(
+    make_lease, clock, store, logged
+):
+    holder = make_lease("a")
+    other = make_lease("b")
+    assert acquire(holder, clock)
+    observe(other, store)
+    assert not other.try_acquire("work", clock.now)
+    logged.clear()
+    clock.now += LEASE_S / 2
+    assert not other.try_acquire("work", clock.now)
+    assert not other.try_acquire("work", clock.now + 0.25)
+    ((event, fields),) = logged
+    assert event == "waiting for the lease"
+    assert fields["holder"] == "a"
+    assert fields["idle_ms"] == LEASE_S / 2 * 1000
+
+
+def test_nothing_is_logged_while_the_holder_renews_the_lease(
+    make_lease, clock, store, logged
+):
+    holder = make_lease("a")
+    other = make_lease("b")
+    assert acquire(holder, clock)
+    logged.clear()
+    for _ in range(40):
+        assert holder.try_acquire("work", clock.now)
+        observe(other, store)
+        assert not other.try_acquire("work", clock.now)
+        clock.now += 0.25
+    assert logged == []
