Rollout: a stopping holder goes on with the loads that run, for 1.5 s

What callers saw: while hosts were replaced in pairs, engines whose order had no response waited for what remained of a lease after each hand-over.

Cause: the stopping holder gave such loads up at once, and the next holder leaves the engines of the last one alone for the duration of a lease.

--- a/sycamorespoke/gateway/_rollout.py
+++ b/sycamorespoke/gateway/_rollout.py
@@ -28,7 +28,7 @@
 RETRY_DELAY_S = 0.7
 MAX_LOADS = 24
 # A host that stops waits this long for its loads before it hands the task over.
-HANDOVER_WAIT_S = 1.0
+HANDOVER_WAIT_S = 1.5
 
 
 @attrs.frozen
@@ -158,12 +158,12 @@
             return
         if self._handover_since_s is None:
             self._handover_since_s = now
-            self.running_loads.set_ending()
         self.task_lease.renew()
         self._announce()
-        is_loading = bool(self.running_loads.list_counted())
+        is_loading = bool(self.running_loads.list_all())
         if is_loading and now - self._handover_since_s < HANDOVER_WAIT_S:
             return
+        self.running_loads.set_ending()
         if self.sent_orders.close():
             self.task_lease.release(self.sent_orders.get_sent_s_by_boot(), now)
 
