Rollout: loads that wait for a thread keep no place

What callers saw: with 63 engines and most orders without a response, a third of the loads that could have run did, and the last engines waited for the timeouts of others.

Cause: 25 of 63 engines may load, but there were 24 threads. Loads without a response held all threads while loads that waited for a thread held all places, until the former timed out after 5 s.

Change: no more loads are started than there are threads; there are 48, so that unanswered loads leave threads for others.

Evidence: test_loads_that_wait_for_a_thread_do_not_keep_unanswered_ones_from_a_place failed before (two silent engines not loaded within 4 s with 2 threads), passes.

--- a/sycamorespoke/gateway/_rollout.py
+++ b/sycamorespoke/gateway/_rollout.py
@@ -26,7 +26,8 @@
 ANNOUNCE_LEAD_S = 0.02
 # Wait before a load that failed is tried again.
 RETRY_DELAY_S = 0.7
-MAX_LOADS = 24
+# Threads, each of which loads one engine, also while orders get no response.
+MAX_LOADS = 48
 # A host that stops waits this long for its loads before it hands the task over.
 HANDOVER_WAIT_S = 1.5
 
@@ -185,7 +186,8 @@
         self.running_loads.set_limits(decisions.compute_max_loads_by_model(engines))
         loading = self.running_loads.list_counted()
         uncertain = self.running_loads.list_uncertain(now)
-        deferred |= self.running_loads.list_all()
+        running = self.running_loads.list_all()
+        deferred |= running
         upstreams_by_boot = {
             upstream.boot_id: upstream for upstream in view.upstreams_by_id.values()
         }
@@ -197,9 +199,11 @@
         deferred |= self.task_lease.list_barred(now)
         number = self.task_lease.fencing_number
         loads_by_boot = {}
-        for engine in decisions.select_engines_to_load(
+        selected = decisions.select_engines_to_load(
             engines, targets_by_model, loading, deferred, uncertain
-        ):
+        )
+        # A load without a thread would count without doing anything.
+        for engine in selected[: MAX_LOADS - len(running)]:
             load = _weight_load.WeightLoad(
                 self, upstreams_by_boot[engine.boot_id], engine.model, number
             )
--- a/tests/gateway/test_rollout.py
+++ b/tests/gateway/test_rollout.py
@@ -247,3 +247,18 @@
         actor, lambda: all(each.version == 2 for each in answering), timeout_s
     )
     assert any(engine.received_orders for engine in silent.values())
+
+
+def test_loads_that_wait_for_a_thread_do_not_keep_unanswered_ones_from_a_place(
+    start, monkeypatch
+):
+    monkeypatch.setattr(_rollout, "MAX_LOADS", 2)
+    silent = {f"i{n}": FakeEngine(lost_orders=2) for n in range(2)}
+    others = {f"i{n}": FakeEngine() for n in range(2, 9)}
+    engines = FakeEngines(**silent, **others)
+    actor = start(engines, lease_objects.FakeLeaseStore())
+    # The loads of the silent engines have not timed out by then.
+    timeout_s = 0.8 * _weight_load.LOAD_TIMEOUT_S
+    assert run_until(
+        actor, lambda: all(each.version == 2 for each in silent.values()), timeout_s
+    )
