Tests: hosts of the rollout fleet that were killed end without an error

Their threads ended with ActorDeadError, since the actor of a killed host gets no messages; only the output of tests and of the benchmark was affected.

--- a/tests/fakes/rollout_fleet.py
+++ b/tests/fakes/rollout_fleet.py
@@ -1,10 +1,12 @@
 """Hosts as objects that share a lease store and order engines to load weights."""
 
+import contextlib
 import random
 import threading
 import time
 
 import attrs
+import pykka
 
 from sycamorespoke import clients, serving
 from sycamorespoke.gateway import (
@@ -233,6 +235,11 @@
         return not self._is_gone.is_set()
 
     def _run(self):
+        # The actor of a host that was killed gets no more messages.
+        with contextlib.suppress(pykka.ActorDeadError):
+            self._send_messages()
+
+    def _send_messages(self):
         next_tick_s = serving.read_clock()
         seen_version = 0
         while self._wait_alive():
