Soak: engines with weight versions, late orders and requests that wait

It gets four engines that speak the platform's protocol, callers with prompts (streams, with and without resuming), a rollout of 13 s with late orders under stopped, killed and suspended hosts at the beginning of each run, and three kinds of faults among the others: a version is named, orders are lost or late, requests wait at engines. The log of runs moves to a module of its own; each kind of request keeps its deadline and the time after which a host hangs.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -9,11 +9,14 @@
 import attrs
 
 from tests.fakes import in_process_gateway, scripted_upstream
+from tests.soak import engines
 
 DEADLINE_S = 2.0
 # A host that sends nothing for this long after the deadline hangs.
 HANG_MARGIN_S = 2.0
 REQUEST_INTERVAL_S = 0.03
+# Prompts may wait at an engine for some seconds.
+PROMPT_DEADLINE_S = 6.0
 EVENT_END = b"\n\n"
 
 
@@ -24,6 +27,23 @@
     UNSAFE = "unsafe"
     STREAM = "stream"
     ONCE = "once"
+    PROMPT = "prompt"
+    PROMPT_ONCE = "prompt-once"
+
+    @property
+    def deadline_s(self):
+        """Time that callers wait for the response, in seconds."""
+        return PROMPT_DEADLINE_S if self in PROMPT_KINDS else DEADLINE_S
+
+
+PROMPT_KINDS = (RequestKind.PROMPT, RequestKind.PROMPT_ONCE)
+SERVICE_KINDS = tuple(kind for kind in RequestKind if kind not in PROMPT_KINDS)
+RESUMABLE_KINDS = frozenset({RequestKind.STREAM, RequestKind.PROMPT})
+PROMPT_HEADERS = {
+    "X_Sycamorespoke_Model": engines.MODEL,
+    "X_Sycamorespoke_Token_Count": "80,4",
+    "X_Sycamorespoke_Prompt_Prefix": "a1:64,b1:16",
+}
 
 
 @attrs.frozen
@@ -86,12 +106,15 @@
         Hosts to choose from.
     seed : int
         Seed of the random choices.
+    kinds : sequence of RequestKind, default=SERVICE_KINDS
+        Kinds of requests to choose from.
     """
 
-    def __init__(self, number, hosts, seed):
+    def __init__(self, number, hosts, seed, kinds=SERVICE_KINDS):
         super().__init__(daemon=True)
         self.number = number
         self.hosts = hosts
+        self.kinds = kinds
         self.generator = random.Random(f"{seed} {number}")
         self.outcomes = []
         self.stop_requested = threading.Event()
@@ -104,7 +127,7 @@
         while not self.stop_requested.wait(REQUEST_INTERVAL_S):
             count += 1
             host = self.generator.choice(self.hosts)
-            kind = self.generator.choice(list(RequestKind))
+            kind = self.generator.choice(self.kinds)
             request_id = f"c{self.number}-{count}"
             outcome = self.send(host, kind, request_id)
             self.outcomes.append(outcome)
@@ -127,19 +150,19 @@
 
         With ``resumes`` it takes up the stream that this request began.
         """
-        taken_up = {}
+        headers = dict(PROMPT_HEADERS) if kind in PROMPT_KINDS else {}
         if resumes:
-            taken_up = {"Resumes": resumes, "Last_Event_Id": str(last_event_id)}
+            headers |= {"Resumes": resumes, "Last_Event_Id": str(last_event_id)}
         sent_s = time.monotonic()
         head, body, is_complete = None, b"", False
         try:
-            connection = self._connect(host)
+            connection = self._connect(host, kind.deadline_s + HANG_MARGIN_S)
             in_process_gateway.send_request(
                 connection,
                 f"/{kind.value}/{name}",
                 X_Sycamorespoke_Request_Id=request_id,
-                X_Sycamorespoke_Deadline_Ms=str(int(DEADLINE_S * 1000)),
-                **taken_up,
+                X_Sycamorespoke_Deadline_Ms=str(int(kind.deadline_s * 1000)),
+                **headers,
             )
             head = connection.getresponse()
             while chunk := head.read1(4096):
@@ -164,15 +187,16 @@
             last_event_id,
         )
 
-    def _connect(self, host):
+    def _connect(self, host, timeout_s):
         """Return the open connection if it leads to the host, else a new one."""
         port = host.port
         if self._connection is None or self._address != port:
             self._close_connection()
-            self._connection = http.client.HTTPConnection(
-                "127.0.0.1", port, timeout=DEADLINE_S + HANG_MARGIN_S
-            )
+            self._connection = http.client.HTTPConnection("127.0.0.1", port)
             self._address = port
+        self._connection.timeout = timeout_s
+        if self._connection.sock is not None:
+            self._connection.sock.settimeout(timeout_s)
         return self._connection
 
     def _close_connection(self):
@@ -185,4 +209,4 @@
     """Return whether a stream broke off that its caller may take up."""
     is_begun = outcome.status == 200 and outcome.received_event_id > 0
     is_broken = not outcome.is_complete
-    return outcome.kind is RequestKind.STREAM and is_begun and is_broken
+    return outcome.kind in RESUMABLE_KINDS and is_begun and is_broken
--- a/tests/soak/gateway_deployment.py
+++ b/tests/soak/gateway_deployment.py
@@ -8,11 +8,12 @@
 
 from tests.fakes import host_links, in_process_gateway, object_store
 from tests.platform import test_program
-from tests.soak import proxy, upstreams
+from tests.soak import engines, proxy, run_log, upstreams
 
 ROUTE_ATTEMPTS = 3
 HOSTS = 3
 UPSTREAMS = 4
+ENGINES = 4
 TIMEOUT_MS = 9000
 PORT_IN_USE = "Address already in use"
 
@@ -41,6 +42,10 @@
         self.signalled_s = []
         # Monotonic times at which the links to the upstreams were cut or mended.
         self.cut_s = []
+        # Monotonic times at which the link to the store was disturbed or restored.
+        self.store_cut_s = []
+        # Monotonic times at which processes were started.
+        self.started_s = []
 
     @property
     def port(self):
@@ -49,6 +54,7 @@
 
     def start(self):
         """Start a process; the previous one must have ended."""
+        self.started_s.append(time.monotonic())
         self.program = test_program.GatewayProcess(
             self.proxy,
             self.folder,
@@ -85,6 +91,11 @@
         self.cut_s.append(time.monotonic())
         self.links.set_mode(mode)
 
+    def set_store_link(self, mode):
+        """Set the mode of the link to the store."""
+        self.store_cut_s.append(time.monotonic())
+        self.proxy.set_mode(mode)
+
     def end(self):
         """Kill the process and append its log to `logs`."""
         self.signal(signal.SIGCONT)
@@ -115,14 +126,30 @@
     """
 
     def __init__(self):
-        self.log = upstreams.RunLog()
+        self.log = run_log.RunLog()
         self.store = object_store.FakeObjectStore()
+        # Monotonic times at which the store was disturbed or restored.
+        self.store_disturbed_s = []
+        # Monotonic times at which the store had acknowledged each weight version.
+        self.acked_s_by_version = {}
+        self.name_weight_version()
         # Monotonic times at which a request has ended an upstream.
         self.ended_s = []
         self.upstreams = [
             upstreams.Upstream(n, self.log, self.end_under_request)
             for n in range(UPSTREAMS)
         ]
+        self.engines = [
+            engines.Engine(
+                n,
+                self.log,
+                self.end_under_request,
+                self.register,
+                self.get_weight_version,
+            )
+            for n in range(UPSTREAMS, UPSTREAMS + ENGINES)
+        ]
+        self.upstreams += self.engines
         self.version = 0
         self.change_configuration()
         for upstream in self.upstreams:
@@ -151,16 +178,30 @@
         self.version += 1
         self.store.put("config", "main", make_configuration(self.version))
 
-    def register(self, upstream, state="ready"):
+    def name_weight_version(self):
+        """Name the next weight version of the model, as an operator would."""
+        version = self.get_weight_version() + 1
+        spec = {"Model": engines.MODEL, "Version": version}
+        self.store.put("versions", engines.MODEL, spec)
+        self.acked_s_by_version[version] = time.monotonic()
+
+    def get_weight_version(self):
+        """Return the weight version that was named last."""
+        return max(self.acked_s_by_version, default=0)
+
+    def register(self, upstream):
         """Register an upstream in the platform's store with its current ID."""
-        self.store.put("servers", upstream.id, upstream.make_registration(state))
+        self.store.put("servers", upstream.id, upstream.make_registration())
+
+    def drain(self, upstream):
+        """Have an upstream say in the platform's store that it leaves."""
+        upstream.state = "draining"
+        self.register(upstream)
 
     def restart(self, upstream):
         """Restart an upstream with another ID at the same address."""
         self.store.delete("servers", upstream.id)
-        upstream.proxy.reset_all()
-        upstream.is_leaving = False
-        upstream.starts += 1
+        upstream.restart()
         self.register(upstream)
 
     def list_link_faults_by_id(self):
@@ -199,20 +240,25 @@
             "TimeoutMs": TIMEOUT_MS,
             "TargetLatencyMs": 500,
             "Priority": 0,
-            "Service": "s",
+            "Service": service,
             "MaxAttempts": ROUTE_ATTEMPTS,
-            "Resumable": name == "stream",
+            "Resumable": name in ("stream", "prompt"),
+            "Sticky": service == engines.Engine.service,
         }
-        for name, kind in (
-            ("safe", "safe"),
-            ("unsafe", "unsafe"),
-            ("stream", "streaming"),
-            ("once", "streaming"),
+        for name, kind, service in (
+            ("safe", "safe", "s"),
+            ("unsafe", "unsafe", "s"),
+            ("stream", "streaming", "s"),
+            ("once", "streaming", "s"),
+            ("prompt", "streaming", engines.Engine.service),
+            ("prompt-once", "streaming", engines.Engine.service),
         )
     ]
     return {
         "Version": version,
         "Routes": routes,
-        "Services": [{"Name": "s", "MaxConns": 200}],
+        "Services": [
+            {"Name": name, "MaxConns": 200} for name in ("s", engines.Engine.service)
+        ],
         "Tenants": [{"Name": "t", "ApiKeys": [in_process_gateway.API_KEY]}],
     }
--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -8,7 +8,14 @@
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 REFUSED_STATUSES = frozenset({400, 401, 403, 404, 413, 431})
-RUN_ONCE_KINDS = frozenset({callers.RequestKind.UNSAFE, callers.RequestKind.ONCE})
+RUN_ONCE_KINDS = frozenset(
+    {
+        callers.RequestKind.UNSAFE,
+        callers.RequestKind.ONCE,
+        callers.RequestKind.PROMPT_ONCE,
+    }
+)
+PLAIN_KINDS = frozenset({callers.RequestKind.SAFE, callers.RequestKind.UNSAFE})
 MIN_SERVED_SHARE = 0.95
 # Bound of the users' platform.
 DRAIN_S = 2.0
@@ -26,7 +33,7 @@
     ----------
     outcomes : list of callers.Outcome
         Outcomes that the callers observed.
-    runs : list of upstreams.Run
+    runs : list of run_log.Run
         Requests that the upstreams ran.
 
     Returns
@@ -97,7 +104,7 @@
     ----------
     outcomes : list of callers.Outcome
         Outcomes that the callers observed.
-    runs : list of upstreams.Run
+    runs : list of run_log.Run
         Requests that the upstreams ran.
     signalled_s_by_host : dict of str to list of float
         When each host was signalled; it need not remember what it was told before.
@@ -168,9 +175,9 @@
     ----------
     outcomes : list of callers.Outcome
         Outcomes that the callers observed.
-    runs : list of upstreams.Run
+    runs : list of run_log.Run
         Requests that the upstreams ran.
-    refusals : list of upstreams.Refusal
+    refusals : list of run_log.Refusal
         Requests that the upstreams refused, each with a time.
     signalled_s_by_host : dict of str to list of float
         When each host was signalled; it need not remember what it was told before.
@@ -251,7 +258,7 @@
 
 
 def _expected(outcome):
-    if outcome.kind in (callers.RequestKind.STREAM, callers.RequestKind.ONCE):
+    if outcome.kind not in PLAIN_KINDS:
         first = outcome.last_event_id + 1
         versions = upstreams.list_versions(outcome.body) or {b"v1"}
         # Of several versions one makes the body wrong, and another check reports it.
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,9 +9,19 @@
 
 import attrs
 
-from tests.soak import callers, faults, gateway_deployment, guarantees, upstreams
+from tests.soak import (
+    callers,
+    faults,
+    gateway_deployment,
+    guarantees,
+    upstreams,
+    weight_guarantees,
+)
 
 CALLERS = 6
+PROMPT_CALLERS = 6
+# Each run begins with a rollout of weights, which takes this long.
+ROLLOUT_SECONDS = 13.0
 # The hosts have current rules and views within this time after the last fault.
 RECOVERY_S = 6.0
 REQUESTS_AFTER_FAULTS = 40
@@ -48,6 +58,16 @@
     went_on: int = 0
 
 
+def plan(seed, seconds):
+    """Plan a rollout, followed by all kinds of faults for a number of seconds."""
+    rollout = faults.plan_rollout(seed, ROLLOUT_SECONDS, gateway_deployment.HOSTS)
+    upstream_count = gateway_deployment.UPSTREAMS + gateway_deployment.ENGINES
+    others = faults.plan_faults(seed, seconds, gateway_deployment.HOSTS, upstream_count)
+    return rollout + [
+        attrs.evolve(each, at_s=each.at_s + ROLLOUT_SECONDS) for each in others
+    ]
+
+
 def run_seed(seed, seconds):
     """Run the soak test with one seed.
 
@@ -63,13 +83,11 @@
     Verdict
         Violated guarantees, faults and request counts.
     """
-    planned = faults.plan_faults(
-        seed, seconds, gateway_deployment.HOSTS, gateway_deployment.UPSTREAMS
-    )
+    planned = plan(seed, seconds)
     with gateway_deployment.GatewayDeployment() as deployment:
         if not deployment.wait_ready():
             return Verdict(seed, ["the hosts did not become ready"], planned, 0, 0)
-        senders = [callers.Caller(n, deployment.hosts, seed) for n in range(CALLERS)]
+        senders = _make_callers(deployment, seed)
         for sender in senders:
             sender.start()
         _inject_faults(deployment, planned)
@@ -99,6 +117,13 @@
             {each.name: each.signalled_s + each.cut_s for each in deployment.hosts},
             deployment.list_link_faults_by_id(),
         )
+        violations += weight_guarantees.check_begins(
+            sent, runs, deployment.acked_s_by_version, _list_disturbances(deployment)
+        )
+        violations += weight_guarantees.check_engines(
+            {each.id: each.weights.version for each in deployment.engines},
+            deployment.get_weight_version(),
+        )
         violations += guarantees.check_fatal(deployment.ended_s)
         violations += guarantees.check_recovery(after)
         served = sum(each.is_complete and each.status == 200 for each in outcomes)
@@ -109,6 +134,25 @@
         )
 
 
+def _make_callers(deployment, seed):
+    kinds_of_callers = [callers.SERVICE_KINDS] * CALLERS
+    kinds_of_callers += [callers.PROMPT_KINDS] * PROMPT_CALLERS
+    return [
+        callers.Caller(number, deployment.hosts, seed, kinds)
+        for number, kinds in enumerate(kinds_of_callers)
+    ]
+
+
+def _list_disturbances(deployment):
+    hosts = deployment.hosts
+    return weight_guarantees.Disturbances(
+        {each.name: each.signalled_s + each.started_s for each in hosts},
+        {each.name: each.cut_s + each.store_cut_s for each in hosts},
+        deployment.store_disturbed_s,
+        deployment.list_link_faults_by_id(),
+    )
+
+
 def _end_hosts(deployment):
     """End all hosts; return which host sent each request that was forwarded."""
     for host in deployment.hosts:
@@ -176,8 +220,9 @@
     """Send one request that ends upstreams to the hosts, again and again."""
     if not deployment.wait_ready():
         return
-    sender = callers.Caller(CALLERS + 1, deployment.hosts, f"fatal {seed}")
-    kind = sender.generator.choice(list(callers.RequestKind))
+    number = CALLERS + PROMPT_CALLERS + 1
+    sender = callers.Caller(number, deployment.hosts, f"fatal {seed}")
+    kind = sender.generator.choice(callers.SERVICE_KINDS)
     ends_s = time.monotonic() + FATAL_SECONDS
     number = 0
     while time.monotonic() < ends_s:
@@ -190,7 +235,7 @@
 def _send_after_faults(deployment, seed):
     if not deployment.wait_ready():
         return []
-    sender = callers.Caller(CALLERS, deployment.hosts, seed)
+    sender = callers.Caller(CALLERS + PROMPT_CALLERS, deployment.hosts, seed)
     kinds = list(callers.RequestKind)
     return [
         sender.send(
--- /dev/null
+++ b/tests/soak/run_log.py
@@ -0,0 +1,81 @@
+"""Log of the requests that the upstreams of a soak ran or refused."""
+
+import threading
+
+import attrs
+
+
+@attrs.frozen
+class Run:
+    """Request that an upstream started to run.
+
+    Parameters
+    ----------
+    request_id : str
+        ID of the request.
+    upstream : str
+        ID of the upstream.
+    at_s : float
+        Monotonic time of the start, in seconds.
+    says_leaving : bool
+        Whether the response says that the upstream leaves.
+    weight_version : int, default=0
+        Weight version on which it starts, at an engine.
+    arrived_s : float, default=0.0
+        Monotonic time at which it reached the engine, where it may wait, in seconds.
+    """
+
+    request_id: str
+    upstream: str
+    at_s: float
+    says_leaving: bool = False
+    weight_version: int = 0
+    arrived_s: float = 0.0
+
+
+@attrs.frozen
+class Refusal:
+    """Request that an upstream refused, with a time for which it wants no others.
+
+    Parameters
+    ----------
+    request_id : str
+        ID of the request.
+    upstream : str
+        ID of the upstream.
+    at_s : float
+        Monotonic time, in seconds.
+    """
+
+    request_id: str
+    upstream: str
+    at_s: float
+
+
+class RunLog:
+    """Thread-safe log of the runs and refusals of all upstreams."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._runs = []
+        self._refusals = []
+
+    def add_refusal(self, refusal):
+        """Add a refusal."""
+        with self._lock:
+            self._refusals.append(refusal)
+
+    def list_refusals(self):
+        """Return a copy of the refusals so far."""
+        with self._lock:
+            return list(self._refusals)
+
+    def add(self, run):
+        """Add a run."""
+        with self._lock:
+            self._runs.append(run)
+
+    def list(self):
+        """Return a copy of the runs so far."""
+        with self._lock:
+            return list(self._runs)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,7 +6,16 @@
 import attrs
 import pytest
 
-from tests.soak import callers, faults, guarantees, proxy, run, upstreams
+from tests.soak import (
+    callers,
+    faults,
+    guarantees,
+    proxy,
+    run,
+    run_log,
+    upstreams,
+    weight_guarantees,
+)
 
 SECONDS = 5.0
 # Seeds with overlapping faults. A seed that fails is added here with its cause.
@@ -25,7 +34,7 @@
 STREAM = attrs.evolve(
     OUTCOME, kind=callers.RequestKind.ONCE, body=upstreams.make_stream("c1-1")
 )
-RUN = upstreams.Run("c1-1", "i-1-1", 1.5)
+RUN = run_log.Run("c1-1", "i-1-1", 1.5)
 
 
 @pytest.mark.processes
@@ -141,7 +150,7 @@
 
 def test_requests_within_the_time_that_a_refusal_names_are_reported():
     requests = [attrs.evolve(OUTCOME, request_id=f"c1-{n}") for n in range(4)]
-    refusal = upstreams.Refusal("c1-0", "i-1-1", 1.5)
+    refusal = run_log.Refusal("c1-0", "i-1-1", 1.5)
     runs = [attrs.evolve(RUN, request_id=f"c1-{n}", at_s=2.1) for n in range(1, 4)]
     assert len(guarantees.check_backoff(requests, runs, [refusal], {}, {})) == 1
     # Two are tolerated; before and after the time, at another host or start, after a
@@ -204,3 +213,64 @@
     assert not callers.may_take_up(attrs.evolve(begun, is_complete=True))
     assert not callers.may_take_up(attrs.evolve(begun, body=b"id: 1"))
     assert not callers.may_take_up(attrs.evolve(begun, kind=callers.RequestKind.ONCE))
+
+
+def test_plans_begin_with_a_rollout_without_faults_of_the_store_or_links():
+    assert run.plan(7, 5.0) == run.plan(7, 5.0)
+    rollout = faults.plan_rollout(7, 13.0, 3)
+    kinds = {each.fault for each in rollout}
+    assert {faults.Fault.WEIGHT_VERSION, faults.Fault.ENGINE_ORDERS} <= kinds
+    assert not any(kind.value.startswith("store") for kind in kinds)
+    assert not any(kind.value.endswith(("link", "links")) for kind in kinds)
+
+
+LATE_RUN = attrs.evolve(
+    RUN, upstream="i-4-1", at_s=26.1, weight_version=1, arrived_s=25.0
+)
+ACKED_S_BY_VERSION = {1: 5.0, 2: 20.0, 3: 25.0}
+
+
+def check_begin(run_on_weights, **disturbances):
+    return weight_guarantees.check_begins(
+        [OUTCOME],
+        [run_on_weights],
+        ACKED_S_BY_VERSION,
+        weight_guarantees.Disturbances(**disturbances),
+    )
+
+
+def test_request_that_begins_on_older_weights_after_the_grace_period_is_reported():
+    assert len(check_begin(LATE_RUN)) == 1
+    assert check_begin(attrs.evolve(LATE_RUN, at_s=25.9)) == []
+    assert check_begin(attrs.evolve(LATE_RUN, weight_version=2)) == []
+    assert check_begin(attrs.evolve(LATE_RUN, weight_version=0)) == []
+
+
+@pytest.mark.parametrize(
+    ("excused", "reported"),
+    [
+        # The host was in touch when it sent the request, and its links until it began.
+        (
+            {"processes_s_by_host": {"h0": [22.1]}},
+            {"processes_s_by_host": {"h0": [21.9, 25.1]}},
+        ),
+        ({"links_s_by_host": {"h0": [25.5]}}, {"links_s_by_host": {"h1": [25.5]}}),
+        ({"links_s_by_host": {"h0": [22.1]}}, {"links_s_by_host": {"h0": [21.9]}}),
+        # The store was stable for the length of the grace period.
+        ({"store_s": [17.2]}, {"store_s": [17.0, 26.2]}),
+        (
+            {"link_faults_by_id": {"i-4-1": [[24.0, 25.1]]}},
+            {"link_faults_by_id": {"i-4-1": [[24.0, 24.9]], "i-5-1": [[24.0, 27.0]]}},
+        ),
+    ],
+)
+def test_only_disturbances_in_the_stability_window_excuse_older_weights(
+    excused, reported
+):
+    assert check_begin(LATE_RUN, **excused) == []
+    assert len(check_begin(LATE_RUN, **reported)) == 1
+
+
+def test_engine_left_with_older_weights_is_reported():
+    assert weight_guarantees.check_engines({"i-4-1": 3, "i-5-1": 3}, 3) == []
+    assert len(weight_guarantees.check_engines({"i-4-1": 3, "i-5-1": 2}, 3)) == 1
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -3,15 +3,13 @@
 import enum
 import random
 import re
-import threading
 import time
 
-import attrs
-
 from tests.fakes import scripted_upstream
-from tests.soak import proxy
+from tests.soak import proxy, run_log
 
 EVENT_COUNT = 4
+STREAM_PATHS = ("/stream/", "/once/", "/prompt/", "/prompt-once/")
 EVENT_PAUSE_S = 0.05
 WORK_S = 0.02
 SLOW_S = 0.4
@@ -43,76 +41,6 @@
 UNFRAMED_BEHAVIOURS = frozenset({Behaviour.UNFRAMED, Behaviour.CUT_UNFRAMED})
 
 
-@attrs.frozen
-class Run:
-    """Request that an upstream started to run.
-
-    Parameters
-    ----------
-    request_id : str
-        ID of the request.
-    upstream : str
-        ID of the upstream.
-    at_s : float
-        Monotonic time of the start, in seconds.
-    says_leaving : bool
-        Whether the response says that the upstream leaves.
-    """
-
-    request_id: str
-    upstream: str
-    at_s: float
-    says_leaving: bool = False
-
-
-@attrs.frozen
-class Refusal:
-    """Request that an upstream refused, with a time for which it wants no others.
-
-    Parameters
-    ----------
-    request_id : str
-        ID of the request.
-    upstream : str
-        ID of the upstream.
-    at_s : float
-        Monotonic time, in seconds.
-    """
-
-    request_id: str
-    upstream: str
-    at_s: float
-
-
-class RunLog:
-    """Thread-safe log of the runs and refusals of all upstreams."""
-
-    def __init__(self):
-        self._lock = threading.Lock()
-        self._runs = []
-        self._refusals = []
-
-    def add_refusal(self, refusal):
-        """Add a refusal."""
-        with self._lock:
-            self._refusals.append(refusal)
-
-    def list_refusals(self):
-        """Return a copy of the refusals so far."""
-        with self._lock:
-            return list(self._refusals)
-
-    def add(self, run):
-        """Add a run."""
-        with self._lock:
-            self._runs.append(run)
-
-    def list(self):
-        """Return a copy of the runs so far."""
-        with self._lock:
-            return list(self._runs)
-
-
 class Upstream:
     """Upstream behind a proxy.
 
@@ -121,17 +49,20 @@
     number : int
         Number of the upstream. Its ID also has the number of the start, so each
         restart has another ID.
-    log : RunLog
+    log : run_log.RunLog
         Log to which the upstream adds its runs.
     end : callable
         Called with the upstream when a request ends it.
     """
 
+    service = "s"
+
     def __init__(self, number, log, end):
         self.number = number
         self.log = log
         self.end = end
         self.starts = 1
+        self.state = "ready"
         self.behaviour = Behaviour.NORMAL
         self.is_leaving = False
         # Start and end of each fault of the link, monotonic times in seconds.
@@ -149,14 +80,21 @@
         """Software version, which changes with each start."""
         return f"v{(self.number + self.starts) % 2 + 1}"
 
-    def make_registration(self, state="ready"):
+    def restart(self):
+        """Begin the next start, which has another ID."""
+        self.proxy.reset_all()
+        self.is_leaving = False
+        self.state = "ready"
+        self.starts += 1
+
+    def make_registration(self):
         """Return the object that registers the upstream in the platform's store."""
         return {
-            "Service": "s",
+            "Service": self.service,
             "Address": self.proxy.address,
             "Zone": "dc-1",
             "Slots": 16,
-            "State": state,
+            "State": self.state,
             "Version": self.software_version,
             "ColdRemainingMs": 0,
             "born": self.starts,
@@ -194,12 +132,13 @@
             return
         request_id = request.headers["X-Sycamorespoke-Request-Id"]
         if self.behaviour is Behaviour.OVERLOADED:
-            self.log.add_refusal(Refusal(request_id, upstream_id, time.monotonic()))
+            refusal = run_log.Refusal(request_id, upstream_id, time.monotonic())
+            self.log.add_refusal(refusal)
             headers |= {"X-Sycamorespoke-Not-Run": "1", "Retry-After": str(BACKOFF_S)}
             scripted_upstream.respond(request, 503, b"", **headers)
             return
         says_leaving = LEAVING_HEADER in headers
-        self.log.add(Run(request_id, upstream_id, time.monotonic(), says_leaving))
+        self.log.add(self._make_run(request, upstream_id, says_leaving))
         if self.behaviour is Behaviour.ERROR:
             scripted_upstream.respond(request, 500, b"fault", **headers)
             return
@@ -208,7 +147,7 @@
             _send_cut_head(request, request_id)
         elif self.behaviour in ENDLESS_BEHAVIOURS:
             self._send_endless(request, request_id)
-        elif request.path.startswith(("/stream/", "/once/")):
+        elif request.path.startswith(STREAM_PATHS):
             if self.behaviour in UNFRAMED_BEHAVIOURS:
                 self._stream_unframed(request, request_id)
             else:
@@ -221,6 +160,10 @@
             body = make_body(request_id)
             scripted_upstream.respond(request, body=body, **headers)
 
+    def _make_run(self, request, upstream_id, says_leaving):
+        request_id = request.headers["X-Sycamorespoke-Request-Id"]
+        return run_log.Run(request_id, upstream_id, time.monotonic(), says_leaving)
+
     def _make_headers(self):
         headers = {}
         if self.behaviour is Behaviour.RATE_LIMIT:
