Gateway: a confirmation may move back again, to the time that a response shows

Keeping the latest confirmation had no caller that needs it, and tests/gateway/test_stream_versions.py (a host out of touch refuses an unnamed stream) failed, since it sets an older confirmation. An older one is on the safe side: ages get larger.

--- a/sycamorespoke/gateway/_views.py
+++ b/sycamorespoke/gateway/_views.py
@@ -173,8 +173,7 @@
     def confirm(self, section, now):
         """Record that the source confirmed a section at ``now``."""
         with self._lock:
-            confirmed = dict(self._view.confirmed_s_by_section)
-            confirmed[section] = max(confirmed.get(section, now), now)
+            confirmed = {**self._view.confirmed_s_by_section, section: now}
             self._view = attrs.evolve(self._view, confirmed_s_by_section=confirmed)
 
 
