Gateway: only a plain stream of events continues a stream

Callers saw the text of an error in the middle of their streams, which then ended as complete ones: a stream had begun and broken off, and the next upstream answered 200 with a body that is no event stream (text, JSON, coded, or without a type), with or without a length, directly or through another host. Likewise, events were appended to a 200 that was no event stream and broke off.

Cause: only the status decided whether a response continues a stream. Each part without an end of an event was kept and passed on when the body ended, and the end of a body that is no event stream always counted as complete.

Change: _continuations.find_bar decides at one place, from the head, whether a response may share a stream with another one. It is asked for the head that began and for the one that shall continue, from an upstream or another host. A body with a content coding is no stream of events.

The pair of hosts now loses its links before they are cut: a break that came first was tried on this host's own links, which made the new test of forwarded streams fail now and then.

--- a/sycamorespoke/gateway/_requests.py
+++ b/sycamorespoke/gateway/_requests.py
@@ -214,7 +214,7 @@
     framing : Framing
         How the response shows where its body ends.
     is_event_stream : bool
-        Whether the body is a stream of events.
+        Whether the body is a stream of events without a content coding.
     request_id : str
         ID of the request to which the response belongs; may be empty.
     is_not_run : bool
--- a/sycamorespoke/gateway/_stream_body.py
+++ b/sycamorespoke/gateway/_stream_body.py
@@ -3,9 +3,7 @@
 import loguru
 
 from sycamorespoke import domain, serving
-from sycamorespoke.gateway import _events, _requests
-
-RESUMED_STATUS = 200
+from sycamorespoke.gateway import _continuations, _events, _requests
 
 
 class StreamBody:
@@ -139,13 +137,14 @@
 
     def _open_next(self, failure):
         """Send the request again; return a refusal if no upstream continues it."""
-        if self._head.status != RESUMED_STATUS:
+        if _continuations.find_bar(self._head) is not None:
             return failure.refusal
         head = self.attempts.open(self._splitter.last_id)
         if isinstance(head, domain.Refusal):
             return head
-        if head.status != RESUMED_STATUS:
-            return failure.refusal
+        bar = _continuations.find_bar(head)
+        if bar is not None:
+            return bar
         self._head = head
         return None
 
--- a/sycamorespoke/platform/_protocol.py
+++ b/sycamorespoke/platform/_protocol.py
@@ -13,6 +13,7 @@
 # the route applies.
 MAX_REMAINING_S = 86400.0
 STATUS_WRONG_UPSTREAM = 421
+PLAIN_CODING = "identity"
 STATUS_OVERLOADED = 503
 _HTTP_TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _TARGET = re.compile(r"/[\x21-\x7e]*")
@@ -135,7 +136,7 @@
         reason=response.reason or "",
         headers=forwarded,
         framing=_parse_framing(response),
-        is_event_stream=clients.is_event_stream(headers.get("Content-Type", "")),
+        is_event_stream=_is_event_stream(headers),
         request_id=headers.get(_names.REQUEST_ID, ""),
         is_not_run=is_wrong_upstream or _names.NOT_RUN in headers,
         is_wrong_upstream=is_wrong_upstream,
@@ -224,6 +225,12 @@
     )
 
 
+def _is_event_stream(headers):
+    coding = headers.get("Content-Encoding", "").strip().lower()
+    is_plain = coding in ("", PLAIN_CODING)
+    return is_plain and clients.is_event_stream(headers.get("Content-Type", ""))
+
+
 def _parse_framing(response):
     if response.chunked:
         return gateway.Framing.CHUNKS
--- a/tests/fakes/forwarding_pair.py
+++ b/tests/fakes/forwarding_pair.py
@@ -75,11 +75,12 @@
         peers._reports_by_host = {each.host: each for each in reports}
 
     def lose_links(self, mode=proxy.Mode.REFUSE):
-        for link in self.links:
-            link.set_mode(mode)
+        # A stream that breaks finds the links lost already.
         now = serving.read_clock()
         for upstream in self.cut.views.get().list_upstreams("s"):
             self.cut.reachability.record_unreachable(upstream, now)
+        for link in self.links:
+            link.set_mode(mode)
 
     def close(self):
         for link in self.links:
