Gateway: an answer that cannot continue a stream is followed by another attempt

Callers of streams that may be resumed saw them broken off although attempts and retry budget were left: after a broken stream, one upstream that answered the continuation with 400, 404, 429, 204, 206, 302 or a 200 without events was the last one that was asked. Nor did a line tell of that answer, and such a 200 did not count as a failure of its upstream.

Cause: StreamBody gave up at the first response that was no 200; only failures of the connection, refusals that say "not run" and server errors were followed by others.

Change: the response is given up (its connection closed, which cancels a run) and handled as a broken one: logged with its reason, its upstream excluded, and another attempt made if the route's attempts and the budget allow it. A 200 with another body counts as failure of the upstream, a refused continuation does not. After a server error nothing changes.

--- a/sycamorespoke/gateway/_stream_body.py
+++ b/sycamorespoke/gateway/_stream_body.py
@@ -3,7 +3,7 @@
 import loguru
 
 from sycamorespoke import domain, serving
-from sycamorespoke.gateway import _continuations, _events, _requests
+from sycamorespoke.gateway import _attempts, _continuations, _events, _requests
 
 
 class StreamBody:
@@ -139,14 +139,25 @@
         """Send the request again; return a refusal if no upstream continues it."""
         if _continuations.find_bar(self._head) is not None:
             return failure.refusal
-        head = self.attempts.open(self._splitter.last_id)
-        if isinstance(head, domain.Refusal):
-            return head
-        bar = _continuations.find_bar(head)
-        if bar is not None:
+        while True:
+            head = self.attempts.open(self._splitter.last_id)
+            if isinstance(head, domain.Refusal):
+                return head
+            bar = _continuations.find_bar(head)
+            if bar is None:
+                self._head = head
+                return None
+            refusal = self._reject(head, bar)
+            if refusal is not None:
+                return refusal
+
+    def _reject(self, head, bar):
+        """Give up a response that cannot continue the stream; may return a refusal."""
+        if head.status >= _attempts.SERVER_ERROR_STATUS:
+            # It is returned only if no other attempt may follow.
             return bar
-        self._head = head
-        return None
+        self.attempts.exchange.close()
+        return self._handle_broken_response(_requests.Failure(bar))
 
 
 def _make_lost(reason):
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -59,6 +59,10 @@
                 time.sleep(0.01)
             raise AssertionError(f"no line {event!r}")
 
+        def list_fields(self, event):
+            """Return the fields of the lines of an event so far."""
+            return [each["extra"] for each in records if each["message"] == event]
+
     handler = loguru.logger.add(lambda message: records.append(message.record))
     yield LogLines()
     loguru.logger.remove(handler)
--- a/tests/gateway/test_stream_body.py
+++ b/tests/gateway/test_stream_body.py
@@ -52,6 +52,20 @@
 )
 
 
+@each_error_answer
+def test_stream_goes_on_at_a_third_upstream_after_an_error_of_the_second(
+    harness, answer
+):
+    continued = continued_streams.ContinuedStream(
+        harness,
+        continued_streams.break_after_two,
+        answer,
+        continued_streams.continue_after_two,
+    )
+    assert continued.request() == (EVENTS(1, 4), True)
+    assert continued.last_event_ids == [None, "2", "2"]
+
+
 @each_error_answer
 def test_error_of_the_last_upstream_does_not_reach_a_begun_stream(harness, answer):
     continued = continued_streams.ContinuedStream(
@@ -120,3 +134,19 @@
     )
     status, _, body = continued.gateway.request("/stream/x")
     assert (status, body) == (404, continued_streams.ERROR_TEXT)
+
+
+def test_log_tells_why_a_response_does_not_continue_a_stream(harness, log_lines):
+    begun = continued_streams.send_chunks(EVENTS(1, 2))
+    answer = continued_streams.respond(404)
+    reasons = []
+
+    def end(request):
+        begun(request)
+        reasons.append(log_lines.list_fields("attempt broke")[-1]["reason"])
+
+    continued = continued_streams.ContinuedStream(
+        harness, continued_streams.break_after_two, answer, end
+    )
+    assert continued.request() == (EVENTS(1, 2), True)
+    assert reasons == ["the upstream responded with status 404 instead of events"]
