Gateway: an error that an upstream writes into its own stream ends that stream

Callers got the text of an error, with its whole head ("HTTP/1.1 500 ..."), between or inside the events of their stream, which often ended as a complete one. It came from an upstream, or a server before it, that broke off and wrote its error into the body that it had begun, framed by chunks, by a length or by the end of the connection.

Cause: EventSplitter took each piece of the body up to an empty line for an event.

Change: in a response that says it is a stream of events, a piece is an error if it has no field of an event, if it contains the head of a response (a status line with a header after it), or if it is an event of type "error" without an ID between numbered ones. The stream is then handled as broken off in front of that piece: it goes on elsewhere where its kind allows it, else it ends incomplete. Comments, other field names, and generated text about HTTP in the data of events remain events.

--- a/sycamorespoke/gateway/_events.py
+++ b/sycamorespoke/gateway/_events.py
@@ -6,6 +6,17 @@
 MAX_END_BYTES = 4
 _END_OF_EVENT = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _EVENT_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([0-9]{1,15})(?=[\r\n])")
+# A comment has an empty name; a byte order mark may precede the first event.
+_FIELD = re.compile(
+    rb"(?:^(?:\xef\xbb\xbf)?|[\r\n])(?:(?:id|data|event|retry)(?![^:\r\n])|:)"
+)
+_ERROR_TYPE = re.compile(rb"(?:^|[\r\n])event:[ ]?error(?=[\r\n])")
+# The status line and first header of a response; in an event, a line with the name of
+# a field would follow.
+_RESPONSE_HEAD = re.compile(
+    rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [^\r\n]*)?\r?\n"
+    rb"(?!(?:id|data|event|retry)?:)[!-9;-~]+:"
+)
 
 
 class EventSplitter:
@@ -23,6 +34,9 @@
         ID of the last complete event.
     has_events : bool
         Whether the response contained a complete event, returned or dropped.
+    has_error : bool
+        Whether the stream contained an error in place of an event; the bytes from
+        there on are discarded.
 
     Examples
     --------
@@ -36,6 +50,7 @@
     def __init__(self, last_id=None):
         self.last_id = last_id
         self.has_events = False
+        self.has_error = False
         self._buffer = b""
 
     @property
@@ -48,13 +63,16 @@
         """Whether the bytes after the last complete event are more than any event."""
         return len(self._buffer) > MAX_EVENT_BYTES
 
-    def split_chunk(self, chunk):
+    def split_chunk(self, chunk, is_stream=False):
         """Add bytes of the stream and return the events that are now complete.
 
         Parameters
         ----------
         chunk : bytes
             Next bytes from the upstream.
+        is_stream : bool, default=False
+            Whether the response says that it is a stream of events, so that anything
+            else in it is an error.
 
         Returns
         -------
@@ -67,14 +85,20 @@
         events = []
         start = 0
         for match in _END_OF_EVENT.finditer(data, searched):
-            self._append_new(data[start : match.end()], events)
+            event = data[start : match.end()]
             start = match.end()
+            if is_stream and self._is_error(event):
+                self.has_error = True
+                start = len(data)
+                break
+            self._append_new(event, events)
         self._buffer = data[start:]
         return b"".join(events)
 
     def restart(self):
         """Discard the incomplete event at the end of a broken response."""
         self.has_events = False
+        self.has_error = False
         self._buffer = b""
 
     def flush(self):
@@ -82,6 +106,17 @@
         remainder, self._buffer = self._buffer, b""
         return remainder
 
+    def _is_error(self, event):
+        """Return whether the upstream has written an error in place of an event."""
+        if not event.strip(b"\r\n"):
+            return False
+        if _FIELD.search(event) is None or _RESPONSE_HEAD.search(event) is not None:
+            return True
+        is_numbered = _EVENT_ID.search(event) is not None
+        if is_numbered or self.last_id is None:
+            return False
+        return _ERROR_TYPE.search(event) is not None
+
     def _append_new(self, event, events):
         self.has_events = True
         match = _EVENT_ID.search(event)
--- a/sycamorespoke/gateway/_stream_body.py
+++ b/sycamorespoke/gateway/_stream_body.py
@@ -76,7 +76,10 @@
 
     def _read(self):
         """Read until an event is complete; return what is left at the stream's end."""
+        is_stream = _continuations.find_bar(self.attempts.exchange.head) is None
         while True:
+            if self._splitter.has_error:
+                return self._fail_with_error()
             chunk = self.attempts.exchange.read_chunk()
             if isinstance(chunk, _requests.Failure):
                 return chunk
@@ -86,13 +89,21 @@
                     return failure
                 self._ended = True
                 return self._splitter.flush()
-            events = self._splitter.split_chunk(chunk)
+            events = self._splitter.split_chunk(chunk, is_stream)
             if events:
                 self.attempts.record_begun()
                 return events
             if self._splitter.is_event_too_long:
                 return self.attempts.exchange.fail_too_long()
 
+    def _fail_with_error(self):
+        self.attempts.exchange.close()
+        refusal = domain.Refusal(
+            domain.ErrorKind.ANSWER_MISMATCH,
+            "the upstream has written an error into its stream",
+        )
+        return _requests.Failure(refusal)
+
     def _find_early_end(self):
         """Return a failure if the response ended before its stream was complete."""
         head = self.attempts.exchange.head
