Gateway: a stream whose last event has no ID is broken off, not begun again

Cause: a stream was resumed after the last known ID whatever had been sent since. Without any ID the next upstream began from the start, and its events were appended.

Change: EventSplitter says whether the last event with data had an ID; StreamBody asks for it before another attempt. Without one the stream ends incomplete. Comments do not matter.

Tests on the code before: 2 of 82 fail, (b'data: a ... b', True) where (b'data: a', False) is expected; all 82 pass now.

--- a/sycamorespoke/gateway/_events.py
+++ b/sycamorespoke/gateway/_events.py
@@ -6,6 +6,7 @@
 MAX_END_BYTES = 4
 _END_OF_EVENT = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _EVENT_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([0-9]{1,15})(?=[\r\n])")
+_DATA = re.compile(rb"(?:^|[\r\n])data(?=[:\r\n])")
 # A comment has an empty name; a byte order mark may precede the first event.
 _FIELD = re.compile(
     rb"(?:^(?:\xef\xbb\xbf)?|[\r\n])(?:(?:id|data|event|retry)(?![^:\r\n])|:)"
@@ -34,6 +35,9 @@
         ID of the last complete event.
     has_events : bool
         Whether the response contained a complete event, returned or dropped.
+    is_resumable : bool
+        Whether the ID of the last event says where the stream goes on: false after
+        data without an ID.
     has_error : bool
         Whether the stream contained an error in place of an event; the bytes from
         there on are discarded.
@@ -49,6 +53,7 @@
 
     def __init__(self, last_id=None):
         self.last_id = last_id
+        self.is_resumable = True
         self.has_events = False
         self.has_error = False
         self._buffer = b""
@@ -125,4 +130,7 @@
             if self.last_id is not None and event_id <= self.last_id:
                 return
             self.last_id = event_id
+            self.is_resumable = True
+        elif _DATA.search(event) is not None:
+            self.is_resumable = False
         events.append(event)
--- a/sycamorespoke/gateway/_stream_body.py
+++ b/sycamorespoke/gateway/_stream_body.py
@@ -148,7 +148,8 @@
 
     def _open_next(self, failure):
         """Send the request again; return a refusal if no upstream continues it."""
-        if _continuations.find_bar(self._head) is not None:
+        is_stream = _continuations.find_bar(self._head) is None
+        if not is_stream or not self._splitter.is_resumable:
             return failure.refusal
         while True:
             head = self.attempts.open(self._splitter.last_id)
--- a/tests/gateway/test_stream_body.py
+++ b/tests/gateway/test_stream_body.py
@@ -150,3 +150,20 @@
     )
     assert continued.request() == (EVENTS(1, 2), True)
     assert reasons == ["the upstream responded with status 404 instead of events"]
+
+
+@pytest.mark.parametrize("first", [b"", EVENTS(1, 1)], ids=["none", "later ones"])
+def test_events_without_ids_are_not_sent_a_second_time(harness, first):
+    begun = continued_streams.send_chunks(first + b"data: a\n\n", is_whole=False)
+    again = continued_streams.send_chunks(b"data: a\n\ndata: b\n\n")
+    continued = continued_streams.ContinuedStream(harness, begun, again)
+    assert continued.request() == (first + b"data: a\n\n", False)
+
+
+def test_comments_and_later_ids_let_a_stream_go_on(harness):
+    events = b"data: a\n\n" + EVENTS(1, 2) + b": comment\n\n"
+    begun = continued_streams.send_chunks(events, is_whole=False)
+    continued = continued_streams.ContinuedStream(
+        harness, begun, continued_streams.continue_after_two
+    )
+    assert continued.request() == (events + EVENTS(3, 4), True)
