Serving: a response that a fault ends early does not look complete without chunks

A caller that speaks HTTP/1.0, so that its stream ends with the connection, could not tell a stream that an unexpected error had ended from a complete one. Seen in a test only.

Cause: the connection was reset only for BrokenStreamError; waitress closes it regularly after any other error in a response that has begun.

Change: after every error in a response that has begun, a body that has neither chunks nor a length ends with a reset. The error still goes to waitress, which logs it.

Another test shows that the response holds nothing but the events before the error.

--- a/sycamorespoke/serving/_server.py
+++ b/sycamorespoke/serving/_server.py
@@ -69,10 +69,19 @@
         try:
             super().service()
         except BrokenStreamError:
-            # The caller detects the error by the missing end of the body.
-            self.close_on_finish = True
-            if not self.chunked_response:
-                self.channel.reset_on_close()
+            self._end_early()
+        except Exception:
+            # Waitress logs it, and responds if no response has begun.
+            if self.wrote_header:
+                self._end_early()
+            raise
+
+    def _end_early(self):
+        """Have the caller detect the error by the missing end of the body."""
+        self.close_on_finish = True
+        is_unframed = not self.chunked_response and self.content_length is None
+        if is_unframed:
+            self.channel.reset_on_close()
 
     def get_environment(self):
         environ = super().get_environment()
--- a/tests/serving/test_broken_streams.py
+++ b/tests/serving/test_broken_streams.py
@@ -10,11 +10,16 @@
 TIMEOUT_S = 10.0
 
 
-def break_off(environ, start_response):
-    environ["wsgi.input"].read()
-    start_response("200 OK", [("Content-Type", "text/event-stream")])
-    yield b"id: 1\ndata: a\n\n"
-    raise serving.BrokenStreamError("the upstream is gone")
+def make_application(error):
+    """Return an application whose responses break off with an error."""
+
+    def break_off(environ, start_response):
+        environ["wsgi.input"].read()
+        start_response("200 OK", [("Content-Type", "text/event-stream")])
+        yield b"id: 1\ndata: a\n\n"
+        raise error
+
+    return break_off
 
 
 def read_all(connection):
@@ -22,11 +27,19 @@
         pass
 
 
-@pytest.fixture
-def port():
-    """Port of a server that breaks off each response."""
+@pytest.fixture(
+    params=[
+        serving.BrokenStreamError("the upstream is gone"),
+        ValueError("a fault of the application"),
+        OSError("a file is gone"),
+    ],
+    ids=["broken stream", "fault", "system error"],
+)
+def port(request):
+    """Port of a server that breaks off each response, by the error that ends it."""
     limits = serving.CallerLimits()
-    server = serving.CallerServer("127.0.0.1:0", break_off, 4, 50, limits)
+    application = make_application(request.param)
+    server = serving.CallerServer("127.0.0.1:0", application, 4, 50, limits)
     server.start()
     yield server.port
     server.close_listener()
@@ -45,3 +58,11 @@
         connection.sendall(b"GET / HTTP/1.0\r\nHost: h\r\n\r\n")
         with pytest.raises(ConnectionResetError):
             read_all(connection)
+
+
+def test_broken_stream_holds_nothing_but_the_events_before_the_error(port):
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=TIMEOUT_S)
+    connection.request("GET", "/")
+    with pytest.raises(http.client.IncompleteRead) as caught:
+        connection.getresponse().read()
+    assert caught.value.partial == b"id: 1\ndata: a\n\n"
