Soak: upstreams that write errors into streams or answer a continuation with one

Two behaviours are new: an error's head in place of the last event of a stream, and an error or another body (200, 404 or 500) for a stream that a host continues. The mechanisms that prevent both can be switched off in tests.

--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -11,7 +11,9 @@
 from sycamorespoke.clients import _block_checks
 from sycamorespoke.decisions import _crash_evidence
 from sycamorespoke.gateway import (
+    _continuations,
     _crash_watch,
+    _events,
     _forwarding,
     _listed_versions,
     _origin_directory,
@@ -25,6 +27,7 @@
 
 _chain_block_keys = domain.chain_block_keys
 _find_block_error = _block_checks.find_block_error
+_NO_EVENTS = domain.Refusal(domain.ErrorKind.UPSTREAM_REFUSED, "no events")
 _import_block = clients.BlockClient.import_block
 
 
@@ -66,6 +69,14 @@
     _stream_body.StreamBody._find_early_end = lambda _: None
 
 
+def _join_all_responses_with_status_200():
+    _continuations.find_bar = lambda head: None if head.status == 200 else _NO_EVENTS
+
+
+def _take_all_pieces_for_events():
+    _events.EventSplitter._is_error = lambda *_: False
+
+
 def _omit_account_from_keys():
     domain.chain_block_keys = lambda account, *rest, **keywords: _chain_block_keys(
         "", *rest, **keywords
@@ -170,6 +181,8 @@
     "block-checks": _skip_block_checks,
     "cut-off-check": _skip_cut_off_check,
     "stream-end-check": _skip_stream_end_check,
+    "continuation-check": _join_all_responses_with_status_200,
+    "error-in-stream-check": _take_all_pieces_for_events,
     "block-generation": _skip_check_after_read,
     "block-identity": _skip_identity_check,
     "account-in-key": _omit_account_from_keys,
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -30,14 +30,18 @@
     ENDLESS_BODY = "endless body"
     RATE_LIMIT = "rate limit"
     OVERLOADED = "overloaded"
+    ERROR_IN_STREAM = "error in stream"
+    ERROR_FOR_CONTINUATION = "error for continuation"
 
 
 ENDLESS_BEHAVIOURS = frozenset({Behaviour.ENDLESS_HEAD, Behaviour.ENDLESS_BODY})
 ENDLESS_PAUSE_S = 0.005
 RATE_LIMIT_PER_S = "3.5"
 BACKOFF_S = 4.0
+CONTINUATION_STATUSES = (200, 404, 500)
 FATAL_NAME = "fatal"
 LEAVING_HEADER = "Server-Leaving"
+ERROR_IN_STREAM = b"HTTP/1.1 500 Fault\r\nContent-Length: 5\r\n\r\nfault"
 UNFRAMED_BEHAVIOURS = frozenset({Behaviour.UNFRAMED, Behaviour.CUT_UNFRAMED})
 
 
@@ -142,6 +146,10 @@
         if self.behaviour is Behaviour.ERROR:
             scripted_upstream.respond(request, 500, b"fault", **headers)
             return
+        if self.behaviour is Behaviour.ERROR_FOR_CONTINUATION and _is_resent(request):
+            status = random.Random(request_id).choice(CONTINUATION_STATUSES)
+            scripted_upstream.respond(request, status, b"fault", **headers)
+            return
         time.sleep(SLOW_S if self.behaviour is Behaviour.SLOW else WORK_S)
         if self.behaviour is Behaviour.CUT_HEAD:
             _send_cut_head(request, request_id)
@@ -203,12 +211,21 @@
             if self.behaviour is Behaviour.CUT and number == EVENT_COUNT:
                 scripted_upstream.send_chunk(request, b"id: ")
                 scripted_upstream.abort(request)
+            if self.behaviour is Behaviour.ERROR_IN_STREAM and number == EVENT_COUNT:
+                scripted_upstream.send_chunk(request, ERROR_IN_STREAM)
+                break
             event = encode_event(request_id, number, version)
             scripted_upstream.send_chunk(request, event)
             time.sleep(EVENT_PAUSE_S)
         scripted_upstream.send_chunk(request, b"")
 
 
+def _is_resent(request):
+    """Return whether a host continues a stream that it has begun for its caller."""
+    is_continued = "Last-Event-Id" in request.headers
+    return is_continued and "Resumes" not in request.headers
+
+
 def _send_cut_head(request, request_id, rest=b""):
     """Send headers without the empty line after them, then ``rest``, and close."""
     lines = [
