Soak: upstreams that write an earlier refusal once more

Callers were told "not run" for requests that ran, and requests that may run once ran twice, when an upstream wrote an unnamed refusal again; the soak had no such upstream.

Change: a behaviour "copied refusal": the first request on a connection is refused without an ID, each later one runs, and the refusal is written again before its response. The guarantees on runs and statuses judge it; none changed.

--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -4,6 +4,7 @@
 import random
 import re
 import time
+import weakref
 
 from tests.fakes import scripted_upstream
 from tests.soak import proxy, run_log
@@ -32,6 +33,7 @@
     OVERLOADED = "overloaded"
     ERROR_IN_STREAM = "error in stream"
     ERROR_FOR_CONTINUATION = "error for continuation"
+    COPIED_REFUSAL = "copied refusal"
 
 
 ENDLESS_BEHAVIOURS = frozenset({Behaviour.ENDLESS_HEAD, Behaviour.ENDLESS_BODY})
@@ -69,6 +71,8 @@
         self.state = "ready"
         self.behaviour = Behaviour.NORMAL
         self.is_leaving = False
+        # Connections whose first request got a refusal that names no request.
+        self._refused = weakref.WeakSet()
         # Start and end of each fault of the link, monotonic times in seconds.
         self.link_faults = []
         self.server = scripted_upstream.ScriptedUpstream(self._handle_request)
@@ -141,8 +145,15 @@
             headers |= {"X-Sycamorespoke-Not-Run": "1", "Retry-After": str(BACKOFF_S)}
             scripted_upstream.respond(request, 503, b"", **headers)
             return
+        is_copying = self.behaviour is Behaviour.COPIED_REFUSAL
+        if is_copying and request not in self._refused:
+            self._refused.add(request)
+            _refuse_unnamed(request)
+            return
         says_leaving = LEAVING_HEADER in headers
         self.log.add(self._make_run(request, upstream_id, says_leaving))
+        if is_copying:
+            _refuse_unnamed(request)
         if self.behaviour is Behaviour.ERROR:
             scripted_upstream.respond(request, 500, b"fault", **headers)
             return
@@ -226,6 +237,11 @@
     return is_continued and "Resumes" not in request.headers
 
 
+def _refuse_unnamed(request):
+    headers = {"X-Sycamorespoke-Not-Run": "1", "Content-Length": "0"}
+    scripted_upstream.send_head(request, 503, headers)
+
+
 def _send_cut_head(request, request_id, rest=b""):
     """Send headers without the empty line after them, then ``rest``, and close."""
     lines = [
