--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -226,3 +226,22 @@
     pair.lose_links()
     status, _, body = pair.cut.request("/unsafe/x")
     assert (status, body) == (200, b"whole")
+
+
+@pytest.mark.parametrize("refused_id", ["", "call-1"])
+def test_copy_of_a_hosts_refusal_does_not_refuse_a_request_that_runs(
+    make_pair, harness, refused_id
+):
+    def refuse(request):
+        own = {_forward_format.REFUSAL_HEADER: "overloaded"}
+        scripted_upstream.respond(request, 503, b"", id=refused_id, **own)
+
+    host = harness.start_upstream(refuse)
+    pair = make_pair(serve)
+    pair.lose_links()
+    pair.report(address=host.address)
+    first = pair.cut.request("/safe/x", X_Sycamorespoke_Request_Id="call-1")[0]
+    assert first == (503 if refused_id else 502)
+    pair.report(address=host.address)
+    second = pair.cut.request("/once/x", X_Sycamorespoke_Request_Id="call-2")[0]
+    assert (second, len(host.requests)) == (502, 2)
