Gateway: an engine that refuses since it has older weights than known is not asked again and again

An engine that answered 421 with an older version than the one known was neither recorded nor excluded, so the same request went to it again until the retry budget was empty (101 requests in the test, BUDGET counts each). Now it is excluded for this request, as one that names no version. Red before: the new test of test_older_weights.py (101, 2 allowed); green after.

--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -350,9 +350,13 @@
         if not is_expected or head.weight_version in (None, choice.weight_version):
             self._excluded_boot_ids.add(upstream.boot_id)
             return
-        # The expected upstream holds another weight version than the table says.
-        if model:
-            self.gateway.table.record_version(upstream, model, head.weight_version)
+        # The expected upstream holds another weight version than the table says. One
+        # that is older is not recorded, so a second try would be refused as well.
+        is_newer = model and self.gateway.table.record_version(
+            upstream, model, head.weight_version
+        )
+        if not is_newer:
+            self._excluded_boot_ids.add(upstream.boot_id)
 
     def _may_repeat(self, service):
         """Decide whether a request that may have run is sent again."""
--- a/tests/gateway/test_older_weights.py
+++ b/tests/gateway/test_older_weights.py
@@ -184,5 +184,19 @@
     assert status == 503
 
 
+def test_engine_that_holds_an_older_version_than_known_is_not_asked_again_and_again(
+    harness,
+):
+    def refuse(request):
+        headers = {"X-Sycamorespoke-Weight-Versions": "1"}
+        scripted_upstream.respond(request, 421, b"", **headers)
+
+    upstream = harness.start_upstream(refuse)
+    gateway = harness.start_gateway([upstream])
+    hold_version(gateway, 2)
+    gateway.request("/stream/x", **PROMPT_HEADERS)
+    assert len(upstream.requests) <= 2
+
+
 def find_upstream(gateway, name):
     return gateway.views.get().upstreams_by_id[name]
