--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -25,9 +25,6 @@
     }
 )
 SERVER_ERROR_STATUS = 500
-# Other upstreams are preferred for this long after an upstream refused a request
-# because it was full.
-FULL_AVOIDANCE_S = 0.1
 # No attempt begins when less time than this remains, so that the refusal still
 # reaches the caller before its deadline.
 REFUSAL_MARGIN_S = 0.02
@@ -63,15 +60,20 @@
         self._excluded_boot_ids = set()
         self._work = _chooser.estimate_work(request.prompt) if request.prompt else 1.0
         self._active_upstream = None
-        self._watched_exchange = None
         self._refusal = None
         self._budget = _attempt_budget.AttemptBudget(gateway, request, route)
         # Upstreams that received the request, whether or not they ran it.
         self._reached_boot_ids = set()
+        model = request.prompt.model if request.prompt else None
         self.gate = _version_grace.RequestGate(
             _upstream_gate.UpstreamGate(gateway.views, gateway.table),
             gateway.version_grace,
-            request.prompt.model if request.prompt else None,
+            model,
+        )
+        # Whether a request without a stream has begun does not show.
+        is_stream = route.kind is _model.RouteKind.STREAM
+        self._grace_watch = _version_grace.GraceWatch(
+            gateway.version_grace, model if is_stream else None
         )
         self._forwarder = _forwarding.Forwarder(gateway, request, route, deadline_s)
         self._dispatcher = _dispatcher.Dispatcher(
@@ -280,7 +282,7 @@
         self.log.record_sent(dispatch)
         self.gateway.table.begin_request(upstream, self._work)
         self._active_upstream = upstream
-        self._watch_grace(exchange)
+        self._grace_watch.begin(exchange)
         if self._dispatcher.has_full_priority:
             expected_s = self._dispatcher.sent_s + self._dispatcher.prefill_s
             self.gateway.table.expect_first_event(upstream, self, expected_s)
@@ -288,18 +290,9 @@
         self._observer.record_opened(exchange, result)
         return result
 
-    def _watch_grace(self, exchange):
-        """Have the request taken back if it waits too long at older weights."""
-        # Whether a request without a stream has begun does not show.
-        if self.route.kind is _model.RouteKind.STREAM and self.request.prompt:
-            self._watched_exchange = exchange
-            self.gateway.version_grace.watch(exchange, self.request.prompt.model)
-
     def record_begun(self):
         """Record that the upstream has begun the request, or that it has ended."""
-        if self._watched_exchange is not None:
-            self.gateway.version_grace.unwatch(self._watched_exchange)
-            self._watched_exchange = None
+        self._grace_watch.end()
 
     def record_first_event(self):
         """Record the time at which the first event of the stream arrived."""
@@ -339,24 +332,11 @@
         return None if self._may_repeat(upstream.service) else self._refusal
 
     def _handle_refusal(self, choice, head):
-        upstream = choice.upstream
-        now = self.gateway.read_clock()
-        model = self.request.prompt.model if self.request.prompt else ""
         if not head.is_wrong_upstream:
-            self._exclude_reached(upstream)
-            self.gateway.table.record_full(upstream, now + FULL_AVOIDANCE_S)
-            return
-        is_expected = head.statements.upstream_id in ("", upstream.id)
-        if not is_expected or head.weight_version in (None, choice.weight_version):
-            self._excluded_boot_ids.add(upstream.boot_id)
-            return
-        # The expected upstream holds another weight version than the table says. One
-        # that is older is not recorded, so a second try would be refused as well.
-        is_newer = model and self.gateway.table.record_version(
-            upstream, model, head.weight_version
-        )
-        if not is_newer:
-            self._excluded_boot_ids.add(upstream.boot_id)
+            self._exclude_reached(choice.upstream)
+            self._observer.record_full(choice.upstream)
+        elif not self._observer.learn_version(choice, head, self.request):
+            self._excluded_boot_ids.add(choice.upstream.boot_id)
 
     def _may_repeat(self, service):
         """Decide whether a request that may have run is sent again."""
--- a/sycamorespoke/gateway/_upstream_observer.py
+++ b/sycamorespoke/gateway/_upstream_observer.py
@@ -11,6 +11,9 @@
     domain.ErrorKind.DEADLINE_AFTER_SEND: 0.5,
 }
 SERVER_ERROR_WEIGHT = 0.5
+# Other upstreams are preferred for this long after an upstream refused a request
+# because it was full.
+FULL_AVOIDANCE_S = 0.1
 # Kinds of failures after which a request may have been sent.
 UNANSWERED_KINDS = frozenset(
     {domain.ErrorKind.UPSTREAM_LOST, domain.ErrorKind.DEADLINE_AFTER_SEND}
@@ -61,6 +64,37 @@
             now = self.gateway.read_clock()
             self.gateway.reachability.record_unanswered(upstream, now)
 
+    def record_full(self, upstream):
+        """Record that an upstream refused a request because it was full."""
+        until_s = self.gateway.read_clock() + FULL_AVOIDANCE_S
+        self.gateway.table.record_full(upstream, until_s)
+
+    def learn_version(self, choice, head, request):
+        """Learn from a refusal that an upstream holds a newer version than expected.
+
+        Parameters
+        ----------
+        choice : Choice
+            Upstream that refused, and the weight version that was expected there.
+        head : ResponseHead
+            Head of the refusal.
+        request : Request
+            The request.
+
+        Returns
+        -------
+        bool
+            Whether a second try may be accepted. Of an older version the table keeps
+            no record, so that it would be refused as well.
+        """
+        upstream = choice.upstream
+        is_expected = head.statements.upstream_id in ("", upstream.id)
+        if not is_expected or head.weight_version in (None, choice.weight_version):
+            return False
+        return request.prompt is not None and self.gateway.table.record_version(
+            upstream, request.prompt.model, head.weight_version
+        )
+
     def record_server_error(self, upstream, status):
         """Record a response with a server error as a failure of the upstream."""
         now = self.gateway.read_clock()
--- a/sycamorespoke/gateway/_version_grace.py
+++ b/sycamorespoke/gateway/_version_grace.py
@@ -106,6 +106,35 @@
                 loguru.logger.exception("taking requests back failed")
 
 
+class GraceWatch:
+    """Has one request taken back if it waits too long at older weights.
+
+    Parameters
+    ----------
+    version_grace : VersionGrace
+        Takes requests back.
+    model : str or None
+        Model that the request needs; ``None`` if it is not to be taken back.
+    """
+
+    def __init__(self, version_grace, model):
+        self.version_grace = version_grace
+        self.model = model
+        self._exchange = None
+
+    def begin(self, exchange):
+        """Watch the request from now on, as the `Exchange` sends it."""
+        if self.model is not None:
+            self._exchange = exchange
+            self.version_grace.watch(exchange, self.model)
+
+    def end(self):
+        """Stop watching, since the request has begun or ended."""
+        if self._exchange is not None:
+            self.version_grace.unwatch(self._exchange)
+            self._exchange = None
+
+
 class RequestGate:
     """Answers whether one request may go to an upstream, also as to its weights.
 
