--- a/sycamorespoke/clients/__init__.py
+++ b/sycamorespoke/clients/__init__.py
@@ -57,6 +57,7 @@
     read_field,
     read_list,
 )
+from sycamorespoke.clients._json_requests import send_json
 from sycamorespoke.clients._orders import OrderAccepted, OrderClient
 from sycamorespoke.clients._platform import (
     Conflict,
@@ -138,4 +139,5 @@
     "read_list",
     "replace_request_id",
     "salvage_document",
+    "send_json",
 ]
--- a/sycamorespoke/platform/_block_stores.py
+++ b/sycamorespoke/platform/_block_stores.py
@@ -1,6 +1,5 @@
 """Client of the block stores."""
 
-import msgspec
 import urllib3
 
 from sycamorespoke import clients, gateway
@@ -13,7 +12,6 @@
 READ_TIMEOUT_S = 1.0
 MAX_POOLS = 64
 ADDED_SIGN = "+"
-JSON_HEADERS = {"Content-Type": "application/json"}
 # What is wrong with one event costs that one.
 DIVISIBLE_KEYS = frozenset({"Events"})
 # Types of the fields of an event: number, sign, scope, block ID, tokens.
@@ -91,20 +89,16 @@
         """
         request = {"parts": keys, "Epoch": epoch, "until_ms": until_ms}
         content = self._send(
-            "POST", address, _names.KV_FREE_PATH, request, JSON_HEADERS, READ_TIMEOUT_S
+            "POST", address, _names.KV_FREE_PATH, request, None, READ_TIMEOUT_S
         )
         return content if isinstance(content, gateway.Unavailable) else None
 
     def _send(self, method, address, path, content, headers, timeout_s):
-        body = None if content is None else msgspec.json.encode(content)
+        url = f"http://{address}{path}"
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s)
         try:
-            response = self._pools.request(
-                method,
-                f"http://{address}{path}",
-                body=body,
-                headers=headers,
-                timeout=timeout,
+            response = clients.send_json(
+                self._pools, method, url, timeout, content, headers
             )
             if response.status >= 300:
                 statements = _protocol.parse_statements(response)
--- a/sycamorespoke/platform/_engines.py
+++ b/sycamorespoke/platform/_engines.py
@@ -1,6 +1,5 @@
 """Client of the model engines: their reports, and orders to them."""
 
-import msgspec
 import urllib3
 
 from sycamorespoke import clients, gateway
@@ -118,15 +117,8 @@
 
 
 def _send(pool, method, path, timeout_s, content=None, headers=None):
-    body = None if content is None else msgspec.json.encode(content)
     timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s)
     try:
-        return pool.request(
-            method,
-            path,
-            body=body,
-            headers={"Content-Type": "application/json", **(headers or {})},
-            timeout=timeout,
-        )
+        return clients.send_json(pool, method, path, timeout, content, headers)
     except (urllib3.exceptions.HTTPError, OSError) as error:
         return gateway.Unavailable(f"no response: {type(error).__name__}")
