Gateway: kinds of failures stand together; a benchmark's words

The benchmark of rollouts injects faults, in the field's word. Behaviour unchanged; the tests of tests/gateway that use both pass.

--- a/benchmarks/bench_weight_rollout.py
+++ b/benchmarks/bench_weight_rollout.py
@@ -39,13 +39,13 @@
         Printed name.
     faults : rollout_fleet.EngineFaults
         What goes wrong with the engines.
-    disturb : callable or None, default=None
+    inject : callable or None, default=None
         Takes the fleet, shortly after the first order.
     """
 
     name: str
     faults: rollout_fleet.EngineFaults = attrs.field(factory=rollout_fleet.EngineFaults)
-    disturb: object = None
+    inject: object = None
 
 
 def kill_holder(fleet):
@@ -185,14 +185,14 @@
         time.sleep(1.0)
         begun_s = fleet.set_target()
         fleet.wait_until(lambda: fleet.engines.sent_orders, TIMEOUT_S)
-        if case.disturb is not None:
+        if case.inject is not None:
             fleet.wait_until(lambda: False, FAULT_DELAY_S)
             if fleet.find_holder() is not None:
-                disturbance = executor.submit(case.disturb, fleet)
+                fault = executor.submit(case.inject, fleet)
         fleet.wait_until(fleet.engines.is_rolled_out, TIMEOUT_S)
         duration_s = serving.read_clock() - begun_s
-        if case.disturb is not None:
-            disturbance.result()
+        if case.inject is not None:
+            fault.result()
         fleet.close()
     return make_result(fleet, begun_s, duration_s)
 
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -16,14 +16,6 @@
     _version_grace,
 )
 
-# Kinds of failures after which nothing has been sent to the upstream.
-NOT_SENT_KINDS = frozenset(
-    {
-        domain.ErrorKind.UPSTREAM_UNREACHABLE,
-        domain.ErrorKind.OVERLOADED,
-        domain.ErrorKind.NO_UPSTREAM,
-    }
-)
 SERVER_ERROR_STATUS = 500
 # No attempt begins when less time than this remains, so that the refusal still
 # reaches the caller before its deadline.
@@ -326,7 +318,7 @@
         self._observer.record_failure(upstream, refusal.kind)
         now = self.gateway.read_clock()
         self.crash_watch.record_lost(upstream, refusal.kind, has_begun=False, now=now)
-        if refusal.kind in NOT_SENT_KINDS:
+        if refusal.kind in _upstream_observer.NOT_SENT_KINDS:
             return None
         self._reached_boot_ids.add(upstream.boot_id)
         return None if self._may_repeat(upstream.service) else self._refusal
--- a/sycamorespoke/gateway/_upstream_observer.py
+++ b/sycamorespoke/gateway/_upstream_observer.py
@@ -14,6 +14,14 @@
 # Other upstreams are preferred for this long after an upstream refused a request
 # because it was full.
 FULL_AVOIDANCE_S = 0.1
+# Kinds of failures after which nothing has been sent to the upstream.
+NOT_SENT_KINDS = frozenset(
+    {
+        domain.ErrorKind.UPSTREAM_UNREACHABLE,
+        domain.ErrorKind.OVERLOADED,
+        domain.ErrorKind.NO_UPSTREAM,
+    }
+)
 # Kinds of failures after which a request may have been sent.
 UNANSWERED_KINDS = frozenset(
     {domain.ErrorKind.UPSTREAM_LOST, domain.ErrorKind.DEADLINE_AFTER_SEND}
