--- a/sycamorespoke/platform/_engines.py
+++ b/sycamorespoke/platform/_engines.py
@@ -51,8 +51,8 @@
         gateway.EngineReport or gateway.Unavailable
             Accepted orders, whether weights are being loaded, and weight versions.
         """
-        pool = self._pools.connection_from_url(f"http://{upstream.address}")
-        response = _send(pool, "GET", _names.REPORT_PATH, READ_TIMEOUT_S)
+        url = f"http://{upstream.address}{_names.REPORT_PATH}"
+        response = _send(self._pools, "GET", url, READ_TIMEOUT_S)
         if isinstance(response, gateway.Unavailable):
             return response
         statements = _protocol.parse_statements(response)
@@ -116,9 +116,9 @@
         )
 
 
-def _send(pool, method, path, timeout_s, content=None, headers=None):
+def _send(pool, method, url, timeout_s, content=None, headers=None):
     timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s)
     try:
-        return clients.send_json(pool, method, path, timeout, content, headers)
+        return clients.send_json(pool, method, url, timeout, content, headers)
     except (urllib3.exceptions.HTTPError, OSError) as error:
         return gateway.Unavailable(f"no response: {type(error).__name__}")
