--- a/review/1/case.py
+++ b/review/1/case.py
@@ -93,7 +93,7 @@
 def find_foreign(engine, isolated, record):
     """Return the uses of parts that break the rule, of tenants isolated now."""
     foreign = []
-    for request_id, part_id, _, part, _ in engine.used:
+    for request_id, part_id, part, _ in engine.used:
         user = {"a": "alpha", "b": "beta"}[request_id[0]]
         if part.tenant != user and not isolated.isdisjoint({part.tenant, user}):
             foreign.append(request_id)
@@ -109,7 +109,7 @@
     await platform.start()
     await platform.put("versions", MODEL, {"Model": MODEL, "Version": 1})
     await platform.put("config", "main", make_state(3, is_isolated=False))
-    engine = servers.Engine("i-e1", SERVICE, "stgo-a", platform, record, MODEL, [])
+    engine = servers.Engine("i-e1", SERVICE, "stgo-a", platform, record, MODEL)
     await engine.start()
     gateway = deployment.Gateway(
         "front-stgo-a-1", "stgo-a", platform.server.address, record
--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -10,11 +10,13 @@
 
 PREFIX = "x-sycamorespoke-"
 HEARTBEAT_S = 1.2
-QUEUE = 192
+QUEUE = 96
 PREFILL_TOKENS_PER_S = 85_200.0
 TOKEN_MBITS = 0.32768 * 8
 EVENTS_LAG_S = 0.06
 WAITING_CALLS = 12
+DEAD_SOURCE_S = 0.3
+MISS_S = 0.001
 _stamps = itertools.count(1)
 
 
@@ -151,10 +153,13 @@
 
     Parameters
     ----------
-    name : str
-        For the record.
+    name, zone : str
+        For the record, and where it is.
+    capacity : int
+        Tokens that it has room for; it drops nothing by itself.
     link_mbps : float
-        Bandwidth; transfers run one after another.
+        Bandwidth in each direction; transfers in one direction run one after another,
+        and take twice as long between zones.
     first_ms : float
         Each transfer waits so long in addition.
     model : str
@@ -163,8 +168,10 @@
         Gets what happens.
     """
 
-    def __init__(self, name, link_mbps, first_ms, model, record):
+    def __init__(self, name, zone, capacity, link_mbps, first_ms, model, record):
         self.name = name
+        self.zone = zone
+        self.capacity = capacity
         self.link_mbps = link_mbps
         self.first_ms = first_ms
         self.model = model
@@ -174,7 +181,8 @@
         self.is_up = False
         self.parts = {}
         self._events = []
-        self._link = asyncio.Lock()
+        # Whoever waits for a link of before finds another epoch.
+        self._links = {}
         self._changed = asyncio.Condition()
         self._waiting = 0
 
@@ -183,7 +191,8 @@
         self.epoch += 1
         self.parts = {}
         self._events = []
-        self._link = asyncio.Lock()
+        # Whoever waits for a link of before finds another epoch.
+        self._links = {"in": asyncio.Lock(), "out": asyncio.Lock()}
         await self.http.start()
         self.is_up = True
         self.record.note(f"{self.name}: up, empty, epoch {self.epoch}")
@@ -194,20 +203,23 @@
         self.record.note(f"{self.name}: down")
         await self.http.stop()
 
-    async def save(self, salt, part_id, part):
+    async def save(self, salt, part_id, part, zone):
         """Save a part: its space is reserved at once, the link then takes its time."""
+        used = sum(each.tokens for each in self.parts.values())
         if not self.is_up or (salt, part_id) in self.parts:
             return
+        if used + part.tokens > self.capacity:
+            return
         epoch = self.epoch
         kept = Part(part.tokens, part.tenant, part.version, is_whole=False)
         self.parts[salt, part_id] = kept
-        self.record.note(f"{self.name}: {part_id} [{salt}] is being written")
-        async with self._link:
-            await asyncio.sleep(self._compute_s(part.tokens))
+        self.record.note(f"{self.name}: {part_id} is being written")
+        async with self._links["in"]:
+            await asyncio.sleep(self._compute_s(part.tokens, zone))
         if self.epoch != epoch or not self.is_up:
             return
         kept.is_whole = True
-        self.record.note(f"{self.name}: {part_id} [{salt}] is whole")
+        self.record.note(f"{self.name}: {part_id} is whole")
         await asyncio.sleep(EVENTS_LAG_S)
         async with self._changed:
             number = len(self._events) + 1
@@ -215,22 +227,29 @@
             self._events.append(event)
             self._changed.notify_all()
 
-    async def fetch(self, salt, part_id):
-        """Return the part that a fetch reads; ``None`` if it is not present."""
-        if not self.is_up:
-            await asyncio.sleep(0.3)
-            return None
-        part = self.parts.get((salt, part_id))
-        if part is None:
-            await asyncio.sleep(0.001)
+    async def fetch(self, salt, part_id, zone):
+        """Return the part as a fetch finds it; ``None`` if it is not present."""
+        epoch = self.epoch
+        link = self._links["out"]
+        if self.is_up:
+            await link.acquire()
+        if not self.is_up or self.epoch != epoch:
+            await asyncio.sleep(DEAD_SOURCE_S)
             return None
-        found = Part(part.tokens, part.tenant, part.version, part.is_whole)
-        async with self._link:
-            await asyncio.sleep(self._compute_s(part.tokens))
-        return found
+        try:
+            part = self.parts.get((salt, part_id))
+            if part is None:
+                await asyncio.sleep(MISS_S)
+                return None
+            found = Part(part.tokens, part.tenant, part.version, part.is_whole)
+            await asyncio.sleep(self._compute_s(part.tokens, zone))
+            return found if self.epoch == epoch else None
+        finally:
+            link.release()
 
-    def _compute_s(self, tokens):
-        return tokens * TOKEN_MBITS / self.link_mbps + self.first_ms / 1000
+    def _compute_s(self, tokens, zone):
+        factor = 1 if zone == self.zone else 2
+        return tokens * TOKEN_MBITS / self.link_mbps * factor + self.first_ms / 1000
 
     async def _handle(self, request, channel):
         url = urllib.parse.urlsplit(request.target)
@@ -288,26 +307,43 @@
         The stores that requests may name.
     version : int
         Version of its weights.
+    token_s : float
+        Time for one token of each of its runs.
     """
 
     slots = 32
-    token_s = 0.003
-
-    def __init__(self, name, service, zone, platform, record, model, stores, version=1):
+    capacity = 86791
+
+    def __init__(
+        self,
+        name,
+        service,
+        zone,
+        platform,
+        record,
+        model,
+        stores=(),
+        version=1,
+        token_s=0.003,
+    ):
         super().__init__(name, service, zone, platform, record)
         self.model = model
         self.stores_by_address = {store.http.address: store for store in stores}
         self.models = {model: version}
+        self.token_s = token_s
+        # What it keeps, the least recently used first.
         self.parts = {}
-        # What each run has used of parts: (request, part, salt, Part, where from).
+        # What each run has used of parts: (request, part, Part, where from).
         self.used = []
         self._free = None
+        self._reading = None
         self._waiting = 0
         self._saves = set()
 
     async def start(self):
         """Listen and register."""
         self._free = asyncio.Semaphore(self.slots)
+        self._reading = asyncio.Lock()
         await super().start()
 
     async def handle(self, request, channel):
@@ -347,19 +383,25 @@
         version = self.models[self.model]
         await self._fetch(request, request_id, salt, prompt)
         tokens_to_read = 0
+        made = {}
         for part_id, tokens in prompt:
-            part = self.parts.get((salt, part_id))
-            if part is not None:
-                self.used.append((request_id, part_id, salt, part, self.name))
-                note = (
-                    f"{self.name}: {request_id} uses {part_id}, made by {part.tenant}"
-                )
-                self.record.note(note)
-                continue
-            tokens_to_read += tokens
-            self.parts[salt, part_id] = Part(tokens, tenant, version)
-        await asyncio.sleep(tokens_to_read / PREFILL_TOKENS_PER_S)
-        self._save(headers, salt, prompt)
+            part = self.parts.pop((salt, part_id), None)
+            if part is not None and not tokens_to_read:
+                self.used.append((request_id, part_id, part, self.name))
+                if part.tenant != tenant:
+                    self.record.note(
+                        f"{self.name}: {request_id} of {tenant} uses {part_id}, "
+                        f"made by {part.tenant}"
+                    )
+            else:
+                part = Part(tokens, tenant, version)
+                tokens_to_read += tokens
+            made[part_id] = part
+        async with self._reading:
+            await asyncio.sleep(tokens_to_read / PREFILL_TOKENS_PER_S)
+        for part_id, part in made.items():
+            self._keep(salt, part_id, part)
+        self._save(headers, salt, prompt, made)
         await channel.start_stream(
             [*self.make_headers(request), (PREFIX + "Weight-Versions", str(version))]
         )
@@ -368,6 +410,12 @@
             await channel.send_chunk(f"id: {number}\ndata: t{number}\n\n".encode())
         await channel.send_chunk(b"")
 
+    def _keep(self, salt, part_id, part):
+        self.parts.pop((salt, part_id), None)
+        self.parts[salt, part_id] = part
+        while sum(each.tokens for each in self.parts.values()) > self.capacity:
+            self.parts.pop(next(iter(self.parts)))
+
     async def _fetch(self, request, request_id, salt, prompt):
         addresses = request.headers.get(PREFIX + "kv-fetch", "").split(",")
         until_ms = int(request.headers.get(PREFIX + "kv-until", "0"))
@@ -377,30 +425,27 @@
             store = self.stores_by_address.get(address)
             if store is None:
                 return
-            part = await store.fetch(salt, part_id)
+            part = await store.fetch(salt, part_id, self.zone)
+            outcome = "a miss"
+            if part is not None:
+                outcome = "whole" if part.is_whole else "NOT WHOLE"
+                if until_ms and clock_ms() > until_ms:
+                    outcome, part = "too late, thrown away", None
+            self.record.note(
+                f"{self.name}: {request_id} fetches {part_id}"
+                f" of {store.name}: {outcome}"
+            )
             if part is None:
-                self.record.note(f"{self.name}: {request_id} fetches {part_id}: a miss")
                 return
-            if until_ms and clock_ms() > until_ms:
-                note = (
-                    f"{self.name}: {request_id} fetches {part_id}: too late, discarded"
-                )
-                self.record.note(note)
-                return
-            state = "whole" if part.is_whole else "NOT WHOLE"
-            note = (
-                f"{self.name}: {request_id} fetches {part_id} of {store.name}: {state}"
-            )
-            self.record.note(note)
-            self.used.append((request_id, part_id, salt, part, store.name))
-            self.parts[salt, part_id] = part
+            self.used.append((request_id, part_id, part, store.name))
+            self._keep(salt, part_id, part)
 
-    def _save(self, headers, salt, prompt):
+    def _save(self, headers, salt, prompt, made):
         addresses = headers.get(PREFIX + "kv-save", "").split(",")
         for (part_id, _), address in zip(prompt, addresses, strict=False):
             store = self.stores_by_address.get(address)
             if store is not None:
-                save = store.save(salt, part_id, self.parts[salt, part_id])
+                save = store.save(salt, part_id, made[part_id], self.zone)
                 task = asyncio.create_task(save)
                 self._saves.add(task)
                 task.add_done_callback(self._saves.discard)
@@ -418,7 +463,7 @@
             "Waiting": self._waiting,
             "Running": 0,
             "KvUsed": 0,
-            "KvTotal": 86791,
+            "KvTotal": self.capacity,
             "Handles": 0,
         }
         headers = [("Content-Type", "application/json")]
