--- a/review/3/case.py
+++ b/review/3/case.py
@@ -31,7 +31,7 @@
 BURSTS_AT_S = (8.0, 20.0, 32.0, 44.0, 56.0, 68.0)
 LENGTH_S = 80.0
 # 48 tokens.
-RUN_S = 2.5
+RUN_S = 2.2
 RESTART_S = 0.5
 MACHINES = 2
 ENDS = 3
@@ -40,11 +40,11 @@
 class Engine(servers.Engine):
     """A model server whose runs take a fixed time.
 
-    It has as many slots as fall to these requests of two machines: they serve 6.4 a
+    It has as many slots as fall to these requests of two machines: they serve 5.9 a
     second, and are asked for 5.2 without a burst.
     """
 
-    slots = 16
+    slots = 13
 
     async def _run(self, request, channel):
         self.runs.append(request.headers.get("x-sycamorespoke-request-id", ""))
