review: Fault: each process keeps the last 1,000 desired states

Case 3, a script: storms of desired states of 750 KB. ObjectHistory logs the value of each of the last 1,000 changes on every host.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,10 +1,7 @@
-"""Many users come at once with long bodies; the processes grow over their memory."""
+"""Desired states come in quick succession; each process keeps all of them."""
 
 import asyncio
-import os
 import pathlib
-import re
-import signal
 import sys
 import time
 
@@ -16,80 +13,63 @@
 import platform_store  # noqa: E402
 import servers  # noqa: E402
 
-MODEL = "m0"
 HOST = "requests.example"
-SERVICE = "redactor"
+SERVICE = "agenda"
 KEY = "key-of-alpha-0001"
-# The machines of the site, and what its desired state lets a client send.
+# The machines of the site.
 MEMORY_MB = 150
-MAX_BODY_BYTES = 4194304
-BODY = os.urandom(4_000_000)
-# One machine's share of the requests of the sheet (18.2 a second at 7 machines).
-BASE_PER_S = 2.6
-BURST_X = 1.7
-BURST_S = 3.0
-BURSTS_AT_S = (8.0, 20.0, 32.0, 44.0, 56.0, 68.0)
-LENGTH_S = 80.0
-# 48 tokens.
-RUN_S = 2.2
-RESTART_S = 0.5
+# The site's own routes, and those by which `big_config` lets the desired state grow.
+ROUTES = 16 + 8 * 350
+STORM_S = 4.0
+STORM_GAP_S = 0.33
+PAUSE_S = 4.0
+# Without trouble the operator makes a change now and then.
+CALM_GAP_S = 10.0
+LENGTH_S = 100.0
+REQUEST_GAP_S = 0.25
 MACHINES = 2
 ENDS = 3
 
 
-class Engine(servers.Engine):
-    """A model server whose runs take a fixed time.
-
-    It has as many slots as fall to these requests of two machines: they serve 5.9 a
-    second, and are asked for 5.2 without a burst.
-    """
-
-    slots = 13
-
-    async def _run(self, request, channel):
-        self.runs.append(request.headers.get("x-sycamorespoke-request-id", ""))
-        await asyncio.sleep(RUN_S)
-        await channel.start_stream(self.make_headers(request))
-        await channel.send_chunk(b"id: 1\ndata: t1\n\n")
-        await channel.send_chunk(b"")
-
-
-def make_state():
-    """Return the desired state."""
-    route = {
-        "Name": "r-brief",
-        "Host": HOST,
-        "PathPrefix": "/brief/",
-        "Kind": "streaming",
-        "TimeoutMs": 12000,
-        "TargetLatencyMs": 600,
-        "Priority": 1,
-        "Service": SERVICE,
-        "MaxAttempts": 2,
-        "Anonymous": False,
-        "Sticky": True,
-        "Resumable": True,
-        "GapAimMs": 400,
-    }
+def make_routes():
+    """Return the routes; the first one carries the requests."""
+    return [
+        {
+            "Name": f"r-{number:07x}",
+            "Host": HOST,
+            "PathPrefix": f"/p{number:06x}/q/",
+            "Kind": "safe",
+            "TimeoutMs": 600,
+            "TargetLatencyMs": 125,
+            "Priority": 2,
+            "Service": SERVICE,
+            "MaxAttempts": 2,
+            "Anonymous": False,
+            "Sticky": False,
+            "Resumable": False,
+            "GapAimMs": 0,
+        }
+        for number in range(ROUTES)
+    ]
+
+
+def make_state(version, routes):
+    """Return a desired state; each one changes the time-out of the last route."""
+    last = {**routes[-1], "TimeoutMs": 600 + version % 100}
     service = {
         "Name": SERVICE,
         "HealthPath": "/healthz",
-        "MaxConns": 230,
-        "Engine": {
-            "Slots": Engine.slots,
-            "KvCapacityTokens": servers.Engine.capacity,
-            "KvTokenBytes": 327680,
-            "LinkMbps": 1500000.0,
-            "Models": [{"Name": MODEL}],
-        },
+        "MaxConns": 100,
+        "ColdStartS": 0.0,
+        "ColdPerS": 0.0,
     }
     return {
-        "Version": 3,
-        "Routes": [route],
+        "Version": version,
+        "Routes": [*routes[:-1], last],
         "Services": [service],
         "Limits": {
             "MaxHeaderBytes": 16384,
-            "MaxBodyBytes": MAX_BODY_BYTES,
+            "MaxBodyBytes": 4194304,
             "HeaderTimeoutMs": 3000,
             "IdleTimeoutMs": 15000,
         },
@@ -97,84 +77,56 @@
     }
 
 
-class Machine:
-    """A machine of the platform, which kills a process that exceeds its memory."""
-
-    def __init__(self, gateway, record):
-        self.gateway = gateway
-        self.record = record
-        self.kills = 0
-        self.peak_mb = 0.0
-
-    async def watch(self):
-        """Watch the process until cancelled."""
-        while True:
-            await asyncio.sleep(0.02)
-            memory_mb = self._read_memory_mb()
-            self.peak_mb = max(self.peak_mb, memory_mb)
-            if memory_mb <= MEMORY_MB:
-                continue
-            self.kills += 1
-            self.record.note(f"{self.gateway.name}: uses {memory_mb:.0f} MB, is killed")
-            self.gateway.signal(signal.SIGKILL)
-            await self.gateway.process.wait()
-            await asyncio.sleep(RESTART_S)
-            await self.gateway.start()
-            await self.gateway.wait_ready()
-
-    def _read_memory_mb(self):
-        try:
-            text = pathlib.Path(f"/proc/{self.gateway.process.pid}/status").read_text()
-        except OSError:
-            return 0.0
-        found = re.search(r"VmRSS:\s+([0-9]+) kB", text)
-        return int(found.group(1)) * 1024 / 1e6 if found else 0.0
-
-
-async def send_requests(gateway, record, answers, has_trouble):
-    """Send the requests of one machine's clients."""
+async def change(platform, record, has_trouble):
+    """Write one desired state after the other."""
+    routes = make_routes()
     begun_s = time.monotonic()
-    tasks = []
+    version = 3
     while (elapsed_s := time.monotonic() - begun_s) < LENGTH_S:
-        is_burst = any(at <= elapsed_s < at + BURST_S for at in BURSTS_AT_S)
-        per_s = BASE_PER_S * (BURST_X if is_burst and has_trouble else 1.0)
-        request_id = f"{gateway.name}-{len(tasks)}"
-        tasks.append(asyncio.create_task(ask(gateway, request_id, record, answers)))
-        await asyncio.sleep(1 / per_s)
-    await asyncio.gather(*tasks)
-
-
-async def ask(gateway, request_id, record, answers):
-    """Send one request with a long body."""
-    headers = {
-        "Host": HOST,
-        "X-Sycamorespoke-Request-Id": request_id,
-        "X-Sycamorespoke-Model": MODEL,
-        "X-Sycamorespoke-Token-Count": "11992,48",
-        "X-Sycamorespoke-Prompt-Prefix": "5c1e07a2:9122,91bd3f06:2870",
-        "X-Sycamorespoke-Deadline-Ms": "12000",
-        "Authorization": f"Bearer {KEY}",
-    }
-    answer = await http_server.send(
-        gateway.port, "POST", "/brief/1", headers, BODY, timeout_s=12.0
-    )
-    record.note(f"{request_id}: {answer}")
-    answers.append((request_id, answer))
+        version += 2
+        await platform.put("config", "main", make_state(version, routes))
+        in_cycle_s = elapsed_s % (STORM_S + PAUSE_S)
+        gap_s = STORM_GAP_S
+        if in_cycle_s + gap_s > STORM_S:
+            gap_s = STORM_S + PAUSE_S - in_cycle_s
+        await asyncio.sleep(gap_s if has_trouble else CALM_GAP_S)
+    record.note(f"the operator has written version {version} last")
+
+
+async def ask(gateway, record, answers):
+    """Send requests, one after the other."""
+    begun_s = time.monotonic()
+    number = 0
+    while time.monotonic() - begun_s < LENGTH_S:
+        number += 1
+        request_id = f"{gateway.name}-{number}"
+        headers = {
+            "Host": HOST,
+            "X-Sycamorespoke-Request-Id": request_id,
+            "X-Sycamorespoke-Deadline-Ms": "600",
+            "Authorization": f"Bearer {KEY}",
+        }
+        answer = await http_server.send(
+            gateway.port, "GET", "/p000000/q/1", headers, timeout_s=0.6
+        )
+        record.note(f"{request_id}: {answer}")
+        answers.append(answer)
+        await asyncio.sleep(REQUEST_GAP_S)
 
 
 async def play(record, has_trouble):
     """Play the case; return whether the rule was kept."""
     platform = platform_store.Platform()
     await platform.start()
-    await platform.put("versions", MODEL, {"Model": MODEL, "Version": 1})
-    await platform.put("config", "main", make_state())
-    engine = Engine("i-e1", SERVICE, "stgo-a", platform, record, MODEL)
-    await engine.start()
+    await platform.put("config", "main", make_state(3, make_routes()))
+    server = servers.Server("i-a1", SERVICE, "stgo-a", platform, record)
+    await server.start()
     machines = [
-        Machine(
+        deployment.Machine(
             deployment.Gateway(
                 f"front-stgo-a-{n}", "stgo-a", platform.server.address, record
             ),
+            MEMORY_MB,
             record,
         )
         for n in range(1, MACHINES + 1)
@@ -187,25 +139,17 @@
             await machine.gateway.wait_ready()
         watches = [asyncio.create_task(machine.watch()) for machine in machines]
         await asyncio.gather(
-            *(
-                send_requests(machine.gateway, record, answers, has_trouble)
-                for machine in machines
-            )
+            change(platform, record, has_trouble),
+            *(ask(machine.gateway, record, answers) for machine in machines),
         )
         for watch in watches:
             watch.cancel()
     finally:
         for machine in machines:
             await machine.gateway.end()
-        await engine.stop()
-    ran = set(engine.runs)
-    lost = [
-        request_id
-        for request_id, answer in answers
-        if request_id in ran and answer.failure.startswith(("the channel", "broken"))
-    ]
-    served = sum(answer.status == 200 for _, answer in answers)
-    record.note(f"requests {len(answers)}, 200: {served}, run and cut off: {len(lost)}")
+        await server.stop()
+    served = sum(answer.status == 200 for answer in answers)
+    record.note(f"requests {len(answers)}, 200: {served}")
     for machine in machines:
         record.note(
             f"{machine.gateway.name}: peak {machine.peak_mb:.0f} MB of {MEMORY_MB}, "
@@ -214,4 +158,4 @@
     return sum(machine.kills >= ENDS for machine in machines) < MACHINES
 
 
-deployment.run_case(play, HERE)
+deployment.run_case(play, HERE, time_limit_s=115.0)
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import re
 import shutil
 import signal
 import socket
@@ -17,6 +18,8 @@
 READY_PATH = "/sycamorespoke/ready"
 READY_TIMEOUT_S = 30.0
 GRACE_S = 8
+RESTART_S = 0.5
+MEMORY_POLL_S = 0.02
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 
 
@@ -153,6 +156,51 @@
 """
 
 
+class Machine:
+    """A machine of the platform, which kills a process that exceeds its memory.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        The process that it runs, and starts again after its end.
+    memory_mb : float
+        Memory that a process of it may use.
+    record : Record
+        Gets the ends.
+    """
+
+    def __init__(self, gateway, memory_mb, record):
+        self.gateway = gateway
+        self.memory_mb = memory_mb
+        self.record = record
+        self.kills = 0
+        self.peak_mb = 0.0
+
+    async def watch(self):
+        """Watch the process until cancelled."""
+        while True:
+            await asyncio.sleep(MEMORY_POLL_S)
+            memory_mb = self._read_memory_mb()
+            self.peak_mb = max(self.peak_mb, memory_mb)
+            if memory_mb <= self.memory_mb:
+                continue
+            self.kills += 1
+            self.record.note(f"{self.gateway.name}: uses {memory_mb:.0f} MB, is killed")
+            self.gateway.signal(signal.SIGKILL)
+            await self.gateway.process.wait()
+            await asyncio.sleep(RESTART_S)
+            await self.gateway.start()
+            await self.gateway.wait_ready()
+
+    def _read_memory_mb(self):
+        try:
+            text = pathlib.Path(f"/proc/{self.gateway.process.pid}/status").read_text()
+        except OSError:
+            return 0.0
+        found = re.search(r"VmRSS:\s+([0-9]+) kB", text)
+        return int(found.group(1)) * 1024 / 1e6 if found else 0.0
+
+
 def run_case(play, folder, time_limit_s=100.0):
     """Play a case and exit as the script of a case has to.
 
@@ -171,12 +219,15 @@
     record.note(f"trouble: {'yes' if has_trouble else 'no'}")
 
     async def limited():
+        # The processes that it started end also if it is terminated.
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(time_limit_s):
             return await play(record, has_trouble)
 
     try:
         is_kept = asyncio.run(limited())
-    except (NotRun, TimeoutError) as error:
+    except (NotRun, TimeoutError, asyncio.CancelledError) as error:
         record.note(f"the case could not run: {error!r}")
         print(f"not run: {error!r}")
         sys.exit(NOT_RUN)
--- a/review/standins/platform_store.py
+++ b/review/standins/platform_store.py
@@ -1,7 +1,9 @@
 """A stand-in of the platform's metadata store, as PROTOCOL.md describes it."""
 
 import asyncio
+import collections
 import json
+import time
 import urllib.parse
 
 import http_server
@@ -9,6 +11,7 @@
 OBJECTS = "/sycamorespoke/objects/"
 ANSWER_S = 0.004
 PAGE = 500
+HISTORY_S = 20.0
 
 
 class Platform:
@@ -18,7 +21,9 @@
         self.server = http_server.Server(self._handle)
         self.revision = 1
         self._objects = {}
-        self._events = []
+        # Time, revision, kind and event of each change that is not forgotten.
+        self._events = collections.deque()
+        self._dropped_revision = 0
         self._changed = asyncio.Condition()
 
     async def start(self):
@@ -52,7 +57,7 @@
     async def _answer(self, method, kind, name, query, body):
         if method == "GET" and "Watch" in query:
             wait_s = int(query.get("WaitMs", 0)) / 1000
-            return 200, await self._watch(kind, int(query["Watch"]), wait_s)
+            return await self._watch(kind, int(query["Watch"]), wait_s)
         async with self._changed:
             if method == "GET" and not name:
                 return 200, self._list(kind, query.get("after", ""))
@@ -75,7 +80,7 @@
         def list_events():
             return [
                 event
-                for number, each, event in self._events
+                for _, number, each, event in self._events
                 if each == kind and number > revision
             ]
 
@@ -85,7 +90,9 @@
                     await self._changed.wait_for(list_events)
             except TimeoutError:
                 pass
-            return {"Events": list_events(), "StoreRevision": self.revision}
+            if revision < self._dropped_revision:
+                return 410, {}
+            return 200, {"Events": list_events(), "StoreRevision": self.revision}
 
     def _write(self, method, kind, name, body):
         metadata = body["Metadata"]
@@ -129,5 +136,8 @@
 
     def _publish(self, kind, stored, is_deleted):
         event = {"Deleted": is_deleted, "Object": stored}
-        self._events.append((self.revision, kind, event))
+        now = time.monotonic()
+        self._events.append((now, self.revision, kind, event))
+        while now - self._events[0][0] > HISTORY_S:
+            self._dropped_revision = self._events.popleft()[1]
         self._changed.notify_all()
