Gateway: a history keeps the present objects, not the value of each change

Cause: ObjectHistory logged the whole value of each of the last 1,000 changes, on every host and for every kind. Large kinds are relayed without their values, and up to 16 hosts relay nothing.

Now the log has a name and a revision per changed object, at most 1,000; values are kept once, as they are now, and not at all for large kinds. A host that is behind gets the latest value of what has changed, which is the state that a follower publishes anyway.

--- a/sycamorespoke/gateway/_program_state.py
+++ b/sycamorespoke/gateway/_program_state.py
@@ -51,6 +51,7 @@
             "upstreams": program.table.dump(now),
             "links": program.reachability.dump(now),
             "connections": program.pool.count_open(),
+            "relayed_objects": program.source.count_objects(),
             "stores": program.block_planner.dump(now),
         }
 
--- a/sycamorespoke/gateway/_shared_source.py
+++ b/sycamorespoke/gateway/_shared_source.py
@@ -168,14 +168,19 @@
         """
         histories_by_kind = dict(self._histories_by_kind)
         return {
-            kind: histories_by_kind[kind].make_page(
-                since, kind not in self.large_kinds, now
-            )
+            kind: histories_by_kind[kind].make_page(since, now)
             for kind, since in revisions_by_kind.items()
             if kind in histories_by_kind
             and histories_by_kind[kind].is_current(now, MAX_RELAYED_AGE_S)
         }
 
+    def count_objects(self):
+        """Return the number of objects that are kept to be relayed, by kind."""
+        return {
+            kind: history.count_objects()
+            for kind, history in dict(self._histories_by_kind).items()
+        }
+
     def _wait_relayed(self, kind, revision, wait_s):
         """Wait for a relayed page that starts at a revision.
 
@@ -225,7 +230,8 @@
     def _record(self, kind, response):
         history = self._histories_by_kind.get(kind)
         if history is None:
-            history = _object_history.ObjectHistory()
+            has_values = kind not in self.large_kinds
+            history = _object_history.ObjectHistory(has_values)
             self._histories_by_kind[kind] = history
         history.record(response, self.read_clock())
         if isinstance(response, _source.Listing | _source.Changes):
--- a/sycamorespoke/gateway/_source.py
+++ b/sycamorespoke/gateway/_source.py
@@ -112,6 +112,11 @@
     return name if isinstance(name, str) else ""
 
 
+def make_removed(name, revision):
+    """Make the JSON value that stands for an object that was deleted."""
+    return {"Metadata": {"Name": name, "Revision": revision}}
+
+
 def get_metadata(value, key):
     """Return an entry of an object's metadata; ``None`` if there is none."""
     try:
