Follower: revisions of objects that are gone are forgotten

Cause: the revision of every object that a follower ever parsed stayed, some hundred bytes for each start of an upstream and each lease, crash record or host.

Now it goes with the object. The test has 50 revisions after 50 replaced objects without the change, one with it.

--- a/sycamorespoke/gateway/_follower.py
+++ b/sycamorespoke/gateway/_follower.py
@@ -162,7 +162,8 @@
 
     def _apply_listing(self, listing, now):
         items_by_name = {}
-        self._malformed_names &= {_source.get_name(each) for each in listing.values}
+        listed_names = {_source.get_name(each) for each in listing.values}
+        self._malformed_names &= listed_names
         for value in listing.values:
             name, item = self._parse(value, now)
             if item is not None:
@@ -178,16 +179,18 @@
         items_by_name.update(retained)
         changed = items_by_name != self.items_by_name
         self.items_by_name = items_by_name
+        self._forget_revisions(self._revisions_by_name.keys() - listed_names)
         return changed
 
     def _apply_change(self, change, now):
         if change.is_deleted:
             name = _source.get_name(change.value)
             self._malformed_names.discard(name)
-            if name not in self.items_by_name or self._retain_missing(name, now):
+            if name in self.items_by_name and self._retain_missing(name, now):
                 return False
-            del self.items_by_name[name]
-            return True
+            is_removed = self.items_by_name.pop(name, None) is not None
+            self._forget_revisions([name])
+            return is_removed
         name, item = self._parse(change.value, now)
         self._missing_until_s_by_name.pop(name, None)
         if item is None:
@@ -217,9 +220,16 @@
         for name in expired:
             del self._missing_until_s_by_name[name]
             self.items_by_name.pop(name, None)
+            self._forget_revisions([name])
             self._log("taken as gone", name=name)
         return bool(expired)
 
+    def _forget_revisions(self, names):
+        """Forget the revisions of objects that are gone, unless they are retained."""
+        for name in names:
+            if name not in self.items_by_name:
+                self._revisions_by_name.pop(name, None)
+
     def count_malformed(self):
         """Return the number of objects that are left out because of their form."""
         return len(self._malformed_names)
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -157,3 +157,38 @@
         [listing(5, a=1), changes(6), changes(7, ("b", 2, False))], pause_s=0.3
     )
     assert [harness.follower.step() for _ in range(3)] == [0.3, 0.0, 0.3]
+
+
+class ReplacedObjects:
+    """A source whose only object is replaced by one of another name each time."""
+
+    def __init__(self):
+        self.revision = 1
+
+    def list(self, kind):
+        return _source.Listing((make_value("o1", 1, 0),), 1)
+
+    def watch(self, kind, revision, wait_s):
+        removed = make_value(f"o{self.revision}", self.revision, 0)
+        self.revision += 1
+        added = make_value(f"o{self.revision}", self.revision, 0)
+        changes = (_source.Change(removed, True), _source.Change(added, False))
+        return _source.Changes(changes, self.revision)
+
+
+def test_follower_keeps_nothing_of_objects_that_are_gone_in_memory():
+    # Each start of an upstream has a name of its own: what is kept of each adds up.
+    subscription = _follower.Subscription(
+        "things", "things", lambda value, now: value, lambda items, now: None
+    )
+    follower = _follower.Follower(
+        ReplacedObjects(),
+        subscription,
+        lambda: 0.0,
+        lambda section, now: None,
+        lambda: decisions.WatchTiming(0.0, 0.0),
+    )
+    for _ in range(50):
+        follower.step()
+    assert list(follower.items_by_name) == ["o50"]
+    assert list(follower._revisions_by_name) == ["o50"]
