Outcomes: those at upstreams that are gone are dropped, also where nobody collects them

Cause: only requests for updates and replies to them drain a host's own outcomes; up to 16 hosts exchange none, so an entry stayed for each start of an upstream.

Now the update that drops the states of unlisted starts drops their outcomes too. The test has 50 entries after 50 starts without the change, one with it.

--- a/sycamorespoke/gateway/_outcome_pool.py
+++ b/sycamorespoke/gateway/_outcome_pool.py
@@ -74,6 +74,20 @@
             outcomes = self._own_by_boot.get(boot_id, decisions.Outcomes())
             self._own_by_boot[boot_id] = outcomes.add(weight)
 
+    def retain(self, boot_ids):
+        """Drop this host's outcomes at upstreams that are not registered any more.
+
+        In small deployments, nobody collects them.
+
+        Parameters
+        ----------
+        boot_ids : set of str
+            Boot IDs of the registered upstreams.
+        """
+        with self._lock:
+            for boot_id in self._own_by_boot.keys() - boot_ids:
+                del self._own_by_boot[boot_id]
+
     def drain(self, has_lost_links):
         """Return this host's outcomes since the last call, as messages hold them.
 
--- a/sycamorespoke/gateway/_table.py
+++ b/sycamorespoke/gateway/_table.py
@@ -286,6 +286,7 @@
         now : float
             Current time, seconds of the boot clock.
         """
+        self.outcomes.retain(boot_ids)
         with self._lock:
             for boot_id, state in list(self._states_by_boot.items()):
                 is_used = boot_id in boot_ids or state.requests
--- a/tests/gateway/test_table.py
+++ b/tests/gateway/test_table.py
@@ -76,3 +76,13 @@
     table.record_first_event(UPSTREAM, "r1", NOW + 1.0)
     table.record_first_event(UPSTREAM, "never expected", NOW + 9.0)
     assert 0.0 < table.estimate_wait_s(UPSTREAM, NOW + 1.0) < 1.0
+
+
+def test_outcomes_at_upstreams_that_are_gone_are_not_kept_in_memory():
+    # Up to 16 hosts nobody collects the outcomes, and each start has a boot ID.
+    table = _table.UpstreamTable()
+    for number in range(50):
+        upstream = _model.Upstream(f"i-{number}", 1, "s", "127.0.0.1:9", "dc-1")
+        table.record_success(upstream, float(number))
+        table.retain({upstream.boot_id}, float(number))
+    assert list(table.outcomes.drain(False)) == [upstream.boot_id]
