Platform: replies of the store, of engines and of block stores are at most 8 MiB

Cause: documents were read with the bound of callers' bodies.

Now a longer reply is given up while it is read. A follower then lists the objects, which is what it does after any watch that fails. The test watches twelve changes of 0.9 MB each: without the change it gets all of them, with it none, and the list has the newest.

--- a/sycamorespoke/clients/__init__.py
+++ b/sycamorespoke/clients/__init__.py
@@ -14,6 +14,7 @@
     CheckedConnection,
     CheckedPool,
     CheckedPoolManager,
+    ReplyPool,
     open_single_use_pool,
 )
 from sycamorespoke.clients._engine import (
@@ -106,6 +107,7 @@
     "OrderAccepted",
     "OrderClient",
     "PlatformClient",
+    "ReplyPool",
     "ServiceClient",
     "ServiceResponse",
     "Slot",
--- a/sycamorespoke/clients/_checked_http.py
+++ b/sycamorespoke/clients/_checked_http.py
@@ -23,6 +23,8 @@
 # Lines of a head, or lines between two parts of a body.
 MAX_LINES_BYTES = 65_536
 MAX_BODY_BYTES = 64 * 1024 * 1024
+# A few objects of the largest size that the platform's store accepts.
+MAX_REPLY_BYTES = 8 * 1024 * 1024
 MAX_BODY_S = 30.0
 READ_BYTES = 65_536
 MIN_TIMEOUT_S = 0.001
@@ -145,16 +147,17 @@
         Raises
         ------
         http.client.HTTPException
-            If all of the body has more than `MAX_BODY_BYTES`, takes longer than
+            If all of the body is longer than `get_max_body_bytes`, takes longer than
             `MAX_BODY_S` or is cut off.
         """
         if amt is not None:
             return super().read(amt)
         body = bytearray()
+        max_bytes = self.get_max_body_bytes()
         ends_s = time.monotonic() + MAX_BODY_S
         while chunk := self.read1(READ_BYTES):
             body += chunk
-            if len(body) > MAX_BODY_BYTES or time.monotonic() > ends_s:
+            if len(body) > max_bytes or time.monotonic() > ends_s:
                 raise http.client.HTTPException("the body is too long")
         if self.length:
             raise http.client.IncompleteRead(bytes(body), self.length)
@@ -163,6 +166,10 @@
             super().read()
         return bytes(body)
 
+    def get_max_body_bytes(self):
+        """Return the maximum size of a body that is read at once, in bytes."""
+        return MAX_BODY_BYTES
+
     def _read_head(self):
         super().begin()
         if self.fp is not None and self.fp.has_ended:
@@ -180,6 +187,13 @@
             raise http.client.HTTPException("the body is not only chunked")
 
 
+class _CheckedReply(_CheckedResponse):
+    """Response that holds a document, not a caller's body."""
+
+    def get_max_body_bytes(self):
+        return MAX_REPLY_BYTES
+
+
 class CheckedConnection(urllib3.connection.HTTPConnection):
     """Connection that raises for a response whose lines are cut off or endless.
 
@@ -209,13 +223,30 @@
     ConnectionCls = CheckedConnection
 
 
-def open_single_use_pool(address):
+class _ReplyConnection(CheckedConnection):
+    """Connection whose responses are documents of limited size."""
+
+    response_class = _CheckedReply
+
+
+class ReplyPool(CheckedPool):
+    """Pool of connections to one host whose responses are documents.
+
+    A longer body than `MAX_REPLY_BYTES` raises `urllib3.exceptions.ProtocolError`.
+    """
+
+    ConnectionCls = _ReplyConnection
+
+
+def open_single_use_pool(address, pool_class=CheckedPool):
     """Open a pool for one request, whose connection has carried no other.
 
     Parameters
     ----------
     address : str
         IP address and port.
+    pool_class : type, default=CheckedPool
+        Class of the pool.
 
     Returns
     -------
@@ -223,7 +254,7 @@
         Pool to close after the request; it does not retry.
     """
     url = urllib3.util.parse_url(f"http://{address}")
-    return CheckedPool(url.host, url.port, maxsize=1, retries=False)
+    return pool_class(url.host, url.port, maxsize=1, retries=False)
 
 
 class CheckedPoolManager(urllib3.PoolManager):
--- a/sycamorespoke/platform/_block_stores.py
+++ b/sycamorespoke/platform/_block_stores.py
@@ -23,6 +23,7 @@
 
     def __init__(self):
         self._pools = clients.CheckedPoolManager(
+            clients.ReplyPool,
             num_pools=MAX_POOLS,
             maxsize=2,
             retries=False,
--- a/sycamorespoke/platform/_engines.py
+++ b/sycamorespoke/platform/_engines.py
@@ -35,7 +35,7 @@
     def __init__(self, holder):
         self.holder = holder
         self._pools = clients.CheckedPoolManager(
-            num_pools=MAX_POOLS, maxsize=2, retries=False
+            clients.ReplyPool, num_pools=MAX_POOLS, maxsize=2, retries=False
         )
 
     def read_report(self, upstream):
@@ -104,7 +104,8 @@
         }
         headers = {_names.EXPECT_INSTANCE: upstream.id}
         # Responses do not name their order.
-        with clients.open_single_use_pool(upstream.address) as pool:
+        address = upstream.address
+        with clients.open_single_use_pool(address, clients.ReplyPool) as pool:
             response = _send(
                 pool, "POST", _names.ORDER_PATH, ORDER_TIMEOUT_S, content, headers
             )
--- a/sycamorespoke/platform/_store.py
+++ b/sycamorespoke/platform/_store.py
@@ -31,7 +31,7 @@
 
     def __init__(self, address):
         host, _, port = address.rpartition(":")
-        self._pool = clients.CheckedPool(
+        self._pool = clients.ReplyPool(
             host,
             int(port),
             maxsize=MAX_CONNECTIONS,
--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -62,7 +62,8 @@
 
 
 def _skip_cut_off_check():
-    clients.CheckedConnection.response_class = http.client.HTTPResponse
+    for pool_class in (clients.CheckedPool, clients.ReplyPool):
+        pool_class.ConnectionCls.response_class = http.client.HTTPResponse
 
 
 def _skip_stream_end_check():
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -32,6 +32,16 @@
     assert isinstance(store.read("k", "a"), gateway.Unavailable)
 
 
+def test_changes_too_large_to_hold_are_given_up_and_a_list_follows(fake_store):
+    # A host that was suspended during a storm gets every configuration at once.
+    store = _store.ObjectStoreClient(fake_store.address)
+    for number in range(12):
+        fake_store.put("k", "main", {"n": number, "text": "x" * 900_000})
+    assert isinstance(store.watch("k", 1, 0.0), gateway.Unavailable)
+    (value,) = store.list("k").values
+    assert value["Spec"]["n"] == 11
+
+
 def test_a_write_returns_its_outcome(fake_store):
     store = _store.ObjectStoreClient(fake_store.address)
     applied = store.create("k", "a", {"n": 1})
