Isolation: the shared scope names the accounts that are not in it

Cause: all accounts that are not isolated shared one cache scope for the whole life of a weight version, so nothing told the blocks of an account isolated since from the others.

Now the shared scope is a function of the present set of isolated accounts: a digest of their sorted names stands in it, nothing if there are none. A scope with set S only ever holds blocks of accounts outside S, whatever order configurations come in, whichever hosts lag or restart; no history and no agreement is needed. Isolation is asked when a request is sent, not only when it came. Accounts without a key count too. Blocks in managed stores under scopes that nobody uses are freed after 60 s; hosts use no stored blocks for 6 s after a change while such blocks are there, and none under a configuration older than 10 s.

With the digest left out, 3 of the new tests fail: scopes before and after, sequences of sets with hosts that start anew (hypothesis), and accounts without keys. Cost: prompts are read once more under the new scope, after a change of the set only.

--- a/sycamorespoke/decisions/_block_retirement.py
+++ b/sycamorespoke/decisions/_block_retirement.py
@@ -1,9 +1,12 @@
-"""Selection of the blocks of old weight versions that a block store may free.
+"""Scopes of blocks, and selection of the blocks that a block store may free.
 
-Blocks of old weight versions fill the stores after a weight rollout. A block must
-not be freed while a request imports it.
+Blocks of old weight versions fill the stores after a weight rollout, and blocks of
+scopes that no request uses any more after a change of the isolated client accounts. A
+block must not be freed while a request imports it.
 """
 
+import hashlib
+import json
 import re
 
 import attrs
@@ -15,7 +18,22 @@
 # Allows for clocks that run at slightly different rates.
 CLOCK_MARGIN_S = 0.5
 
-_SCOPE = re.compile(r"v(?P<version>[0-9]{1,9}) (?P<model>\S+)(?P<account> \S+)?")
+# After a change of the isolated accounts, hosts use no stored blocks for this long: a
+# host that does not know the change yet may be freeing them.
+EXCLUSION_SETTLE_S = 6.0
+# The blocks of unused scopes are freed this long after the change.
+UNUSED_SCOPE_WAIT_S = 60.0
+# A host frees them only if the configuration was confirmed this recently.
+CONFIGURATION_MAX_AGE_S = 3.0
+# A host uses stored blocks only if the configuration was confirmed this recently: well
+# before others free what only an older configuration uses.
+IMPORT_CONFIGURATION_MAX_AGE_S = 10.0
+
+_EXCLUSION_DIGITS = 16
+_SCOPE = re.compile(
+    r"v(?P<version>[0-9]{1,9})(-(?P<exclusion>[0-9a-f]{16}))?"
+    r" (?P<model>\S+)(?P<account> \S+)?"
+)
 
 
 @attrs.frozen
@@ -31,11 +49,16 @@
     account : str, default=""
         Client account whose blocks are isolated from those of all others; empty
         for blocks that the other client accounts share.
+    exclusion : str, default=""
+        Digest of the accounts that do not share the blocks, see
+        `compute_exclusion`; empty if there are none, or for the blocks of one account.
 
     Examples
     --------
     >>> parse_block_scope(BlockScope("m", 2, "a").text)
-    BlockScope(model='m', version=2, account='a')
+    BlockScope(model='m', version=2, account='a', exclusion='')
+    >>> BlockScope("m", 2, exclusion=compute_exclusion({"a"})).text
+    'v2-0eb5b8d6f81bc677 m'
     >>> parse_block_scope("of somebody else") is None
     True
     """
@@ -43,12 +66,36 @@
     model: str
     version: int
     account: str = ""
+    exclusion: str = ""
 
     @property
     def text(self):
         """The scope as text, in the form that stores and engines use."""
         account = f" {self.account}" if self.account else ""
-        return f"v{self.version} {self.model}{account}"
+        exclusion = f"-{self.exclusion}" if self.exclusion else ""
+        return f"v{self.version}{exclusion} {self.model}{account}"
+
+
+def compute_exclusion(isolated_accounts):
+    """Compute the digest of the isolated accounts that is part of a shared scope.
+
+    A scope with the digest of a set of accounts never holds a block of any of these,
+    in whatever order configurations come into force, and on whichever hosts.
+
+    Parameters
+    ----------
+    isolated_accounts : collection of str
+        Names of the accounts.
+
+    Returns
+    -------
+    str
+        Hexadecimal digits; empty without accounts.
+    """
+    if not isolated_accounts:
+        return ""
+    encoded = json.dumps(sorted(isolated_accounts)).encode()
+    return hashlib.sha256(encoded).hexdigest()[:_EXCLUSION_DIGITS]
 
 
 def parse_block_scope(text):
@@ -64,7 +111,30 @@
     if match is None:
         return None
     account = (match["account"] or "").strip()
-    return BlockScope(match["model"], int(match["version"]), account)
+    version = int(match["version"])
+    return BlockScope(match["model"], version, account, match["exclusion"] or "")
+
+
+def is_unused(scope, isolated_accounts):
+    """Return whether no request uses a scope while these accounts are isolated.
+
+    Parameters
+    ----------
+    scope : BlockScope
+        The scope.
+    isolated_accounts : collection of str
+        Names of the isolated accounts.
+
+    Examples
+    --------
+    >>> is_unused(BlockScope("m", 2), {"a"}), is_unused(BlockScope("m", 2), set())
+    (True, False)
+    >>> is_unused(BlockScope("m", 2, "a"), {"a"})
+    False
+    """
+    if scope.account:
+        return scope.account not in isolated_accounts
+    return scope.exclusion != compute_exclusion(isolated_accounts)
 
 
 def may_import(version, target_version, confirmed_s, now):
--- a/sycamorespoke/gateway/_blocks.py
+++ b/sycamorespoke/gateway/_blocks.py
@@ -3,7 +3,7 @@
 import threading
 
 from sycamorespoke import decisions
-from sycamorespoke.gateway import _store_follower, _store_index
+from sycamorespoke.gateway import _exclusion_age, _store_follower, _store_index
 
 # Upper bound on the age of a platform response when it arrives.
 CONFIRM_DELAY_S = 0.3
@@ -25,6 +25,7 @@
 
     def __init__(self, client):
         self.client = client
+        self.exclusion_age = _exclusion_age.ExclusionAge()
         self._followers_by_address = {}
         self._indexes_by_address = {}
         self._exported_s_by_key = {}
@@ -66,6 +67,59 @@
                 self._followers_by_address[address] = follower
                 follower.start()
 
+    def may_use_stores(self, view, now):
+        """Return whether no other host can be freeing the blocks that this one uses.
+
+        Parameters
+        ----------
+        view : View
+            Current view, which has a configuration.
+        now : float
+            Current time, seconds of the boot clock.
+
+        Returns
+        -------
+        bool
+            False while the configuration may be old, and for a while after a change of
+            the isolated accounts if a store holds blocks that others of them use.
+        """
+        confirmed_age_s = now - view.configuration_confirmed_s
+        if confirmed_age_s > decisions.IMPORT_CONFIGURATION_MAX_AGE_S:
+            return False
+        configuration = view.configuration
+        age_s = self.exclusion_age.measure_s(configuration, now)
+        if age_s >= decisions.EXCLUSION_SETTLE_S:
+            return True
+        return not any(
+            self.list_unused_scopes(index, configuration)
+            for index in self.list_indexes()
+        )
+
+    def list_unused_scopes(self, index, configuration):
+        """Return the scopes in a store that no request uses any more.
+
+        Parameters
+        ----------
+        index : StoreIndex
+            Index of the store.
+        configuration : Configuration
+            Configuration in force.
+
+        Returns
+        -------
+        set of str
+            The scopes, of any weight version.
+        """
+        isolated = configuration.isolated_accounts
+        scopes_by_text = {
+            text: decisions.parse_block_scope(text) for text in index.list_scopes()
+        }
+        return {
+            text
+            for text, scope in scopes_by_text.items()
+            if scope is not None and decisions.is_unused(scope, isolated)
+        }
+
     def plan(self, prompt, scope, may_import, confirmed_s, now):
         """Plan the block transfers of a request that is about to be sent.
 
--- a/sycamorespoke/gateway/_dispatcher.py
+++ b/sycamorespoke/gateway/_dispatcher.py
@@ -87,12 +87,17 @@
 
     def _make_scope(self, choice):
         """Return the cache scope in which this request may reuse blocks."""
-        is_private = self.account is not None and self.account.is_isolated
-        return decisions.BlockScope(
-            self.request.prompt.model,
-            choice.weight_version or 0,
-            self.account.name if is_private else "",
-        ).text
+        configuration = self.gateway.views.get().configuration
+        model, version = self.request.prompt.model, choice.weight_version or 0
+        if self.account is not None and self._is_isolated(configuration):
+            return decisions.BlockScope(model, version, self.account.name).text
+        exclusion = configuration.exclusion
+        return decisions.BlockScope(model, version, exclusion=exclusion).text
+
+    def _is_isolated(self, configuration):
+        """Return whether the account is isolated now, or was when the request came."""
+        name = self.account.name
+        return self.account.is_isolated or name in configuration.isolated_accounts
 
     def _plan_blocks(self, choice, scope):
         """Plan block transfers; imports only for the newest known weight version."""
@@ -107,6 +112,7 @@
             view.versions_confirmed_s,
             now,
         )
+        may_import = may_import and self.gateway.block_planner.may_use_stores(view, now)
         return self.gateway.block_planner.plan(
             self.request.prompt, scope, may_import, view.versions_confirmed_s, now
         )
--- a/sycamorespoke/gateway/_model.py
+++ b/sycamorespoke/gateway/_model.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from sycamorespoke import serving
+from sycamorespoke import decisions, serving
 
 
 class RouteKind(enum.Enum):
@@ -187,6 +187,13 @@
         Whether requests need an API key unless their route is anonymous.
     limits : CallerLimits
         Limits on requests and connections of callers.
+    isolated_accounts : frozenset of str
+        Names of the accounts that share no cached block, also of those without a key.
+
+    Attributes
+    ----------
+    exclusion : str
+        Digest of the isolated accounts, see `decisions.compute_exclusion`.
     """
 
     version: int
@@ -195,8 +202,14 @@
     accounts_by_key: dict[str, Account] = attrs.field(repr=False, factory=dict)
     needs_key: bool = False
     limits: serving.CallerLimits = attrs.field(factory=serving.CallerLimits)
+    isolated_accounts: frozenset[str] = frozenset()
+    exclusion: str = attrs.field(init=False, eq=False)
     _routes_by_host: dict = attrs.field(init=False, repr=False, eq=False)
 
+    @exclusion.default
+    def _compute_exclusion(self):
+        return decisions.compute_exclusion(self.isolated_accounts)
+
     def __attrs_post_init__(self):
         routes_by_host = {}
         for route in sorted(self.routes, key=lambda route: -len(route.path_prefix)):
--- a/sycamorespoke/gateway/_retirement.py
+++ b/sycamorespoke/gateway/_retirement.py
@@ -1,4 +1,4 @@
-"""Frees blocks of old weight versions in the block stores, one host at a time."""
+"""Frees blocks that no request uses any more in the block stores, by one host."""
 
 import loguru
 import pykka
@@ -24,7 +24,7 @@
     task_lease : TaskLease
         Lease of the task.
     views : Views
-        Current view, which has the target versions.
+        Current view, which has the target versions and the isolated accounts.
     blocks : BlockPlanner
         Indexes of the block stores.
     client : object
@@ -72,7 +72,8 @@
         for index in self.blocks.list_indexes():
             tokens_by_key = index.list_blocks()
             retired = decisions.select_retired_blocks(tokens_by_key, newest, now)
-            if not retired:
+            unused = self._select_unused(index, tokens_by_key, now)
+            if not retired and not unused:
                 continue
             assumed_freed = set(
                 decisions.select_retired_blocks(
@@ -80,7 +81,8 @@
                 )
             )
             index.remove(assumed_freed)
-            retired = [key for key in retired if key not in assumed_freed]
+            freeable = dict.fromkeys([*retired, *unused])
+            retired = [key for key in freeable if key not in assumed_freed]
             if retired and index.is_current(now):
                 retired_by_index[index] = retired
         if not retired_by_index:
@@ -91,6 +93,19 @@
         for index, retired in retired_by_index.items():
             self._free(index, retired)
 
+    def _select_unused(self, index, tokens_by_key, now):
+        """Select the blocks of scopes that are unused since the accounts changed."""
+        view = self.views.get()
+        if view.configuration is None:
+            return []
+        age_s = self.blocks.exclusion_age.measure_s(view.configuration, now)
+        confirmed_age_s = now - view.configuration_confirmed_s
+        is_recent = confirmed_age_s <= decisions.CONFIGURATION_MAX_AGE_S
+        if age_s < decisions.UNUSED_SCOPE_WAIT_S or not is_recent:
+            return []
+        scopes = self.blocks.list_unused_scopes(index, view.configuration)
+        return [key for key in tokens_by_key if key[0] in scopes]
+
     def _free(self, index, retired):
         for start in range(0, len(retired), BLOCKS_PER_REQUEST):
             now = serving.read_clock()
--- a/sycamorespoke/gateway/_store_index.py
+++ b/sycamorespoke/gateway/_store_index.py
@@ -80,6 +80,7 @@
         self._log_start = 0
         self._tokens_by_key = {}
         self._indexed_s_by_key = {}
+        self._blocks_by_scope = collections.Counter()
         self._confirmed_s = float("-inf")
         self._backoff_until_s = float("-inf")
         self._clock_offset_ms = 0.0
@@ -164,12 +165,17 @@
         self.used_tokens = 0
         self._tokens_by_key = {}
         self._indexed_s_by_key = {}
+        self._blocks_by_scope.clear()
         self._log.clear()
         self._log_start = number
 
     def _apply(self, scope, block_id, tokens, number):
         key = (scope, block_id)
         self.used_tokens += tokens - self._tokens_by_key.get(key, 0)
+        was_held = key in self._tokens_by_key
+        self._blocks_by_scope[scope] += bool(tokens) - was_held
+        if not self._blocks_by_scope[scope]:
+            del self._blocks_by_scope[scope]
         if tokens:
             self._tokens_by_key[key] = tokens
             self._indexed_s_by_key.setdefault(key, serving.read_clock())
@@ -242,6 +248,11 @@
         """Return the time of the stores' clock at ``now``, Unix milliseconds."""
         return now * 1000 + self._clock_offset_ms
 
+    def list_scopes(self):
+        """Return the scopes of the complete blocks as a list."""
+        with self._lock:
+            return list(self._blocks_by_scope)
+
     def list_blocks(self):
         """Return the tokens of each complete block by (scope, id)."""
         with self._lock:
--- a/sycamorespoke/gateway/_views.py
+++ b/sycamorespoke/gateway/_views.py
@@ -70,6 +70,11 @@
         """When the target versions were last confirmed, seconds of the boot clock."""
         return self.confirmed_s_by_section.get(VERSIONS, float("-inf"))
 
+    @property
+    def configuration_confirmed_s(self):
+        """When the configuration was last confirmed, seconds of the boot clock."""
+        return self.confirmed_s_by_section.get(CONFIGURATION, float("-inf"))
+
     def list_upstreams(self, service):
         """Return the registered upstreams of a service as a list."""
         upstreams = (self.upstreams_by_id or {}).values()
