--- a/sycamorespoke/clients/__init__.py
+++ b/sycamorespoke/clients/__init__.py
@@ -15,7 +15,9 @@
     CheckedPool,
     CheckedPoolManager,
     ReplyPool,
+    ReplyPoolManager,
     open_single_use_pool,
+    open_single_use_reply_pool,
 )
 from sycamorespoke.clients._engine import (
     EngineClient,
@@ -108,6 +110,7 @@
     "OrderClient",
     "PlatformClient",
     "ReplyPool",
+    "ReplyPoolManager",
     "ServiceClient",
     "ServiceResponse",
     "Slot",
@@ -132,6 +135,7 @@
     "is_event_stream",
     "make_continuation",
     "open_single_use_pool",
+    "open_single_use_reply_pool",
     "parse_connection_options",
     "parse_decimal",
     "parse_envelope",
--- a/sycamorespoke/clients/_checked_http.py
+++ b/sycamorespoke/clients/_checked_http.py
@@ -238,15 +238,13 @@
     ConnectionCls = _ReplyConnection
 
 
-def open_single_use_pool(address, pool_class=CheckedPool):
+def open_single_use_pool(address):
     """Open a pool for one request, whose connection has carried no other.
 
     Parameters
     ----------
     address : str
         IP address and port.
-    pool_class : type, default=CheckedPool
-        Class of the pool.
 
     Returns
     -------
@@ -254,7 +252,13 @@
         Pool to close after the request; it does not retry.
     """
     url = urllib3.util.parse_url(f"http://{address}")
-    return pool_class(url.host, url.port, maxsize=1, retries=False)
+    return CheckedPool(url.host, url.port, maxsize=1, retries=False)
+
+
+def open_single_use_reply_pool(address):
+    """Open a `ReplyPool` for one request, see `open_single_use_pool`."""
+    url = urllib3.util.parse_url(f"http://{address}")
+    return ReplyPool(url.host, url.port, maxsize=1, retries=False)
 
 
 class CheckedPoolManager(urllib3.PoolManager):
@@ -271,3 +275,16 @@
     def __init__(self, pool_class=CheckedPool, **options):
         super().__init__(**options)
         self.pool_classes_by_scheme = {"http": pool_class}
+
+
+class ReplyPoolManager(CheckedPoolManager):
+    """Pools of connections to many hosts whose responses are documents.
+
+    Parameters
+    ----------
+    **options : object
+        Parameters of `urllib3.PoolManager`.
+    """
+
+    def __init__(self, **options):
+        super().__init__(ReplyPool, **options)
--- a/sycamorespoke/platform/_block_stores.py
+++ b/sycamorespoke/platform/_block_stores.py
@@ -22,8 +22,7 @@
     """Reads events of block stores and frees blocks; safe to share among threads."""
 
     def __init__(self):
-        self._pools = clients.CheckedPoolManager(
-            clients.ReplyPool,
+        self._pools = clients.ReplyPoolManager(
             num_pools=MAX_POOLS,
             maxsize=2,
             retries=False,
--- a/sycamorespoke/platform/_engines.py
+++ b/sycamorespoke/platform/_engines.py
@@ -34,8 +34,8 @@
 
     def __init__(self, holder):
         self.holder = holder
-        self._pools = clients.CheckedPoolManager(
-            clients.ReplyPool, num_pools=MAX_POOLS, maxsize=2, retries=False
+        self._pools = clients.ReplyPoolManager(
+            num_pools=MAX_POOLS, maxsize=2, retries=False
         )
 
     def read_report(self, upstream):
@@ -104,8 +104,7 @@
         }
         headers = {_names.EXPECT_INSTANCE: upstream.id}
         # Responses do not name their order.
-        address = upstream.address
-        with clients.open_single_use_pool(address, clients.ReplyPool) as pool:
+        with clients.open_single_use_reply_pool(upstream.address) as pool:
             response = _send(
                 pool, "POST", _names.ORDER_PATH, ORDER_TIMEOUT_S, content, headers
             )
--- a/sycamorespoke/platform/_objects.py
+++ b/sycamorespoke/platform/_objects.py
@@ -79,14 +79,13 @@
     spec = _check_type(stored.spec, dict, "configuration")
     services = [_parse_service(value) for value in _field(spec, "Services", list)]
     accounts = clients.read_list(spec, "Tenants")
-    # The client accounts; without this field, no request needs an API key.
-    needs_key = spec.get("Tenants") is not None
     return gateway.Configuration(
         version=_field(spec, "Version", int),
         routes=tuple(_parse_route(value) for value in _field(spec, "Routes", list)),
         services_by_name={service.name: service for service in services},
         accounts_by_key=_parse_accounts(accounts),
-        needs_key=needs_key,
+        # Without this field, no request needs an API key.
+        needs_key=spec.get("Tenants") is not None,
         limits=_parse_limits(_check_type(spec.get("Limits") or {}, dict, "Limits")),
         isolated_accounts=frozenset(
             _field(value, "Name", str) for value in accounts if value.get("Isolated")
--- a/sycamorespoke/platform/_store.py
+++ b/sycamorespoke/platform/_store.py
@@ -53,11 +53,9 @@
             Objects as JSON values, and the revision from which to watch for changes.
         """
         values = []
-        after = None
-        revision = None
+        after = revision = None
         while True:
-            query = {} if after is None else {"after": after}
-            page = self._send("GET", kind, query=query)
+            page = self._send("GET", kind, query=after and {"after": after})
             if isinstance(page, gateway.Unavailable):
                 return page
             try:
