Bodies: one budget in bytes for all that a process holds for others

Cause: each whole body was bounded (16 MiB), their sum was not; nine at once reach the memory of a process.

Now memory_mb gives a budget (27 MB of 150) for bodies of responses, bodies of requests and what callers have not read yet. Up to 64 KiB of each body are always held, so short answers of sound upstreams pass; one upstream, and all callers together, hold three quarters at most. A response that finds no room ends as lost (502, or another try if it may be repeated); it counts against the upstream only if that one holds too much by itself. A request is refused before its body is read: 503, not run, with a time to return. Bodies are not copied once more for the server. Metrics held_bytes and refused_holds, both in the dump, and a line 'bytes refused'.

--- a/sycamorespoke/gateway/_exchange.py
+++ b/sycamorespoke/gateway/_exchange.py
@@ -120,9 +120,14 @@
             return self._make_cancelled()
         return self._send(connection)
 
-    def read_whole(self):
+    def read_whole(self, hold):
         """Read the rest of the response.
 
+        Parameters
+        ----------
+        hold : serving.ByteHold
+            Hold of the bytes of the body.
+
         Returns
         -------
         Response or Failure
@@ -134,10 +139,12 @@
             if isinstance(chunk, _requests.Failure):
                 return chunk
             if not chunk:
-                return _requests.Response(self.head, bytes(body))
+                return _requests.Response(self.head, body)
             body += chunk
             if len(body) > MAX_BODY_BYTES:
                 return self.fail_too_long()
+            if not hold.resize(len(body)):
+                return self._fail_no_memory(hold)
 
     def discard_body(self):
         """Read the rest of a response that is not needed, or close the connection."""
@@ -151,12 +158,20 @@
         self.close()
 
     def fail_too_long(self):
-        """Close the connection because the response is longer than any real one."""
+        """Close the connection because the response is longer than can be held."""
         self.close()
         return _make_failure(
             domain.ErrorKind.UPSTREAM_LOST, "the response of the upstream is too long"
         )
 
+    def _fail_no_memory(self, hold):
+        if hold.is_owner_over:
+            # This upstream's responses are too long together.
+            return self.fail_too_long()
+        self.close()
+        reason = "there is no memory for the response of the upstream"
+        return _make_failure(domain.ErrorKind.WITHDRAWN, reason)
+
     def read_chunk(self, timeout_s=None):
         """Read the next bytes of the body.
 
--- a/sycamorespoke/gateway/_forwarded.py
+++ b/sycamorespoke/gateway/_forwarded.py
@@ -120,7 +120,7 @@
             self._on_close()
 
 
-def make_server(listen, application, connection_limit, limits):
+def make_server(listen, application, connection_limit, limits, byte_budget=None):
     """Make the server for forwarded requests.
 
     Parameters
@@ -133,6 +133,8 @@
         Maximum number of open connections.
     limits : serving.CallerLimits
         Limits on requests.
+    byte_budget : serving.ByteBudget or None, default=None
+        Bounds the bytes of requests that are held.
 
     Returns
     -------
@@ -145,6 +147,7 @@
         MAX_FORWARDED,
         connection_limit,
         scale_limits(limits),
+        byte_budget,
     )
     application.address = f"{listen.rpartition(':')[0]}:{server.port}"
     return server
--- a/sycamorespoke/gateway/_gateway.py
+++ b/sycamorespoke/gateway/_gateway.py
@@ -3,10 +3,11 @@
 import attrs
 import loguru
 
-from sycamorespoke import domain
+from sycamorespoke import domain, serving
 from sycamorespoke.gateway import (
     _attempts,
     _forward_format,
+    _held_body,
     _model,
     _requests,
     _stream_body,
@@ -53,6 +54,8 @@
         Limits the retries of each service.
     request_metrics : RequestMetrics
         Counts and measures requests.
+    byte_budget : serving.ByteBudget
+        Bounds the bytes of responses that are held.
     read_clock : callable
         Returns the current time, seconds of the boot clock.
     """
@@ -70,6 +73,7 @@
     version_grace: object
     budgets: object
     request_metrics: object
+    byte_budget: object
     read_clock: object
 
     def __call__(self, environ, start_response):
@@ -150,17 +154,29 @@
             head = attempts.open()
             if isinstance(head, domain.Refusal):
                 return self._refuse_attempts(start_response, attempts, head)
-            result = attempts.exchange.read_whole()
-            if isinstance(result, _requests.Response):
-                head = self._name_upstream(attempts, result.head)
-                attempts.record_whole_response()
-                attempts.finish()
-                self._log_response(attempts, head.status, head.framing)
-                return _start_response(start_response, head, [result.body], result.body)
+            owner = attempts.exchange.upstream.boot_id
+            hold = self.byte_budget.open(serving.ByteKind.RESPONSE_BODIES, owner)
+            try:
+                result = attempts.exchange.read_whole(hold)
+                if isinstance(result, _requests.Response):
+                    return self._return_whole(start_response, attempts, result, hold)
+            except BaseException:
+                hold.release()
+                raise
+            hold.release()
             refusal = attempts.handle_broken_response(result)
             if refusal is not None:
                 return self._refuse_attempts(start_response, attempts, refusal)
 
+    def _return_whole(self, start_response, attempts, response, hold):
+        head = self._name_upstream(attempts, response.head)
+        attempts.record_whole_response()
+        attempts.finish()
+        self._log_response(attempts, head.status, head.framing)
+        length = len(response.body)
+        body = _held_body.HeldBody(response.body, hold)
+        return _start_response(start_response, head, body, length)
+
     def _serve_stream(self, attempts, start_response):
         stream = _stream_body.StreamBody(self, attempts)
         head = stream.begin()
@@ -258,12 +274,12 @@
         ).debug("call answered")
 
 
-def _start_response(start_response, head, body, whole_body):
+def _start_response(start_response, head, body, length):
     headers = [
         (name, text) for name, text in head.headers if name.lower() != "content-length"
     ]
-    if whole_body is not None:
-        headers.append(("Content-Length", str(len(whole_body))))
+    if length is not None:
+        headers.append(("Content-Length", str(length)))
     start_response(f"{head.status} {head.reason}", headers)
     return body
 
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -117,6 +117,9 @@
         )
         self.forwarding = self._make_forwarding()
         self.stop_requested = threading.Event()
+        self.byte_budget = serving.ByteBudget(
+            serving.compute_held_bytes(gateway_settings.memory_mb)
+        )
         self._limits = serving.CallerLimits()
         self._usable_files = max(gateway_settings.files - RESERVED_FILES, 64)
         self.gateway = self._make_gateway()
@@ -126,6 +129,7 @@
             THREADS,
             int(self._usable_files * CALLER_FILES_SHARE),
             self._limits,
+            self.byte_budget,
         )
         self.forwarded = _forwarded.ForwardedApplication(
             self.gateway, self.forwarding, self.metrics
@@ -135,6 +139,7 @@
             self.forwarded,
             int(self._usable_files * FORWARDED_FILES_SHARE),
             self._limits,
+            self.byte_budget,
         )
         self.tasks = _host_tasks.HostTasks(
             gateway_settings, deployment, self.views, self.table, self.block_planner
@@ -284,6 +289,7 @@
                 settings.retry_ratio, settings.retry_slack
             ),
             request_metrics=_request_metrics.RequestMetrics(self.metrics),
+            byte_budget=self.byte_budget,
             read_clock=serving.read_clock,
         )
 
--- a/sycamorespoke/gateway/_program_state.py
+++ b/sycamorespoke/gateway/_program_state.py
@@ -51,6 +51,10 @@
             "upstreams": program.table.dump(now),
             "links": program.reachability.dump(now),
             "connections": program.pool.count_open(),
+            "held_bytes": {
+                kind.value: count
+                for kind, count in program.byte_budget.count_held().items()
+            },
             "relayed_objects": program.source.count_objects(),
             "stores": program.block_planner.dump(now),
         }
@@ -66,6 +70,10 @@
         for kind in decisions.ContentKind:
             count = view.crashes.count_quarantined(kind)
             gauge(f"quarantined_{kind.value}s", count)
+        for kind, count in program.byte_budget.count_held().items():
+            gauge("held_bytes", count, kind=kind.value)
+        for kind, count in program.byte_budget.count_refused().items():
+            gauge("refused_holds", count, kind=kind.value)
         for section, confirmed_s in view.confirmed_s_by_section.items():
             gauge("view_age_seconds", now - confirmed_s, part=section)
         for section, count in program.view_updater.count_malformed().items():
--- a/sycamorespoke/gateway/_requests.py
+++ b/sycamorespoke/gateway/_requests.py
@@ -265,12 +265,12 @@
     ----------
     head : ResponseHead
         Status and headers.
-    body : bytes
+    body : bytearray
         Complete body.
     """
 
     head: ResponseHead
-    body: bytes = attrs.field(repr=False)
+    body: bytearray = attrs.field(repr=False)
 
 
 @attrs.frozen
--- a/sycamorespoke/serving/__init__.py
+++ b/sycamorespoke/serving/__init__.py
@@ -1,5 +1,11 @@
 """The HTTP server for callers, and the clock for the times of their requests."""
 
+from sycamorespoke.serving._byte_budget import (
+    ByteBudget,
+    ByteHold,
+    ByteKind,
+    compute_held_bytes,
+)
 from sycamorespoke.serving._clock import read_clock
 from sycamorespoke.serving._server import (
     BrokenStreamError,
@@ -7,4 +13,13 @@
     CallerServer,
 )
 
-__all__ = ["BrokenStreamError", "CallerLimits", "CallerServer", "read_clock"]
+__all__ = [
+    "BrokenStreamError",
+    "ByteBudget",
+    "ByteHold",
+    "ByteKind",
+    "CallerLimits",
+    "CallerServer",
+    "compute_held_bytes",
+    "read_clock",
+]
--- a/sycamorespoke/serving/_server.py
+++ b/sycamorespoke/serving/_server.py
@@ -12,11 +12,10 @@
 
 import attrs
 import waitress.channel
-import waitress.parser
 import waitress.server
 import waitress.task
 
-from sycamorespoke.serving import _clock
+from sycamorespoke.serving import _byte_budget, _parser
 
 BUFFER_BYTES = 1073741824
 CLOSE_POLL_INTERVAL_S = 0.05
@@ -54,14 +53,6 @@
     """Raised to end a stream early; the closed connection signals it to the caller."""
 
 
-class _Parser(waitress.parser.HTTPRequestParser):
-    """Parser that records when the request began to arrive."""
-
-    def __init__(self, adj):
-        super().__init__(adj)
-        self.arrived_s = _clock.read_clock()
-
-
 class _Task(waitress.task.WSGITask):
     """Task that keeps the connection open after a chunked response."""
 
@@ -138,7 +129,7 @@
 class _Channel(waitress.channel.HTTPChannel):
     """Channel that notifies the running request when its caller disconnects."""
 
-    parser_class = _Parser
+    parser_class = _parser.Parser
     task_class = _Task
     _on_disconnect = None
 
@@ -162,6 +153,11 @@
     def handle_close(self):
         """Close the connection."""
         super().handle_close()
+        if self.request is not None:
+            self.request.close()
+        # The first one is being served, which closes it.
+        for request in self.requests[1:]:
+            request.release()
         if self.requests and self._on_disconnect is not None:
             self._on_disconnect()
 
@@ -182,6 +178,9 @@
         Maximum number of open connections; further ones wait.
     limits : CallerLimits
         Limits on requests and connections of callers.
+    byte_budget : ByteBudget or None, default=None
+        Bounds what the process holds for others: bodies of requests, and what callers
+        have not read yet. ``None`` for no limit.
 
     Notes
     -----
@@ -194,7 +193,9 @@
     ``caller.on_leave`` is called when the caller disconnects.
     """
 
-    def __init__(self, listen, app, threads, connection_limit, limits):
+    def __init__(
+        self, listen, app, threads, connection_limit, limits, byte_budget=None
+    ):
         dispatcher = _Dispatcher(threads)
         dispatcher.set_thread_count(min(INITIAL_THREADS, threads))
         self._server = waitress.server.create_server(
@@ -218,6 +219,9 @@
             clear_untrusted_proxy_headers=False,
         )
         self._server.channel_class = _Channel
+        byte_budget = byte_budget or _byte_budget.ByteBudget()
+        byte_budget.add_buffers(self.count_buffered_bytes)
+        self._server.adj.byte_budget = byte_budget
         self._server.closes_connections = False
 
     def start(self):
@@ -279,6 +283,11 @@
         """Return the number of open connections."""
         return len(self._server.active_channels)
 
+    def count_buffered_bytes(self):
+        """Return the number of bytes that callers have not read yet."""
+        channels = list(self._server.active_channels.values())
+        return sum(channel.total_outbufs_len for channel in channels)
+
     def _run_in_loop(self, function):
         done = threading.Event()
 
--- a/tests/fakes/in_process_gateway.py
+++ b/tests/fakes/in_process_gateway.py
@@ -104,6 +104,7 @@
             _connections.ConnectionPool(),
             self.metrics,
         )
+        self.byte_budget = serving.ByteBudget(serving.compute_held_bytes(150.0))
         limits = _chooser.UpstreamLimits(1.5, 5.0, 6.0)
         self.gateway = _gateway.Gateway(
             protocol=_protocol,
@@ -131,10 +132,16 @@
             version_grace=_version_grace.VersionGrace(self.views, self.table, 6.0),
             budgets=_retry_budgets.RetryBudgets(0.2, 100.0),
             request_metrics=_request_metrics.RequestMetrics(self.metrics),
+            byte_budget=self.byte_budget,
             read_clock=serving.read_clock,
         )
         self.server = serving.CallerServer(
-            "127.0.0.1:0", self.gateway, threads, 100, serving.CallerLimits()
+            "127.0.0.1:0",
+            self.gateway,
+            threads,
+            100,
+            serving.CallerLimits(),
+            self.byte_budget,
         )
         self.configure(routes)
         self.register(upstreams)
