Shutdown: late requests are refused as not run, and all that run get a response

Cause: whatever was read while the process still ran was passed on, however long it could last; at the end of the grace the process exited with its connections open.

Now a request that is read later than 3 s after the signal, and whose deadline is beyond the end of the process, is refused at once: 503, not run, with a time to return. That is asked right before the first attempt, so also after a wait for a thread, and for requests that other hosts forward, which try another host then. What still runs 0.4 s before the end is ended and answered 502; a begun stream ends as incomplete. Exit status 3 says as before that requests did not end by themselves.

--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -3,6 +3,7 @@
 from sycamorespoke import decisions, domain
 from sycamorespoke.gateway import (
     _attempt_budget,
+    _attempt_checks,
     _attempt_log,
     _chooser,
     _crash_watch,
@@ -17,9 +18,6 @@
 )
 
 SERVER_ERROR_STATUS = 500
-# No attempt begins when less time than this remains, so that the refusal still
-# reaches the caller before its deadline.
-REFUSAL_MARGIN_S = 0.02
 
 
 class Attempts:
@@ -46,6 +44,7 @@
         self.account = account
         self.deadline_s = deadline_s
         self.cancelled = False
+        self.has_ended = False
         self.exchange = None
         # Upstreams that may continue the stream, once it has begun.
         self.origin = None
@@ -91,6 +90,21 @@
         if exchange is not None:
             exchange.cancel()
 
+    def end_for_shutdown(self):
+        """End the request because the process ends; safe to call from any thread.
+
+        Returns
+        -------
+        bool
+            Whether it was running.
+        """
+        self.has_ended = True
+        exchange = self.exchange
+        if exchange is None:
+            return False
+        exchange.withdraw()
+        return True
+
     def open(self, last_event_id=None):
         """Send the request to upstreams until one begins to respond.
 
@@ -201,15 +215,8 @@
 
     def _choose(self):
         now = self.gateway.read_clock()
-        if self.cancelled:
-            return domain.Refusal(domain.ErrorKind.CANCELLED, "the caller disconnected")
-        if now >= self.deadline_s - REFUSAL_MARGIN_S:
-            return domain.Refusal(
-                domain.ErrorKind.DEADLINE_BEFORE_SEND,
-                "no time is left to send the request",
-            )
         view = self.gateway.views.get()
-        refusal = self.crash_watch.find_refusal(view, now)
+        refusal = _attempt_checks.find_refusal(self, view, now)
         if refusal is not None:
             return refusal
         peer = self._forwarder.choose(self.origin, now)
@@ -254,6 +261,8 @@
         self.exchange = exchange
         if self.cancelled:
             exchange.cancel()
+        if self.has_ended:
+            exchange.withdraw()
 
     def _attempt(self, choice, last_event_id):
         upstream = choice.upstream
@@ -336,7 +345,7 @@
 
     def _may_send_again(self, service):
         """Decide whether the request is sent again; uses up one retry if so."""
-        if self.cancelled:
+        if self.cancelled or self.has_ended:
             return False
         return self._budget.withdraw(service, len(self._reached_boot_ids))
 
--- a/sycamorespoke/gateway/_gateway.py
+++ b/sycamorespoke/gateway/_gateway.py
@@ -56,6 +56,8 @@
         Counts and measures requests.
     byte_budget : serving.ByteBudget
         Bounds the bytes of responses that are held.
+    shutdown : Shutdown
+        Planned end of the process.
     read_clock : callable
         Returns the current time, seconds of the boot clock.
     """
@@ -74,6 +76,7 @@
     budgets: object
     request_metrics: object
     byte_budget: object
+    shutdown: object
     read_clock: object
 
     def __call__(self, environ, start_response):
@@ -118,6 +121,7 @@
                 return self.refuse(start_response, request, route, origin)
         attempts = _attempts.Attempts(self, request, route, account, deadline_s)
         attempts.origin = origin
+        self.shutdown.add(attempts)
         set_on_disconnect = environ.get("caller.on_leave")
         if set_on_disconnect is not None:
             set_on_disconnect(attempts.cancel)
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -26,6 +26,7 @@
     _request_metrics,
     _retry_budgets,
     _shared_source,
+    _shutdown,
     _software_versions,
     _stored_origins,
     _stream_versions,
@@ -117,6 +118,7 @@
         )
         self.forwarding = self._make_forwarding()
         self.stop_requested = threading.Event()
+        self.shutdown = _shutdown.Shutdown()
         self.byte_budget = serving.ByteBudget(
             serving.compute_held_bytes(gateway_settings.memory_mb)
         )
@@ -227,6 +229,7 @@
         begun_s = serving.read_clock()
         deadline_s = begun_s + self.settings.grace_s - EXIT_MARGIN_S
         loguru.logger.info("shutdown started")
+        self.shutdown.begin(begun_s, deadline_s)
         self.server.close_connections_after_responses()
         self.forwarded.address = ""
         self.forwarded_server.close_connections_after_responses()
@@ -235,10 +238,10 @@
         self._wait_until(begun_s + LOAD_BALANCER_NOTICE_S)
         self.server.close_listener()
         self.forwarded_server.close_listener()
-        drained = all(
-            server.wait_closed(max(deadline_s - serving.read_clock(), 0.0))
-            for server in (self.server, self.forwarded_server)
-        )
+        drained = self._wait_closed(self.shutdown.answers_s)
+        if not drained:
+            ended = self.shutdown.end_requests()
+            drained = self._wait_closed(deadline_s) and not ended
         self.tasks.finish_stop(deadline_s)
         duration_s = round(serving.read_clock() - begun_s, 3)
         loguru.logger.bind(drained=drained, duration_s=duration_s).info(
@@ -249,6 +252,13 @@
     def _count_upstream_end(self, service):
         self.metrics.count("upstream_ends", service=service)
 
+    def _wait_closed(self, until_s):
+        """Wait until no caller is connected; return whether none is in time."""
+        return all(
+            server.wait_closed(max(until_s - serving.read_clock(), 0.0))
+            for server in (self.server, self.forwarded_server)
+        )
+
     def _wait_until(self, until_s):
         event = threading.Event()
         event.wait(max(until_s - serving.read_clock(), 0.0))
@@ -290,6 +300,7 @@
             ),
             request_metrics=_request_metrics.RequestMetrics(self.metrics),
             byte_budget=self.byte_budget,
+            shutdown=self.shutdown,
             read_clock=serving.read_clock,
         )
 
--- a/tests/fakes/in_process_gateway.py
+++ b/tests/fakes/in_process_gateway.py
@@ -18,6 +18,7 @@
     _reachability,
     _request_metrics,
     _retry_budgets,
+    _shutdown,
     _software_versions,
     _source,
     _stream_versions,
@@ -104,6 +105,7 @@
             _connections.ConnectionPool(),
             self.metrics,
         )
+        self.shutdown = _shutdown.Shutdown()
         self.byte_budget = serving.ByteBudget(serving.compute_held_bytes(150.0))
         limits = _chooser.UpstreamLimits(1.5, 5.0, 6.0)
         self.gateway = _gateway.Gateway(
@@ -133,6 +135,7 @@
             budgets=_retry_budgets.RetryBudgets(0.2, 100.0),
             request_metrics=_request_metrics.RequestMetrics(self.metrics),
             byte_budget=self.byte_budget,
+            shutdown=self.shutdown,
             read_clock=serving.read_clock,
         )
         self.server = serving.CallerServer(
--- a/tests/platform/test_endless_bodies.py
+++ b/tests/platform/test_endless_bodies.py
@@ -27,13 +27,13 @@
 }
 
 
-def make_route(name, kind, service):
+def make_route(name, kind, service, timeout_ms):
     return {
         "Name": name,
         "Host": in_process_gateway.HOST,
         "PathPrefix": f"/{name}/",
         "Kind": kind,
-        "TimeoutMs": 4000,
+        "TimeoutMs": timeout_ms,
         "TargetLatencyMs": 500,
         "Priority": 0,
         "Service": service,
@@ -41,11 +41,11 @@
     }
 
 
-def register(store, upstreams_by_service):
+def register(store, upstreams_by_service, kinds=("safe", "unsafe"), timeout_ms=4000):
     routes = [
-        make_route(f"{service}-{kind}", kind, service)
+        make_route(f"{service}-{kind}", kind, service, timeout_ms)
         for service in upstreams_by_service
-        for kind in ("safe", "unsafe")
+        for kind in kinds
     ]
     services = [{"Name": name, "MaxConns": 100} for name in upstreams_by_service]
     tenants = [{"Name": "t", "ApiKeys": [in_process_gateway.API_KEY]}]
