Soak: isolation, storms of configurations, fast endless bodies, slow bodies, memory

Now also: an account is isolated and back; twelve configurations of 0.4 MB at once; bodies without end as fast as the connection takes them; one request in twenty ends its body up to 8 s after its head, so also in the grace of a stop. New guarantees: no scope holds blocks of an account and of those it is isolated from, and the last requests use the scopes of the last configuration; no process that runs to its end uses more than 150 MB.

The checks have tests of their own.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -18,6 +18,13 @@
 # Prompts may wait at an engine for some seconds.
 PROMPT_DEADLINE_S = 6.0
 EVENT_END = b"\n\n"
+# Of the two client accounts, see `gateway_deployment`.
+API_KEYS = (in_process_gateway.API_KEY, "key-2")
+# Share of the requests whose body ends after a pause, and the longest one, seconds.
+SLOW_BODY_SHARE = 0.05
+MAX_BODY_PAUSE_S = 8.0
+SLOW_BODY_DEADLINE_S = 9.0
+BODY = b"ask"
 
 
 class RequestKind(enum.Enum):
@@ -115,6 +122,7 @@
         self.number = number
         self.hosts = hosts
         self.kinds = kinds
+        self.key = API_KEYS[number % len(API_KEYS)]
         self.generator = random.Random(f"{seed} {number}")
         self.outcomes = []
         self.stop_requested = threading.Event()
@@ -151,22 +159,29 @@
         With ``resumes`` it takes up the stream that this request began.
         """
         headers = dict(PROMPT_HEADERS) if kind in PROMPT_KINDS else {}
+        headers["Authorization"] = f"Bearer {self.key}"
+        deadline_s, body = kind.deadline_s, BODY
+        if self.generator.random() < SLOW_BODY_SHARE:
+            deadline_s = SLOW_BODY_DEADLINE_S
+            body = self._send_slowly(self.generator.uniform(0.0, MAX_BODY_PAUSE_S))
+            headers["Content_Length"] = str(len(BODY))
         if resumes:
             headers |= {"Resumes": resumes, "Last_Event_Id": str(last_event_id)}
         sent_s = time.monotonic()
-        head, body, is_complete = None, b"", False
+        head, received, is_complete = None, b"", False
         try:
-            connection = self._connect(host, kind.deadline_s + HANG_MARGIN_S)
+            connection = self._connect(host, deadline_s + HANG_MARGIN_S)
             in_process_gateway.send_request(
                 connection,
                 f"/{kind.value}/{name}",
+                body=body,
                 X_Sycamorespoke_Request_Id=request_id,
-                X_Sycamorespoke_Deadline_Ms=str(int(kind.deadline_s * 1000)),
+                X_Sycamorespoke_Deadline_Ms=str(int(deadline_s * 1000)),
                 **headers,
             )
             head = connection.getresponse()
             while chunk := head.read1(4096):
-                body += chunk
+                received += chunk
             is_complete = not head.length
         except (OSError, http.client.HTTPException):
             self._close_connection()
@@ -180,13 +195,19 @@
             time.monotonic(),
             head.status if head else None,
             bool(head and head.headers.get(scripted_upstream.RESPONSE_STAMP)),
-            body,
+            received,
             is_complete,
             bool(head and head.headers.get("Server-Leaving")),
             resumes,
             last_event_id,
         )
 
+    def _send_slowly(self, pause_s):
+        """Yield the body in two parts with a pause, which the end of the run cuts."""
+        yield BODY[:1]
+        self.stop_requested.wait(pause_s)
+        yield BODY[1:]
+
     def _connect(self, host, timeout_s):
         """Return the open connection if it leads to the host, else a new one."""
         port = host.port
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -39,6 +39,8 @@
     UPSTREAM_DRAINS = "upstream drains"
     UPSTREAM_SAYS_IT_LEAVES = "upstream says that it leaves"
     CONFIGURATION = "configuration change"
+    CONFIGURATION_STORM = "configuration storm"
+    ISOLATION = "isolation change"
     WEIGHT_VERSION = "weight version"
     ENGINE_ORDERS = "engine orders"
     ENGINE_WAITS = "engine waits"
@@ -217,6 +219,10 @@
     elif fault is Fault.ENGINE_WAITS:
         for engine in deployment.engines:
             engine.wait = variant
+    elif fault is Fault.CONFIGURATION_STORM:
+        deployment.storm_configurations()
+    elif fault is Fault.ISOLATION:
+        deployment.change_isolation()
     else:
         deployment.change_configuration()
 
--- a/tests/soak/gateway_deployment.py
+++ b/tests/soak/gateway_deployment.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import re
 import signal
 import tempfile
 import time
@@ -15,6 +16,14 @@
 UPSTREAMS = 4
 ENGINES = 4
 TIMEOUT_MS = 9000
+# Memory of the smallest hosts of the users.
+MEMORY_MB = 150
+# Client accounts by their key. Only the second one is ever isolated.
+OTHER_KEY = "key-2"
+ISOLATED_ACCOUNT = "u"
+# The configurations of a storm have so many routes more, 0.4 MB in all.
+STORM_ROUTES = 1500
+STORM_CHANGES = 12
 PORT_IN_USE = "Address already in use"
 
 
@@ -46,6 +55,8 @@
         self.store_cut_s = []
         # Monotonic times at which processes were started.
         self.started_s = []
+        # Memory of the processes that were running when they were ended, MB.
+        self.peaks_mb = []
 
     @property
     def port(self):
@@ -62,6 +73,7 @@
             environment=self.links.make_environment(),
             name=f'"{self.name}"',
             log_level="INFO",
+            memory_mb=MEMORY_MB,
         )
 
     def wait_ready(self):
@@ -99,8 +111,16 @@
     def end(self):
         """Kill the process and append its log to `logs`."""
         self.signal(signal.SIGCONT)
+        self._record_peak()
         self.logs.append(self.program.close())
 
+    def _record_peak(self):
+        path = pathlib.Path(f"/proc/{self.program.process.pid}/status")
+        text = path.read_text() if path.exists() else ""
+        found = re.search(r"VmHWM:\s+(\d+) kB", text)
+        if found:
+            self.peaks_mb.append(int(found[1]) * 1024 / 1_000_000)
+
     def list_lines(self, event):
         """Return the fields of the log lines of an event of ended processes."""
         found = []
@@ -151,6 +171,7 @@
         ]
         self.upstreams += self.engines
         self.version = 0
+        self.is_isolated = False
         self.change_configuration()
         for upstream in self.upstreams:
             self.register(upstream)
@@ -175,8 +196,28 @@
 
     def change_configuration(self):
         """Write the next version of the configuration, otherwise unchanged."""
+        self._write_configuration(extra_routes=[])
+
+    def change_isolation(self):
+        """Isolate an account, or take that back."""
+        self.is_isolated = not self.is_isolated
+        self.change_configuration()
+
+    def storm_configurations(self):
+        """Write large configurations one after the other, then a small one."""
+        extra_routes = [
+            _make_route(f"extra-{number}", "safe", "s")
+            for number in range(STORM_ROUTES)
+        ]
+        for _ in range(STORM_CHANGES):
+            self._write_configuration(extra_routes)
+        self.change_configuration()
+
+    def _write_configuration(self, extra_routes):
         self.version += 1
-        self.store.put("config", "main", make_configuration(self.version))
+        configuration = make_configuration(self.version, self.is_isolated)
+        configuration["Routes"] += extra_routes
+        self.store.put("config", "main", configuration)
 
     def name_weight_version(self):
         """Name the next weight version of the model, as an operator would."""
@@ -229,23 +270,27 @@
         self.restart(upstream)
 
 
-def make_configuration(version):
+def _make_route(name, kind, service):
+    return {
+        "Name": name,
+        "Host": in_process_gateway.HOST,
+        "PathPrefix": f"/{name}/",
+        "Kind": kind,
+        "TimeoutMs": TIMEOUT_MS,
+        "TargetLatencyMs": 500,
+        "Priority": 0,
+        "Service": service,
+        "MaxAttempts": ROUTE_ATTEMPTS,
+        "Resumable": name in ("stream", "prompt"),
+        "Sticky": service == engines.Engine.service,
+    }
+
+
+def make_configuration(version, is_isolated):
     """Return a configuration with a route for each kind of request."""
     routes = [
-        {
-            "Name": name,
-            "Host": in_process_gateway.HOST,
-            "PathPrefix": f"/{name}/",
-            "Kind": kind,
-            "TimeoutMs": TIMEOUT_MS,
-            "TargetLatencyMs": 500,
-            "Priority": 0,
-            "Service": service,
-            "MaxAttempts": ROUTE_ATTEMPTS,
-            "Resumable": name in ("stream", "prompt"),
-            "Sticky": service == engines.Engine.service,
-        }
-        for name, kind, service in (
+        _make_route(*each)
+        for each in (
             ("safe", "safe", "s"),
             ("unsafe", "unsafe", "s"),
             ("stream", "streaming", "s"),
@@ -260,5 +305,12 @@
         "Services": [
             {"Name": name, "MaxConns": 200} for name in ("s", engines.Engine.service)
         ],
-        "Tenants": [{"Name": "t", "ApiKeys": [in_process_gateway.API_KEY]}],
+        "Tenants": [
+            {"Name": "t", "ApiKeys": [in_process_gateway.API_KEY]},
+            {
+                "Name": ISOLATED_ACCOUNT,
+                "ApiKeys": [OTHER_KEY],
+                "Isolated": is_isolated,
+            },
+        ],
     }
--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -225,6 +225,29 @@
     return any(first <= ends_s and last >= begins_s for first, last in intervals)
 
 
+def check_memory(peaks_mb_by_host, limit_mb):
+    """Check that no process has used more memory than its host has.
+
+    Parameters
+    ----------
+    peaks_mb_by_host : dict of str to list of float
+        Highest use of each process that ran until it was ended, MB.
+    limit_mb : float
+        Memory of a host, MB.
+
+    Returns
+    -------
+    list of str
+        One line for each process that used more.
+    """
+    return [
+        f"a process of {host} used {peak_mb:.0f} MB of {limit_mb}"
+        for host, peaks_mb in peaks_mb_by_host.items()
+        for peak_mb in peaks_mb
+        if peak_mb > limit_mb
+    ]
+
+
 def check_fatal(ended_s):
     """Check that a request which ends upstreams soon reaches no more of them.
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -14,6 +14,7 @@
     faults,
     gateway_deployment,
     guarantees,
+    isolation_guarantees,
     upstreams,
     weight_guarantees,
 )
@@ -124,6 +125,13 @@
             {each.id: each.weights.version for each in deployment.engines},
             deployment.get_weight_version(),
         )
+        violations += isolation_guarantees.check_scopes(
+            runs, gateway_deployment.ISOLATED_ACCOUNT, deployment.is_isolated
+        )
+        violations += guarantees.check_memory(
+            {each.name: each.peaks_mb for each in deployment.hosts},
+            gateway_deployment.MEMORY_MB,
+        )
         violations += guarantees.check_fatal(deployment.ended_s)
         violations += guarantees.check_recovery(after)
         served = sum(each.is_complete and each.status == 200 for each in outcomes)
--- a/tests/soak/run_log.py
+++ b/tests/soak/run_log.py
@@ -23,6 +23,10 @@
         Weight version on which it starts, at an engine.
     arrived_s : float, default=0.0
         Monotonic time at which it reached the engine, where it may wait, in seconds.
+    account : str, default=""
+        Client account that the host named.
+    cache_scope : str, default=""
+        Scope of the cache that the host named; empty for requests without a prompt.
     """
 
     request_id: str
@@ -31,6 +35,8 @@
     says_leaving: bool = False
     weight_version: int = 0
     arrived_s: float = 0.0
+    account: str = ""
+    cache_scope: str = ""
 
 
 @attrs.frozen
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,10 +6,12 @@
 import attrs
 import pytest
 
+from sycamorespoke import decisions
 from tests.soak import (
     callers,
     faults,
     guarantees,
+    isolation_guarantees,
     proxy,
     run,
     run_log,
@@ -274,3 +276,29 @@
 def test_engine_left_with_older_weights_is_reported():
     assert weight_guarantees.check_engines({"i-4-1": 3, "i-5-1": 3}, 3) == []
     assert len(weight_guarantees.check_engines({"i-4-1": 3, "i-5-1": 2}, 3)) == 1
+
+
+def test_scope_shared_with_an_isolated_account_is_reported():
+    excluded = decisions.compute_exclusion({"u"})
+    for account, scope, request_id, is_isolated, is_allowed in (
+        ("t", "v1 m", "c1-1", True, True),
+        ("u", "v1 m", "c1-1", True, True),
+        ("t", f"v1-{excluded} m", "c1-1", False, True),
+        ("u", f"v1-{excluded} m", "c1-1", True, False),
+        ("u", "v1 m u", "c1-1", True, True),
+        ("t", "v1 m u", "c1-1", True, False),
+        # Once all hosts have the last configuration.
+        ("t", "v1 m", "after-1", True, False),
+        ("t", f"v1-{excluded} m", "after-1", True, True),
+        ("t", f"v1-{excluded} m", "after-1", False, False),
+    ):
+        run_in_scope = attrs.evolve(
+            RUN, request_id=request_id, account=account, cache_scope=scope
+        )
+        found = isolation_guarantees.check_scopes([run_in_scope], "u", is_isolated)
+        assert (not found) is is_allowed, (account, scope, request_id)
+
+
+def test_process_that_uses_more_memory_than_its_host_has_is_reported():
+    assert guarantees.check_memory({"h0": [149.0], "h1": []}, 150) == []
+    assert len(guarantees.check_memory({"h0": [149.0, 151.0]}, 150)) == 1
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -29,6 +29,7 @@
     CUT_HEAD = "cut head"
     ENDLESS_HEAD = "endless head"
     ENDLESS_BODY = "endless body"
+    ENDLESS_FAST_BODY = "endless fast body"
     RATE_LIMIT = "rate limit"
     OVERLOADED = "overloaded"
     ERROR_IN_STREAM = "error in stream"
@@ -36,8 +37,15 @@
     COPIED_REFUSAL = "copied refusal"
 
 
-ENDLESS_BEHAVIOURS = frozenset({Behaviour.ENDLESS_HEAD, Behaviour.ENDLESS_BODY})
+ENDLESS_BEHAVIOURS = frozenset(
+    {
+        Behaviour.ENDLESS_HEAD,
+        Behaviour.ENDLESS_BODY,
+        Behaviour.ENDLESS_FAST_BODY,
+    }
+)
 ENDLESS_PAUSE_S = 0.005
+FAST_BLOCK = b"x" * 65536
 RATE_LIMIT_PER_S = "3.5"
 BACKOFF_S = 4.0
 CONTINUATION_STATUSES = (200, 404, 500)
@@ -181,7 +189,14 @@
 
     def _make_run(self, request, upstream_id, says_leaving):
         request_id = request.headers["X-Sycamorespoke-Request-Id"]
-        return run_log.Run(request_id, upstream_id, time.monotonic(), says_leaving)
+        return run_log.Run(
+            request_id,
+            upstream_id,
+            time.monotonic(),
+            says_leaving,
+            account=request.headers.get("X-Sycamorespoke-Tenant-Id", ""),
+            cache_scope=request.headers.get("X-Sycamorespoke-Cache-Salt", ""),
+        )
 
     def _make_headers(self):
         headers = {}
@@ -193,8 +208,11 @@
 
     def _send_endless(self, request, request_id):
         """Send bytes that are no response until the gateway closes the connection."""
-        is_body = self.behaviour is Behaviour.ENDLESS_BODY
+        is_body = self.behaviour is not Behaviour.ENDLESS_HEAD
+        is_fast = self.behaviour is Behaviour.ENDLESS_FAST_BODY
         _send_cut_head(request, request_id, rest=b"\r\n" if is_body else b"")
+        while is_fast:
+            request.wfile.write(FAST_BLOCK)
         while True:
             request.wfile.write(b"x" * 512)
             time.sleep(ENDLESS_PAUSE_S)
