--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -91,13 +91,7 @@
             exchange.cancel()
 
     def end_for_shutdown(self):
-        """End the request because the process ends; safe to call from any thread.
-
-        Returns
-        -------
-        bool
-            Whether it was running.
-        """
+        """End the request, from any thread; return whether an attempt was running."""
         self.has_ended = True
         exchange = self.exchange
         if exchange is None:
@@ -122,7 +116,7 @@
         while True:
             choice = self._choose()
             if isinstance(choice, domain.Refusal):
-                return self._combine_with_earlier(choice)
+                return decisions.combine_refusals(self._refusal, choice)
             if isinstance(choice, decisions.PeerReport):
                 result = self._forward(choice, last_event_id)
                 if result is not None:
@@ -130,7 +124,7 @@
                 continue
             head = self._attempt(choice, last_event_id)
             if isinstance(head, _requests.ResponseHead):
-                if not self._is_server_error(head):
+                if head.status < SERVER_ERROR_STATUS:
                     now = self.gateway.read_clock()
                     self.gateway.table.record_success(choice.upstream, now)
                     return head
@@ -351,9 +345,3 @@
 
     def _add_refusal(self, refusal):
         self._refusal = decisions.combine_refusals(self._refusal, refusal)
-
-    def _combine_with_earlier(self, refusal):
-        return decisions.combine_refusals(self._refusal, refusal)
-
-    def _is_server_error(self, head):
-        return head.status >= SERVER_ERROR_STATUS
