Block stores: nothing is exported while an import from before a restart may begin

Cause: exports began as soon as the new epoch was known; an import may begin up to 3 s after it was sent, and another host sends one for up to 0.9 s after the store's last response.

Now a host exports to a store only 4.4 s (0.9 + 3 + 0.5 for clocks) after it has learned of the store's epoch, also after its own start, when it does not know how old the epoch is.

Evidence: the new test fails with the condition left out. An export that was itself sent before the restart and waits at its engine has no such bound: open.

--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -27,6 +27,7 @@
     plan_blocks,
 )
 from sycamorespoke.decisions._block_retirement import (
+    CLOCK_MARGIN_S,
     CONFIGURATION_MAX_AGE_S,
     EXCLUSION_SETTLE_S,
     IMPORT_CONFIGURATION_MAX_AGE_S,
@@ -248,6 +249,7 @@
 __all__ = [
     "CLAIM_RETENTION_S",
     "CLAIM_SHARD_BYTES",
+    "CLOCK_MARGIN_S",
     "CONFIGURATION_MAX_AGE_S",
     "EXCLUSION_SETTLE_S",
     "IMPORT_CONFIGURATION_MAX_AGE_S",
--- a/sycamorespoke/decisions/_block_plan.py
+++ b/sycamorespoke/decisions/_block_plan.py
@@ -29,12 +29,16 @@
         Tokens of the complete blocks in the store.
     is_index_current : bool
         Whether this host's index of the store is up to date.
+    may_export : bool, default=True
+        Whether no import that was sent before the store's last start can begin any
+        more: it would import a block that is being written anew.
     """
 
     address: str
     capacity_tokens: int
     used_tokens: int
     is_index_current: bool
+    may_export: bool = True
 
 
 @attrs.frozen
@@ -100,6 +104,7 @@
         import_from.append(address if can_import else None)
         should_export = (
             store.is_index_current
+            and store.may_export
             and not can_import
             and block.tokens >= MIN_BLOCK_TOKENS
             and _has_room(store, block)
--- a/sycamorespoke/gateway/_blocks.py
+++ b/sycamorespoke/gateway/_blocks.py
@@ -154,6 +154,7 @@
                 index.store.capacity_tokens,
                 index.used_tokens,
                 index.is_current(now),
+                index.may_export(now),
             )
             for address, index in indexes_by_address.items()
         ]
--- a/sycamorespoke/gateway/_store_index.py
+++ b/sycamorespoke/gateway/_store_index.py
@@ -11,6 +11,11 @@
 # The index is valid for this long after the last response of the store: less than a
 # restart of the store takes, after which a block may be half written.
 MAX_UNCONFIRMED_S = 0.9
+# Imports that were sent before a start of the store may begin for this long after its
+# new epoch is known: another host sends them while its index is valid.
+EXPORT_SETTLE_S = (
+    MAX_UNCONFIRMED_S + decisions.IMPORT_TIMEOUT_S + decisions.CLOCK_MARGIN_S
+)
 # A host that is further behind than this many events gets all blocks.
 MAX_LOGGED_EVENTS = 2000
 
@@ -82,6 +87,7 @@
         self._indexed_s_by_key = {}
         self._blocks_by_scope = collections.Counter()
         self._confirmed_s = float("-inf")
+        self._epoch_seen_s = float("inf")
         self._backoff_until_s = float("-inf")
         self._clock_offset_ms = 0.0
         self._lock = threading.Lock()
@@ -161,6 +167,8 @@
                 self._apply(scope, block_id, 0, self.next_number)
 
     def _restart(self, epoch, number):
+        if epoch != self.epoch:
+            self._epoch_seen_s = serving.read_clock()
         self.epoch = epoch
         self.used_tokens = 0
         self._tokens_by_key = {}
@@ -226,6 +234,10 @@
         """Return whether the index is valid at ``now``."""
         return now - self._confirmed_s <= MAX_UNCONFIRMED_S
 
+    def may_export(self, now):
+        """Return whether no import sent before the store's last start can begin."""
+        return now - self._epoch_seen_s >= EXPORT_SETTLE_S
+
     def has_block(self, scope, block, before_s):
         """Return whether the store holds a block that was complete by a time.
 
--- a/tests/gateway/test_blocks.py
+++ b/tests/gateway/test_blocks.py
@@ -144,3 +144,33 @@
     )
     blocks.configure(configuration, is_reader=True)
     assert blocks.list_indexes() == []
+
+
+def plan_at(index, now):
+    blocks = _blocks.BlockPlanner(client=None)
+    blocks._indexes_by_address[STORE.address] = index
+    index.apply_events(page(index.next_number, epoch=index.epoch), now)
+    prompt = _requests.Prompt("m", (BLOCK, _requests.PromptBlock("own", 9)), 509, 10)
+    return blocks.plan(prompt, SCOPE, True, now, now)[0]
+
+
+def test_no_block_is_exported_while_an_earlier_import_of_it_may_begin():
+    # Review, case 2: an import that was sent before the store restarted waits at its
+    # engine, and then imports the block that is being written anew.
+    index = make_index(page(2))
+    seen_s = serving.read_clock()
+    last_start_s = _store_index.MAX_UNCONFIRMED_S + decisions.IMPORT_TIMEOUT_S
+    assert not plan_at(index, seen_s + last_start_s).has_exports
+    settled_s = seen_s + _store_index.EXPORT_SETTLE_S + 0.1
+    assert plan_at(index, settled_s).has_exports
+    index.apply_events(page(1, epoch=2), settled_s)
+    assert not plan_at(index, seen_s + last_start_s).has_exports
+
+
+def test_page_with_all_blocks_of_the_same_epoch_is_no_restart_of_the_store():
+    reader = make_index(page(2))
+    requester = _store_index.StoreIndex(STORE)
+    now = serving.read_clock() + _store_index.EXPORT_SETTLE_S + 0.1
+    for _ in range(2):
+        requester.apply_page(reader.make_page(None, 0, now), now)
+    assert requester.may_export(now)
