Retry budget: a host that starts has half of its slack

Cause: the budget of a process was full at its start, whatever the process before it had used in the same window.

Now it starts with half; requests fill it up as before. A host that starts more than twice within a window still may send more than its share.

--- a/sycamorespoke/gateway/_retry_budgets.py
+++ b/sycamorespoke/gateway/_retry_budgets.py
@@ -56,7 +56,8 @@
         limit = max(self.slack / hosts, 1.0)
         budget = self._budgets_by_service.get(service)
         if budget is None:
-            return decisions.RetryBudget(self.ratio, limit, limit)
+            # The process before this one may have used as much in the same window.
+            return decisions.RetryBudget(self.ratio, limit / 2, limit)
         if budget.limit != limit:
             return attrs.evolve(budget, limit=limit, retries=min(budget.retries, limit))
         return budget
