Stream records: versions of a host's own records count as in use

Cause: records are written while a service has, or lately had, several versions, and a host that has just started knows those of the list only.

Now the versions in the records that it reads back count as used at that time.

--- a/sycamorespoke/gateway/_software_versions.py
+++ b/sycamorespoke/gateway/_software_versions.py
@@ -36,6 +36,21 @@
                 key = upstream.service, upstream.software_version
                 self._listed_s_by_version[key] = float("inf")
 
+    def record_used(self, service, version, now):
+        """Record that a stream of a version goes on at ``now``, listed or not.
+
+        Parameters
+        ----------
+        service, version : str
+            The service and the software version.
+        now : float
+            Current time, seconds of the boot clock.
+        """
+        key = service, version
+        with self._lock:
+            listed_s = self._listed_s_by_version.get(key, now)
+            self._listed_s_by_version[key] = max(listed_s, now)
+
     def list_services_with_several(self, now):
         """Return the services that have, or lately had, several versions, as a set."""
         with self._lock:
--- a/sycamorespoke/gateway/_stored_origins.py
+++ b/sycamorespoke/gateway/_stored_origins.py
@@ -134,7 +134,12 @@
             return
         records_by_id = _decode(value, now)
         for request_id, record in records_by_id.items():
-            self.origins.record(request_id, record.origin, record.expires_s - now, now)
+            origin = record.origin
+            self.origins.record(request_id, origin, record.expires_s - now, now)
+            # The last upstream of the version may have left before this host started.
+            self.software_versions.record_used(
+                origin.service, origin.software_version, now
+            )
         self._written_ids = frozenset(records_by_id)
         self._has_read_own = True
 
