Soak: a process may end requests that were sent soon after its signal

Traced in its log: two prompts (c11-47, c10-54) came on kept connections 2.1 and 2.0 s after the signal and went to an engine that sends a body without end; their deadlines (6 s) were 0.99 and 0.87 s later than the moment at which the host has to end what runs, 7.1 s after the signal. Both were answered 502 then.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,6 +1,7 @@
 """Short runs of the soak test, and tests of its plans and checks."""
 
 import itertools
+import json
 import socket
 
 import attrs
@@ -15,6 +16,7 @@
     proxy,
     run,
     run_log,
+    shutdown_guarantees,
     upstreams,
     weight_guarantees,
 )
@@ -302,3 +304,38 @@
 def test_process_that_uses_more_memory_than_its_host_has_is_reported():
     assert guarantees.check_memory({"h0": [149.0], "h1": []}, 150) == []
     assert len(guarantees.check_memory({"h0": [149.0, 151.0]}, 150)) == 1
+
+
+def make_log(sent_s, *, ended=1, answered=1):
+    """Return the lines of a process that got SIGTERM at second 10, ended at 17."""
+
+    def make(at_s, event, **fields):
+        at = f"2026-12-05T18:58:{at_s:02}+00:00"
+        return json.dumps({"at": at, "event": event, **fields})
+
+    lines = [make(10, "shutdown started")]
+    if ended:
+        lines.append(make(17, "requests ended by shutdown", requests=ended))
+    duration_ms = (17 - sent_s) * 1000
+    lines += [make(17, "call refused", duration_ms=duration_ms)] * answered
+    return "\n".join(lines)
+
+
+@pytest.mark.parametrize(
+    ("status", "log", "is_allowed"),
+    [
+        (0, "", True),
+        (3, make_log(13.0), True),
+        (3, make_log(13.1), False),
+        (3, make_log(12.0, ended=2), False),
+        (3, make_log(12.0, ended=0), False),
+        (3, "", False),
+        (1, make_log(12.0), False),
+        (None, make_log(12.0), False),
+    ],
+)
+def test_only_requests_sent_early_excuse_a_process_that_has_not_drained(
+    status, log, is_allowed
+):
+    found = shutdown_guarantees.check_exit("h0", status, (0, -15, -9), log)
+    assert (not found) is is_allowed
