Revert "Retry budget: a host that starts has half of its slack"

Cause: half of the slack is too little for hosts that have just started and see many failures, whatever other processes used before.

--- a/sycamorespoke/gateway/_retry_budgets.py
+++ b/sycamorespoke/gateway/_retry_budgets.py
@@ -56,8 +56,7 @@
         limit = max(self.slack / hosts, 1.0)
         budget = self._budgets_by_service.get(service)
         if budget is None:
-            # The process before this one may have used as much in the same window.
-            return decisions.RetryBudget(self.ratio, limit / 2, limit)
+            return decisions.RetryBudget(self.ratio, limit, limit)
         if budget.limit != limit:
             return attrs.evolve(budget, limit=limit, retries=min(budget.retries, limit))
         return budget
