--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -230,7 +230,11 @@
     AttemptOutcome,
     UpstreamLimit,
 )
-from sycamorespoke.decisions._urgency import WaitEstimate, choose_urgency
+from sycamorespoke.decisions._urgency import (
+    WaitEstimate,
+    choose_shared_urgency,
+    choose_urgency,
+)
 from sycamorespoke.decisions._watch_timing import (
     MAX_DIRECT_HOSTS,
     Freshness,
@@ -349,6 +353,7 @@
     "choose_retry_after_s",
     "choose_return_delay_s",
     "choose_shards",
+    "choose_shared_urgency",
     "choose_store",
     "choose_upstream",
     "choose_urgency",
--- a/sycamorespoke/decisions/_urgency.py
+++ b/sycamorespoke/decisions/_urgency.py
@@ -72,6 +72,43 @@
         return WaitEstimate(estimate_s, now)
 
 
+def choose_shared_urgency(
+    priority, lowest_priority, target_s, elapsed_s, wait_s, prefill_s
+):
+    """Choose the urgency of a request where hosts know the load of all.
+
+    Load answered: an engine whose queue is longer than the target of its urgent
+    requests. Those that can no longer meet it wait with the least urgent requests that
+    can, in order of arrival, but are not put behind them: they would not be served.
+
+    Parameters
+    ----------
+    priority : int
+        Priority of the client account or route; 0 is the highest.
+    lowest_priority : int
+        Lowest priority of the routes that carry prompts, the highest number.
+    target_s, elapsed_s, wait_s, prefill_s : float
+        As for `choose_urgency`.
+
+    Returns
+    -------
+    int
+        0 (most urgent) to 9 (least urgent).
+
+    Examples
+    --------
+    >>> late, in_time = 2.0, 0.1
+    >>> [choose_shared_urgency(0, 2, 0.6, 0.0, w, 0.1) for w in (in_time, late)]
+    [0, 2]
+    >>> [choose_shared_urgency(2, 2, 1.5, 0.0, w, 0.1) for w in (in_time, late)]
+    [2, 3]
+    """
+    urgency = max(int(priority), 0)
+    if elapsed_s + wait_s + prefill_s > target_s * TARGET_SHARE:
+        urgency = max(urgency + 1, lowest_priority)
+    return min(urgency, LOWEST_URGENCY)
+
+
 def choose_urgency(priority, target_s, elapsed_s, wait_s, prefill_s):
     """Choose the urgency that an engine is given for a request.
 
--- a/sycamorespoke/gateway/_attempt_budget.py
+++ b/sycamorespoke/gateway/_attempt_budget.py
@@ -19,6 +19,7 @@
         self.request = request
         self.route = route
         self._deposited_services = set()
+        self._reserved_service = None
 
     @property
     def is_counted(self):
@@ -35,6 +36,18 @@
         self._deposited_services.add(service)
         self.gateway.budgets.deposit(service, self._count_hosts())
 
+    def reserve(self, service, reached):
+        """Withdraw a retry that the next call of `withdraw` uses; parameters as there.
+
+        Returns
+        -------
+        bool
+            Whether another upstream may receive the request.
+        """
+        if self._reserved_service is None and self.withdraw(service, reached):
+            self._reserved_service = service
+        return self._reserved_service == service
+
     def withdraw(self, service, reached):
         """Decide whether the request is sent again; uses up one retry if so.
 
@@ -52,6 +65,9 @@
         """
         if self.count_left(reached) <= 0:
             return False
+        if self._reserved_service == service:
+            self._reserved_service = None
+            return True
         return self.gateway.budgets.withdraw(service, self._count_hosts())
 
     def count_left(self, reached):
--- a/sycamorespoke/gateway/_attempt_log.py
+++ b/sycamorespoke/gateway/_attempt_log.py
@@ -75,6 +75,11 @@
         self._count("failed", upstream)
         self._log("attempt failed", upstream, reason=reason, **self._describe())
 
+    def record_overdue(self, upstream):
+        """Record that the first event from an upstream is overdue."""
+        self._count("overdue", upstream)
+        self._log("first event overdue", upstream)
+
     def record_broken(self, upstream, reason, framing, last_event_id):
         """Record that a response broke off."""
         self._count("broke", upstream)
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -5,12 +5,12 @@
     _attempt_budget,
     _attempt_checks,
     _attempt_log,
-    _chooser,
     _crash_watch,
     _dispatcher,
     _exchange,
     _forwarding,
     _model,
+    _prompt_work,
     _requests,
     _upstream_gate,
     _upstream_observer,
@@ -49,8 +49,10 @@
         # Upstreams that may continue the stream, once it has begun.
         self.origin = None
         self._excluded_boot_ids = set()
-        self._work = _chooser.estimate_work(request.prompt) if request.prompt else 1.0
         self._active_upstream = None
+        # Work of the current attempt that its upstream has not done yet.
+        self._active_work = 0.0
+        self._choice = None
         self._refusal = None
         self._budget = _attempt_budget.AttemptBudget(gateway, request, route)
         # Upstreams that received the request, whether or not they ran it.
@@ -195,7 +197,7 @@
         self.record_begun()
         if self._active_upstream is not None:
             self.gateway.table.discard_expected_event(self._active_upstream, self)
-            self.gateway.table.end_request(self._active_upstream, self._work)
+            self.gateway.table.end_request(self._active_upstream, self._active_work)
             self._active_upstream = None
         self._forwarder.finish()
         self.exchange = None
@@ -275,9 +277,12 @@
         if self.timing.sent_s is None:
             self.timing.sent_s = self.gateway.read_clock()
         self.log.record_sent(dispatch)
-        self.gateway.table.begin_request(upstream, self._work)
+        self._active_work = _estimate_work(self.request)
+        self.gateway.table.begin_request(upstream, self._active_work)
         self._active_upstream = upstream
+        self._choice = choice
         self._grace_watch.begin(exchange)
+        self._watch_overdue(choice)
         if self._dispatcher.has_full_priority:
             expected_s = self._dispatcher.sent_s + self._dispatcher.prefill_s
             self.gateway.table.expect_first_event(upstream, self, expected_s)
@@ -288,6 +293,7 @@
     def record_begun(self):
         """Record that the upstream has begun the request, or that it has ended."""
         self._grace_watch.end()
+        self.gateway.overdue.unwatch(self)
 
     def record_first_event(self):
         """Record the time at which the first event of the stream arrived."""
@@ -299,6 +305,7 @@
         waited_s = now - self._dispatcher.sent_s
         self.log.record_first_event(self.exchange.dispatch, waited_s)
         self.gateway.table.record_first_event(upstream, self, now)
+        self._record_prompt_read(upstream, waited_s, now)
         self.origin = decisions.StreamOrigin(
             upstream.service, upstream.software_version
         )
@@ -307,6 +314,40 @@
                 self.request, self.origin, self.deadline_s, now
             )
 
+    def handle_overdue(self):
+        """Act on a first event that is overdue; called from another thread.
+
+        That the upstream is slow counts like a request without a response. The
+        request is taken back if it may be sent again.
+        """
+        upstream, exchange = self._active_upstream, self.exchange
+        if upstream is None or exchange is None:
+            return
+        self.log.record_overdue(upstream)
+        self._observer.record_failure(upstream, domain.ErrorKind.DEADLINE_AFTER_SEND)
+        reached = len(self._reached_boot_ids) + 1
+        if self.route.may_repeat and self._budget.reserve(upstream.service, reached):
+            exchange.withdraw()
+
+    def _watch_overdue(self, choice):
+        is_stream = self.route.kind is _model.RouteKind.STREAM
+        if choice.expected_wait_s is None or not is_stream:
+            return
+        expected_s = choice.expected_wait_s + self._dispatcher.prefill_s
+        self.gateway.overdue.watch(self, expected_s, self._dispatcher.sent_s)
+
+    def _record_prompt_read(self, upstream, waited_s, now):
+        """Count the prompt of the request as done, where hosts share their loads."""
+        prompt, work_ahead = self.request.prompt, self._choice.work_ahead
+        if prompt is None or work_ahead is None:
+            return
+        read_work = self._active_work - _prompt_work.estimate_output_work(prompt)
+        self.gateway.table.reduce_work(upstream, read_work)
+        self._active_work -= read_work
+        self.gateway.chooser.placer.record_begun(
+            upstream.service, work_ahead + read_work, waited_s, now
+        )
+
     def _handle_failure(self, choice, failure):
         """Handle a failed attempt; return a refusal if no other attempt follows."""
         upstream = choice.upstream
@@ -345,3 +386,7 @@
 
     def _add_refusal(self, refusal):
         self._refusal = decisions.combine_refusals(self._refusal, refusal)
+
+
+def _estimate_work(request):
+    return _prompt_work.estimate_work(request.prompt) if request.prompt else 1.0
--- a/sycamorespoke/gateway/_chooser.py
+++ b/sycamorespoke/gateway/_chooser.py
@@ -1,21 +1,12 @@
 """Chooses the upstream of each attempt from the view and the upstreams' state."""
 
 import collections
-import random
 
 import attrs
 
 from sycamorespoke import decisions, domain
-from sycamorespoke.gateway import _candidates, _rate_limiter
-
-# Prompt tokens that cost an engine as much as one generated token.
-PROMPT_TOKENS_PER_OUTPUT_TOKEN = 10.0
-AFFINITY_BOUND = 1.3
-# Requests that an upstream may have in addition to the bound: requests of this host
-# where the load of the other hosts is not known, of all hosts where it is.
-LOCAL_AFFINITY_SLACK_REQUESTS = 4.0
-GLOBAL_AFFINITY_SLACK_REQUESTS = 8.0
-NEAR_UTILISATION_BONUS = 0.25
+from sycamorespoke.gateway import _candidates, _placing, _prompt_work, _rate_limiter
+
 # Requests stop going to engines with older weights this long before the grace period
 # ends, or earlier by as much as requests wait there.
 OLD_VERSION_MARGIN_S = 2.0
@@ -36,11 +27,18 @@
         Weight version that the upstream is expected to hold.
     connections : int
         Maximum number of connections of this host to the upstream.
+    expected_wait_s : float or None, default=None
+        Estimated time until the upstream begins to work on the request, seconds;
+        ``None`` if it is not estimated.
+    work_ahead : float or None, default=None
+        Estimated work of all hosts at the upstream, see `_prompt_work`.
     """
 
     upstream: object
     weight_version: int | None
     connections: int
+    expected_wait_s: float | None = None
+    work_ahead: float | None = None
 
 
 @attrs.frozen
@@ -84,16 +82,33 @@
         Loads that other hosts put on the upstreams.
     generator : random.Random or None, default=None
         Breaks ties.
+    shared_load_hosts : int, default=0
+        Number of entry hosts from which on requests are placed by the expected wait;
+        0 for never.
+
+    Attributes
+    ----------
+    placer : Placer
+        Places requests on one of the upstreams that may get them.
     """
 
-    def __init__(self, host, data_centre, table, limits, loads, generator=None):
+    def __init__(
+        self,
+        host,
+        data_centre,
+        table,
+        limits,
+        loads,
+        generator=None,
+        shared_load_hosts=0,
+    ):
         self.host = host
-        self.data_centre = data_centre
         self.table = table
         self.limits = limits
         self.rate_limiter = _rate_limiter.RateLimiter(host, limits)
-        self.loads = loads
-        self.generator = generator or random.Random()
+        self.placer = _placing.Placer(
+            data_centre, loads, shared_load_hosts, generator=generator
+        )
 
     def choose(self, view, route, request, excluded, now, origin=None):
         """Choose the upstream of the next attempt.
@@ -126,7 +141,7 @@
                 for upstream in view.list_upstreams(service)
                 if _candidates.is_candidate(upstream, excluded, origin, reasons)
             ]
-            result = self._choose_among(view, upstreams, request, now, reasons)
+            result = self._choose_among(view, upstreams, request, route, now, reasons)
             if isinstance(result, Choice):
                 return result
             refusal = result or refusal
@@ -176,9 +191,9 @@
     def _get_split_key(self, request):
         if request.prompt is None:
             return request.id
-        return affinity_key(request.prompt)
+        return _prompt_work.affinity_key(request.prompt)
 
-    def _choose_among(self, view, upstreams, request, now, reasons):
+    def _choose_among(self, view, upstreams, request, route, now, reasons):
         states_by_boot = self.table.read(upstreams)
         availability_by_boot = _candidates.assess_all(
             view, upstreams, states_by_boot, now
@@ -202,10 +217,13 @@
             upstreams, states_by_boot, availability_by_boot, now
         )
         while upstreams:
-            upstream = self._place(view, upstreams, states_by_boot, request, now)
+            placed = self.placer.place(
+                view, upstreams, states_by_boot, request, route, now
+            )
+            upstream = placed.upstream
             limit_per_s = states_by_boot[upstream.boot_id].rate_limit_per_s
             if self.rate_limiter.acquire(view, upstream, limit_per_s, now):
-                return self._build_choice(view, upstream, states_by_boot, request)
+                return self._build_choice(view, placed, states_by_boot, request)
             reasons[_candidates.RATE_LIMITED] += 1
             upstreams = [other for other in upstreams if other is not upstream]
         return None
@@ -239,43 +257,8 @@
             replacement.named, now + wait_s, self.limits.version_grace_s
         )
 
-    def _place(self, view, upstreams, states_by_boot, request, now):
-        if request.prompt is None:
-            candidates = self._build_candidates(upstreams, states_by_boot, {})
-            chosen = decisions.place_by_load(
-                candidates, NEAR_UTILISATION_BONUS, self.generator.choice
-            )
-        else:
-            others_by_boot = self.loads.estimate_others(len(view.hosts), now)
-            candidates = self._build_candidates(
-                upstreams, states_by_boot, others_by_boot or {}
-            )
-            slack_requests = LOCAL_AFFINITY_SLACK_REQUESTS
-            if others_by_boot is not None:
-                slack_requests = GLOBAL_AFFINITY_SLACK_REQUESTS
-            work = estimate_work(request.prompt)
-            chosen = decisions.place_by_key(
-                affinity_key(request.prompt),
-                candidates,
-                work,
-                AFFINITY_BOUND,
-                slack_requests * work,
-            )
-        return next(each for each in upstreams if each.boot_id == chosen.name)
-
-    def _build_candidates(self, upstreams, states_by_boot, others_by_boot):
-        return [
-            decisions.PlacementCandidate(
-                name=upstream.boot_id,
-                load=states_by_boot[upstream.boot_id].work
-                + others_by_boot.get(upstream.boot_id, 0.0),
-                capacity=float(upstream.slots),
-                is_near=upstream.data_centre == self.data_centre,
-            )
-            for upstream in upstreams
-        ]
-
-    def _build_choice(self, view, upstream, states_by_boot, request):
+    def _build_choice(self, view, placed, states_by_boot, request):
+        upstream = placed.upstream
         version = None
         if request.prompt is not None:
             version = (
@@ -290,33 +273,11 @@
             upstream,
             version,
             connections if limit else DEFAULT_CONNECTION_LIMIT,
+            placed.expected_wait_s,
+            placed.work_ahead,
         )
 
 
-def affinity_key(prompt):
-    """Return the key by which requests with a common prefix go to one upstream.
-
-    Parameters
-    ----------
-    prompt : Prompt
-        Prompt of the request.
-
-    Returns
-    -------
-    str
-        ID of the last shared block, which precedes the request's own block; ID of
-        the only block if there is one.
-    """
-    shared = prompt.blocks[:-1] or prompt.blocks
-    return shared[-1].id
-
-
-def estimate_work(prompt):
-    """Estimate the work of a request, in units of one generated token."""
-    output = max(prompt.output_tokens, 1)
-    return prompt.input_tokens / PROMPT_TOKENS_PER_OUTPUT_TOKEN + output
-
-
 def latest_weight_version(upstream, states_by_boot, model):
     """Return the latest known weight version that an upstream holds.
 
--- a/sycamorespoke/gateway/_dispatcher.py
+++ b/sycamorespoke/gateway/_dispatcher.py
@@ -126,13 +126,20 @@
             # Its caller has had the first event already.
             self.has_full_priority = False
             return priority
-        urgency = decisions.choose_urgency(
-            priority,
-            self.route.target_latency_s,
-            now - self.request.arrived_s,
-            self.gateway.table.estimate_wait_s(choice.upstream, now),
-            self.prefill_s,
-        )
+        wait_s = self.gateway.table.estimate_wait_s(choice.upstream, now)
+        times_s = (self.route.target_latency_s, now - self.request.arrived_s)
+        if choice.expected_wait_s is None:
+            urgency = decisions.choose_urgency(
+                priority, *times_s, wait_s, self.prefill_s
+            )
+        else:
+            urgency = decisions.choose_shared_urgency(
+                priority,
+                self.gateway.views.get().configuration.lowest_priority,
+                *times_s,
+                max(wait_s, choice.expected_wait_s),
+                self.prefill_s,
+            )
         self.has_full_priority = urgency == priority
         return urgency
 
--- a/sycamorespoke/gateway/_gateway.py
+++ b/sycamorespoke/gateway/_gateway.py
@@ -50,6 +50,8 @@
         Forwards requests to other hosts.
     version_grace : VersionGrace
         Takes back requests that wait too long at older weights.
+    overdue : OverdueWatch
+        Notices requests that an upstream should have begun long ago.
     budgets : RetryBudgets
         Limits the retries of each service.
     request_metrics : RequestMetrics
@@ -73,6 +75,7 @@
     reachability: object
     forwarding: object
     version_grace: object
+    overdue: object
     budgets: object
     request_metrics: object
     byte_budget: object
--- a/sycamorespoke/gateway/_peer_loads.py
+++ b/sycamorespoke/gateway/_peer_loads.py
@@ -34,13 +34,16 @@
 
     Notes
     -----
-    A reader host sums the reports of the hosts that request updates from it. It
-    returns the sum as a sample, from which these hosts estimate the work of all.
+    A reader host sums the reports of the hosts that request updates from it, its
+    group. It returns the sum as a sample, from which these hosts estimate the work of
+    all. Where loads are shared, readers tell each other the sums of their groups, and
+    the sample is the whole.
     """
 
     def __init__(self):
         self._lock = threading.Lock()
         self._reports_by_host = {}
+        self._groups_by_reader = {}
         self._summary = None
 
     def record_report(self, host, work_by_boot, now):
@@ -48,7 +51,24 @@
         with self._lock:
             self._reports_by_host[host] = WorkReport(work_by_boot, now)
 
-    def sum_reports(self, own_by_boot, now):
+    def record_group(self, reader, work_by_boot, hosts, now):
+        """Record the sum of another reader's group.
+
+        Parameters
+        ----------
+        reader : str
+            Name of the reader.
+        work_by_boot : dict of str to float
+            Work of its group by boot ID of the upstream.
+        hosts : int
+            Number of hosts in the group.
+        now : float
+            Current time, seconds of the boot clock.
+        """
+        with self._lock:
+            self._groups_by_reader[reader] = WorkReport(work_by_boot, now, hosts)
+
+    def sum_group(self, own_by_boot, now):
         """Sum the recent reports and this host's own work.
 
         Returns
@@ -57,13 +77,20 @@
             Total work of the reporting hosts and this one.
         """
         with self._lock:
-            self._discard_old_reports(now)
+            _discard_old(self._reports_by_host, now)
             reports = list(self._reports_by_host.values())
-        total_by_boot = dict(own_by_boot)
-        for report in reports:
-            for boot_id, work in report.work_by_boot.items():
-                total_by_boot[boot_id] = total_by_boot.get(boot_id, 0.0) + work
-        return WorkReport(total_by_boot, now, len(reports) + 1)
+        return _add_up(own_by_boot, reports, now)
+
+    def sum_reports(self, own_by_boot, now):
+        """Sum the work of this host's group and of the groups of other readers."""
+        group = self.sum_group(own_by_boot, now)
+        with self._lock:
+            _discard_old(self._groups_by_reader, now)
+            others = list(self._groups_by_reader.values())
+        return attrs.evolve(
+            _add_up(group.work_by_boot, others, now),
+            hosts=group.hosts + sum(each.hosts for each in others),
+        )
 
     def record_summary(self, report, own_by_boot):
         """Record the sum that a reader host returned.
@@ -104,7 +131,16 @@
             return None
         return decisions.scale_sample(sample.work_by_boot, sample.hosts, hosts - 1)
 
-    def _discard_old_reports(self, now):
-        for host, report in list(self._reports_by_host.items()):
-            if now - report.seen_s > REPORT_LIFETIME_S:
-                del self._reports_by_host[host]
+
+def _add_up(own_by_boot, reports, now):
+    total_by_boot = dict(own_by_boot)
+    for report in reports:
+        for boot_id, work in report.work_by_boot.items():
+            total_by_boot[boot_id] = total_by_boot.get(boot_id, 0.0) + work
+    return WorkReport(total_by_boot, now, len(reports) + 1)
+
+
+def _discard_old(reports_by_name, now):
+    for name, report in list(reports_by_name.items()):
+        if now - report.seen_s > REPORT_LIFETIME_S:
+            del reports_by_name[name]
--- a/sycamorespoke/gateway/_peering.py
+++ b/sycamorespoke/gateway/_peering.py
@@ -49,6 +49,9 @@
         Serves the requests that other hosts forward.
     reachability : Reachability
         Which services this host reaches.
+    is_load_shared : callable
+        Takes a view and returns whether readers tell each other the work of their
+        groups.
     """
 
     host: _model.Host
@@ -62,6 +65,7 @@
     forwarding: object
     forwarded: object
     reachability: object
+    is_load_shared: object
     _plan: decisions.ReaderPlan = attrs.field(init=False)
     _target_ages: object = attrs.field(init=False)
     _planned_hosts_by_name: dict | None = attrs.field(init=False, default=None)
@@ -186,7 +190,7 @@
             self._has_lost_links,
         ).start()
         _reader_exchange.ReaderExchange(
-            self.table, self._list_other_readers, messages.Codec(key)
+            self.table, self._list_other_readers, messages.Codec(key), self._make_group
         ).start(stop_requested)
         return True
 
@@ -219,6 +223,17 @@
     def _(self, message: messages.TargetAgesRequest):
         return self._target_ages.make_reply(serving.read_clock())
 
+    def _make_group(self, now):
+        """Return the message with the work of this reader's group, if it is shared."""
+        if not self.is_load_shared(self.views.get()):
+            return None
+        group = self.loads.sum_group(self.table.get_work_by_boot(), now)
+        return messages.UpdatesRequest(
+            reader=self.host.name,
+            group_work_by_upstream=group.work_by_boot,
+            group_hosts=group.hosts,
+        )
+
     def _list_other_readers(self):
         """Return the other readers of a large deployment; empty if this is none."""
         is_large = len(self.views.get().hosts) > decisions.MAX_DIRECT_HOSTS
--- /dev/null
+++ b/sycamorespoke/gateway/_placing.py
@@ -0,0 +1,203 @@
+"""Places a request on one of the upstreams that may get it."""
+
+import random
+
+import attrs
+
+from sycamorespoke import decisions, placement
+from sycamorespoke.gateway import _prompt_work
+
+AFFINITY_BOUND = 1.3
+# Requests that an upstream may have in addition to the bound: requests of this host
+# where the load of the other hosts is not known, of all hosts where it is.
+LOCAL_AFFINITY_SLACK_REQUESTS = 4.0
+GLOBAL_AFFINITY_SLACK_REQUESTS = 8.0
+NEAR_UTILISATION_BONUS = 0.25
+# Share of the latency target that a request may wait at an engine before engines are
+# considered that its prompt is not usually sent to.
+WAIT_LIMIT_RATIO = 0.4
+
+
+@attrs.frozen
+class Placed:
+    """Where a request is placed.
+
+    Parameters
+    ----------
+    upstream : Upstream
+        The upstream.
+    expected_wait_s : float or None, default=None
+        Estimated time until the upstream begins to work on the request, seconds;
+        ``None`` if it is not estimated.
+    work_ahead : float or None, default=None
+        Estimated work of all hosts at the upstream, see `_prompt_work`.
+    """
+
+    upstream: object
+    expected_wait_s: float | None = None
+    work_ahead: float | None = None
+
+
+class Placer:
+    """Places requests by what this host knows of the load of the upstreams.
+
+    Parameters
+    ----------
+    data_centre : str
+        Data centre of this host.
+    loads : PeerLoads
+        Loads that other hosts put on the upstreams.
+    shared_load_hosts : int, default=0
+        Number of entry hosts from which on requests are placed by the expected wait;
+        0 for never.
+    far_s : float, default=0.0
+        Wait that is accepted to avoid an engine in another data centre, seconds.
+    generator : random.Random or None, default=None
+        Breaks ties and draws.
+
+    Attributes
+    ----------
+    paces : placement.PaceTable
+        How long the engines of each service take for a unit of work.
+    """
+
+    def __init__(
+        self, data_centre, loads, shared_load_hosts=0, far_s=0.0, generator=None
+    ):
+        self.data_centre = data_centre
+        self.loads = loads
+        self.shared_load_hosts = shared_load_hosts
+        self.far_s = far_s
+        self.generator = generator or random.Random()
+        self.paces = placement.PaceTable()
+
+    def is_load_shared(self, view):
+        """Return whether requests are placed by what the hosts know together."""
+        return 0 < self.shared_load_hosts <= len(view.hosts)
+
+    def place(self, view, upstreams, states_by_boot, request, route, now):
+        """Choose the upstream for a request.
+
+        Parameters
+        ----------
+        view : View
+            Current view of the deployment.
+        upstreams : list of Upstream
+            Upstreams that may get the request, at least one.
+        states_by_boot : dict of str to UpstreamState
+            Their states by boot ID.
+        request : Request
+            The request.
+        route : Route
+            Its route.
+        now : float
+            Current time, seconds of the boot clock.
+
+        Returns
+        -------
+        Placed
+            The upstream, with the expected wait where loads are shared.
+        """
+        if not self.is_load_shared(view):
+            return self._place_alone(view, upstreams, states_by_boot, request, now)
+        others_by_boot = self.loads.estimate_others(len(view.hosts), now) or {}
+        work_by_boot = {
+            each.boot_id: states_by_boot[each.boot_id].work
+            + others_by_boot.get(each.boot_id, 0.0)
+            for each in upstreams
+        }
+        if request.prompt is None:
+            return self._draw(upstreams, work_by_boot)
+        return self._place_by_wait(upstreams, work_by_boot, request, route, now)
+
+    def record_begun(self, service, work_ahead, waited_s, now):
+        """Learn from the wait of a request for its first event.
+
+        Parameters
+        ----------
+        service : str
+            Service of its upstream.
+        work_ahead : float
+            Work that was ahead of its first event, its own prompt included.
+        waited_s : float
+            Time since it was sent, seconds.
+        now : float
+            Current time, seconds of the boot clock.
+        """
+        self.paces.observe(service, work_ahead, waited_s, now)
+
+    def _place_by_wait(self, upstreams, work_by_boot, request, route, now):
+        s_per_unit = self.paces.get_s_per_unit(upstreams[0].service, now)
+        candidates = [
+            placement.EngineCandidate(
+                each.boot_id,
+                work_by_boot[each.boot_id] * s_per_unit,
+                is_near=each.data_centre == self.data_centre,
+            )
+            for each in upstreams
+        ]
+        shared_tokens = _prompt_work.count_shared_tokens(request.prompt)
+        chosen = placement.choose_engine(
+            _prompt_work.affinity_key(request.prompt),
+            candidates,
+            _prompt_work.estimate_read_work(shared_tokens) * s_per_unit,
+            route.target_latency_s * WAIT_LIMIT_RATIO,
+            self.far_s,
+        )
+        work_ahead = work_by_boot[chosen.name]
+        return Placed(_find(upstreams, chosen.name), chosen.wait_s, work_ahead)
+
+    def _draw(self, upstreams, work_by_boot):
+        candidates = [
+            placement.ServiceCandidate(
+                each.boot_id,
+                work_by_boot[each.boot_id],
+                each.slots,
+                each.data_centre == self.data_centre,
+            )
+            for each in upstreams
+        ]
+        chosen = placement.choose_by_draw(
+            candidates, NEAR_UTILISATION_BONUS, self.generator.sample
+        )
+        return Placed(_find(upstreams, chosen.name))
+
+    def _place_alone(self, view, upstreams, states_by_boot, request, now):
+        if request.prompt is None:
+            candidates = self._build_candidates(upstreams, states_by_boot, {})
+            chosen = decisions.place_by_load(
+                candidates, NEAR_UTILISATION_BONUS, self.generator.choice
+            )
+            return Placed(_find(upstreams, chosen.name))
+        others_by_boot = self.loads.estimate_others(len(view.hosts), now)
+        candidates = self._build_candidates(
+            upstreams, states_by_boot, others_by_boot or {}
+        )
+        slack_requests = LOCAL_AFFINITY_SLACK_REQUESTS
+        if others_by_boot is not None:
+            slack_requests = GLOBAL_AFFINITY_SLACK_REQUESTS
+        work = _prompt_work.estimate_work(request.prompt)
+        chosen = decisions.place_by_key(
+            _prompt_work.affinity_key(request.prompt),
+            candidates,
+            work,
+            AFFINITY_BOUND,
+            slack_requests * work,
+        )
+        return Placed(_find(upstreams, chosen.name))
+
+    def _build_candidates(self, upstreams, states_by_boot, others_by_boot):
+        return [
+            decisions.PlacementCandidate(
+                name=upstream.boot_id,
+                load=states_by_boot[upstream.boot_id].work
+                + others_by_boot.get(upstream.boot_id, 0.0),
+                capacity=float(upstream.slots),
+                is_near=upstream.data_centre == self.data_centre,
+            )
+            for upstream in upstreams
+        ]
+
+
+def _find(upstreams, boot_id):
+    return next(each for each in upstreams if each.boot_id == boot_id)
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -17,6 +17,7 @@
     _listed_versions,
     _model,
     _origin_directory,
+    _overdue,
     _peer_loads,
     _peer_reach,
     _peering,
@@ -164,6 +165,7 @@
         telemetry.OperatorsServer(self.settings.ready_listen, readiness_app).start()
         self.suspension.start()
         self.gateway.version_grace.start()
+        self.gateway.overdue.start()
         self.view_updater.start(self.peering.wait_for_hosts)
         self.server.start()
         self.forwarded_server.start()
@@ -274,6 +276,7 @@
                 self.table,
                 self._make_limits(),
                 self.loads,
+                shared_load_hosts=settings.shared_load_hosts,
             ),
             table=self.table,
             pool=self.pool,
@@ -295,6 +298,7 @@
             version_grace=_version_grace.VersionGrace(
                 self.views, self.table, settings.version_ms / MS_PER_S
             ),
+            overdue=_overdue.OverdueWatch(),
             budgets=_retry_budgets.RetryBudgets(
                 settings.retry_ratio, settings.retry_slack
             ),
@@ -334,6 +338,7 @@
             self.forwarding,
             self.forwarded,
             self.reachability,
+            self.gateway.chooser.placer.is_load_shared,
         )
 
     def _make_view_updater(self):
--- /dev/null
+++ b/sycamorespoke/gateway/_prompt_work.py
@@ -0,0 +1,42 @@
+"""Work that prompts are for engines, and the keys by which they share blocks."""
+
+# Prompt tokens that cost an engine as much as one generated token.
+PROMPT_TOKENS_PER_OUTPUT_TOKEN = 10.0
+
+
+def affinity_key(prompt):
+    """Return the key by which requests with a common prefix go to one upstream.
+
+    Parameters
+    ----------
+    prompt : Prompt
+        Prompt of the request.
+
+    Returns
+    -------
+    str
+        ID of the last shared block, which precedes the request's own block; ID of
+        the only block if there is one.
+    """
+    shared = prompt.blocks[:-1] or prompt.blocks
+    return shared[-1].id
+
+
+def estimate_work(prompt):
+    """Estimate the work of a request, in units of one generated token."""
+    return estimate_read_work(prompt.input_tokens) + estimate_output_work(prompt)
+
+
+def estimate_read_work(tokens):
+    """Estimate the work of reading some tokens, in units of one generated token."""
+    return tokens / PROMPT_TOKENS_PER_OUTPUT_TOKEN
+
+
+def estimate_output_work(prompt):
+    """Return the work of generating the answer, in units of one generated token."""
+    return float(max(prompt.output_tokens, 1))
+
+
+def count_shared_tokens(prompt):
+    """Return the tokens of the blocks that other requests may share."""
+    return sum(block.tokens for block in prompt.blocks[:-1])
--- a/sycamorespoke/gateway/_reader_exchange.py
+++ b/sycamorespoke/gateway/_reader_exchange.py
@@ -1,4 +1,4 @@
-"""Readers forward to each other what hosts report of failing upstreams."""
+"""Readers forward to each other what hosts report of upstreams and their load."""
 
 import threading
 
@@ -23,12 +23,16 @@
         Returns the addresses of the other readers; empty if this host is none.
     codec : messages.Codec
         Signs messages with the hosts' shared key.
+    make_group : callable or None, default=None
+        Takes the time and returns the `messages.UpdatesRequest` with the work of this
+        reader's group, or ``None`` if loads are not shared.
     """
 
-    def __init__(self, table, list_other_readers, codec):
+    def __init__(self, table, list_other_readers, codec, make_group=None):
         self.table = table
         self.list_other_readers = list_other_readers
         self.codec = codec
+        self.make_group = make_group or _make_nothing
         self._peers_by_address = {}
         self._skipped_until_s_by_address = {}
 
@@ -40,14 +44,15 @@
 
     def step(self, now):
         """Forward once what was reported, at ``now``, seconds of the boot clock."""
-        request = self.table.outcomes.make_forwarding()
         addresses = self.list_other_readers()
         self._close_unused(addresses)
-        if request is None:
-            return
-        for address in addresses:
-            if now >= self._skipped_until_s_by_address.get(address, 0.0):
-                self._send(address, request, now)
+        requests = [self.table.outcomes.make_forwarding()]
+        if addresses:
+            requests.append(self.make_group(now))
+        for request in filter(None, requests):
+            for address in addresses:
+                if now >= self._skipped_until_s_by_address.get(address, 0.0):
+                    self._send(address, request, now)
 
     def _run(self, stop_requested):
         while not stop_requested.wait(INTERVAL_S):
@@ -71,3 +76,8 @@
     def _close_unused(self, addresses):
         for address in self._peers_by_address.keys() - set(addresses):
             self._peers_by_address.pop(address).close()
+
+
+def _make_nothing(now):
+    """Return that there is no sum to send, where loads are not shared."""
+    return None
--- a/sycamorespoke/gateway/_relay.py
+++ b/sycamorespoke/gateway/_relay.py
@@ -48,6 +48,10 @@
     pages_by_kind = source.make_pages(request.revisions_by_kind, now)
     if request.host:
         loads.record_report(request.host, request.work_by_upstream, now)
+    if request.reader:
+        loads.record_group(
+            request.reader, request.group_work_by_upstream, request.group_hosts, now
+        )
     total = loads.sum_reports(table.get_work_by_boot(), now)
     return messages.UpdatesReply(
         pages_by_store,
--- a/sycamorespoke/gateway/_table.py
+++ b/sycamorespoke/gateway/_table.py
@@ -68,6 +68,20 @@
             state.requests -= 1
             state.work = max(state.work - work, 0.0) if state.requests else 0.0
 
+    def reduce_work(self, upstream, work):
+        """Take work that is done off a request in flight, in units as `begin_request`.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            Upstream that has the request.
+        work : float
+            Work that it has done.
+        """
+        with self._lock:
+            state = self._get_state(upstream.boot_id)
+            state.work = max(state.work - work, 0.0)
+
     def get_work_by_boot(self):
         """Return the work in flight by boot ID, without upstreams that have none."""
         with self._lock:
--- a/sycamorespoke/messages/_update_messages.py
+++ b/sycamorespoke/messages/_update_messages.py
@@ -30,6 +30,13 @@
     forwarded_outcomes : list of (str, str, dict)
         Data centre, name and outcomes, as above, of hosts that report to the asking
         host, which is a reader.
+    reader : str, default=""
+        Name of the asking host, if it is a reader that sends the sum of its group.
+    group_work_by_upstream : dict of str to float
+        Work in progress of that reader and the hosts that report to it, by boot ID of
+        the upstream.
+    group_hosts : int, default=0
+        Number of hosts in that sum.
     """
 
     seen_by_store: dict[str, tuple[int, int]] = {}
@@ -39,6 +46,9 @@
     outcomes_by_upstream: dict[str, tuple[int, int, float]] = {}
     data_centre: str = ""
     forwarded_outcomes: list[tuple[str, str, dict[str, tuple[int, int, float]]]] = []
+    reader: str = ""
+    group_work_by_upstream: dict[str, float] = {}
+    group_hosts: int = 0
 
 
 class StorePage(_message.Message, tag="sp"):
--- /dev/null
+++ b/sycamorespoke/placement/__init__.py
@@ -0,0 +1,18 @@
+"""Placement of requests by the expected wait at each upstream.
+
+Load answered: many hosts that choose at the same moment, by figures that are a little
+old. A choice by the least load would send all of them to the same upstream.
+"""
+
+from sycamorespoke.placement._engines import EngineCandidate, choose_engine
+from sycamorespoke.placement._pace import Pace, PaceTable
+from sycamorespoke.placement._services import ServiceCandidate, choose_by_draw
+
+__all__ = [
+    "EngineCandidate",
+    "Pace",
+    "PaceTable",
+    "ServiceCandidate",
+    "choose_by_draw",
+    "choose_engine",
+]
--- /dev/null
+++ b/sycamorespoke/placement/_engines.py
@@ -0,0 +1,88 @@
+"""Choice of the engine for a prompt by expected wait and prompt affinity."""
+
+import attrs
+
+from sycamorespoke import decisions
+
+# Engines in the ranking of a prompt among which its cost alone decides.
+RANKED_CHOICES = 3
+
+
+@attrs.frozen
+class EngineCandidate:
+    """An engine that is eligible for a request.
+
+    Parameters
+    ----------
+    name : str
+        Unique name.
+    wait_s : float
+        Expected time until the engine begins to read the prompt, seconds, 0 or more.
+    slowness : float, default=1.0
+        Time that the engine takes for the same work, as a multiple of that of an
+        ordinary engine, above 0.
+    is_near : bool, default=True
+        Whether the engine is in this host's data centre.
+    """
+
+    name: str
+    wait_s: float
+    slowness: float = 1.0
+    is_near: bool = True
+
+
+def choose_engine(key, candidates, read_again_s, wait_limit_s, far_s=0.0):
+    """Choose the engine for a prompt.
+
+    Each prompt has a ranking of the engines of its own, the same on all hosts, so that
+    hosts with the same figures do not choose the same engine for different prompts.
+    The first engine of the ranking probably has the prompt's shared blocks. It is left
+    for the next ones where the wait that this saves is longer than reading the blocks
+    again.
+
+    Load answered: many hosts with sums of the load that are up to half a second old,
+    and demand that is uneven over the prompts.
+
+    Parameters
+    ----------
+    key : str
+        Requests with the same key share blocks.
+    candidates : sequence of EngineCandidate
+        At least one.
+    read_again_s : float
+        Time that an ordinary engine takes to read the shared blocks, seconds.
+    wait_limit_s : float
+        Wait beyond which engines further down the ranking are considered, seconds.
+    far_s : float, default=0.0
+        Wait that is accepted to avoid an engine in another data centre, seconds.
+
+    Returns
+    -------
+    EngineCandidate
+        The one with the lowest cost of the first in the ranking; if even that one
+        exceeds the limit, the next in the ranking within the limit, or the one with
+        the lowest cost of all.
+
+    Examples
+    --------
+    >>> busy = [EngineCandidate("a", 0.3), EngineCandidate("b", 0.0)]
+    >>> {choose_engine(str(n), busy, 0.1, 0.5).name for n in range(20)}
+    {'b'}
+    >>> even = [EngineCandidate("a", 0.05), EngineCandidate("b", 0.0)]
+    >>> sorted({choose_engine(str(n), even, 0.1, 0.5).name for n in range(20)})
+    ['a', 'b']
+    """
+    by_name = {candidate.name: candidate for candidate in candidates}
+    ranked = [by_name[name] for name in decisions.rank_by_key(key, by_name)]
+
+    def compute_cost(candidate):
+        read_s = 0.0 if candidate is ranked[0] else read_again_s * candidate.slowness
+        return candidate.wait_s + read_s + (0.0 if candidate.is_near else far_s)
+
+    chosen = min(ranked[:RANKED_CHOICES], key=compute_cost)
+    if chosen.wait_s <= wait_limit_s:
+        return chosen
+    for candidate in ranked[RANKED_CHOICES:]:
+        if candidate.wait_s <= wait_limit_s:
+            return candidate
+    return min(ranked, key=compute_cost)
--- a/sycamorespoke/settings/_classes.py
+++ b/sycamorespoke/settings/_classes.py
@@ -63,6 +63,9 @@
     cold_slack : float, default=5.0
         Requests that a cold upstream sustains in one second in addition to
         ``cold_tolerated``.
+    shared_load_hosts : int, default=0
+        Number of entry hosts from which on they place requests by the wait that they
+        expect together; 0 for never.
     log_level : str, default="DEBUG"
         ``"DEBUG"`` also logs successful requests, up to a rate limit.
     """
@@ -85,6 +88,7 @@
     retry_slack: Number = 10.0
     cold_tolerated: Number = 1.5
     cold_slack: Number = 5.0
+    shared_load_hosts: Count = 0
     log_level: LogLevel = "DEBUG"
 
 
--- a/tests/gateway/test_peer_loads.py
+++ b/tests/gateway/test_peer_loads.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sycamorespoke.gateway import _chooser, _peer_loads, _table
+from sycamorespoke.gateway import _chooser, _peer_loads, _prompt_work, _table
 from tests.gateway import test_chooser
 
 NOW = 100.0
@@ -83,12 +83,12 @@
             reader.record_report(number, host.table.get_work_by_boot(), NOW)
         for number, host in enumerate(self.hosts):
             own_by_boot = host.table.get_work_by_boot() if number < len(group) else {}
-            host.loads.record_summary(reader.sum_reports({}, NOW), own_by_boot)
+            host.placer.loads.record_summary(reader.sum_reports({}, NOW), own_by_boot)
 
     def run(self):
         """Send one request of each host a round; return the requests by engine."""
         request = test_chooser.make_request()
-        work = _chooser.estimate_work(request.prompt)
+        work = _prompt_work.estimate_work(request.prompt)
         requests_by_engine = {}
         for _ in range(ROUNDS):
             for number, host in enumerate(self.hosts):
