--- a/sycamorespoke/gateway/_placing.py
+++ b/sycamorespoke/gateway/_placing.py
@@ -13,9 +13,10 @@
 LOCAL_AFFINITY_SLACK_REQUESTS = 4.0
 GLOBAL_AFFINITY_SLACK_REQUESTS = 8.0
 NEAR_UTILISATION_BONUS = 0.25
-# Share of the latency target that a request may wait at an engine before engines are
-# considered that its prompt is not usually sent to.
-WAIT_LIMIT_RATIO = 0.4
+# Shares of the latency target that a request may wait: at the engine that probably has
+# its blocks, and at those that it is sent to next.
+FIRST_WAIT_RATIO = 0.3
+ANY_WAIT_RATIO = 0.4
 
 
 @attrs.frozen
@@ -141,7 +142,10 @@
             _prompt_work.affinity_key(request.prompt),
             candidates,
             _prompt_work.estimate_read_work(shared_tokens) * s_per_unit,
-            route.target_latency_s * WAIT_LIMIT_RATIO,
+            placement.WaitLimits(
+                route.target_latency_s * FIRST_WAIT_RATIO,
+                route.target_latency_s * ANY_WAIT_RATIO,
+            ),
             self.far_s,
         )
         work_ahead = work_by_boot[chosen.name]
--- a/sycamorespoke/placement/_engines.py
+++ b/sycamorespoke/placement/_engines.py
@@ -31,14 +31,31 @@
     is_near: bool = True
 
 
-def choose_engine(key, candidates, read_again_s, wait_limit_s, far_s=0.0):
+@attrs.frozen
+class WaitLimits:
+    """How long a request may wait at an engine.
+
+    Parameters
+    ----------
+    first_s : float
+        Wait at the first engine of the ranking up to which the others are not
+        considered, seconds.
+    any_s : float
+        Wait beyond which engines further down the ranking are considered, seconds.
+    """
+
+    first_s: float
+    any_s: float
+
+
+def choose_engine(key, candidates, read_again_s, limits, far_s=0.0):
     """Choose the engine for a prompt.
 
     Each prompt has a ranking of the engines of its own, the same on all hosts, so that
     hosts with the same figures do not choose the same engine for different prompts.
     The first engine of the ranking probably has the prompt's shared blocks. It is left
-    for the next ones where the wait that this saves is longer than reading the blocks
-    again.
+    for the next ones where its wait is long and the wait that this saves is longer
+    than reading the blocks again.
 
     Load answered: many hosts with sums of the load that are up to half a second old,
     and demand that is uneven over the prompts.
@@ -51,25 +68,26 @@
         At least one.
     read_again_s : float
         Time that an ordinary engine takes to read the shared blocks, seconds.
-    wait_limit_s : float
-        Wait beyond which engines further down the ranking are considered, seconds.
+    limits : WaitLimits
+        How long the request may wait.
     far_s : float, default=0.0
         Wait that is accepted to avoid an engine in another data centre, seconds.
 
     Returns
     -------
     EngineCandidate
-        The one with the lowest cost of the first in the ranking; if even that one
-        exceeds the limit, the next in the ranking within the limit, or the one with
-        the lowest cost of all.
+        The first of the ranking within ``limits.first_s``; else the one with the lowest
+        cost of the first few; if even that one exceeds ``limits.any_s``, the next in
+        the ranking within it, or the one with the lowest cost of all.
 
     Examples
     --------
+    >>> limits = WaitLimits(first_s=0.1, any_s=0.5)
     >>> busy = [EngineCandidate("a", 0.3), EngineCandidate("b", 0.0)]
-    >>> {choose_engine(str(n), busy, 0.1, 0.5).name for n in range(20)}
+    >>> {choose_engine(str(n), busy, 0.1, limits).name for n in range(20)}
     {'b'}
     >>> even = [EngineCandidate("a", 0.05), EngineCandidate("b", 0.0)]
-    >>> sorted({choose_engine(str(n), even, 0.1, 0.5).name for n in range(20)})
+    >>> sorted({choose_engine(str(n), even, 0.1, limits).name for n in range(20)})
     ['a', 'b']
     """
     by_name = {candidate.name: candidate for candidate in candidates}
@@ -79,10 +97,13 @@
         read_s = 0.0 if candidate is ranked[0] else read_again_s * candidate.slowness
         return candidate.wait_s + read_s + (0.0 if candidate.is_near else far_s)
 
+    first = ranked[0]
+    if first.wait_s <= limits.first_s and (first.is_near or not far_s):
+        return first
     chosen = min(ranked[:RANKED_CHOICES], key=compute_cost)
-    if chosen.wait_s <= wait_limit_s:
+    if chosen.wait_s <= limits.any_s:
         return chosen
     for candidate in ranked[RANKED_CHOICES:]:
-        if candidate.wait_s <= wait_limit_s:
+        if candidate.wait_s <= limits.any_s:
             return candidate
     return min(ranked, key=compute_cost)
