--- a/sycamorespoke/decisions/_urgency.py
+++ b/sycamorespoke/decisions/_urgency.py
@@ -16,6 +16,8 @@
 TARGET_SHARE = 0.85
 LATE_PENALTY = 5
 LOWEST_URGENCY = 9
+# Priorities of routes that are told apart within one priority of accounts.
+ROUTE_PRIORITIES = 3
 
 
 @attrs.frozen
@@ -72,23 +74,24 @@
         return WaitEstimate(estimate_s, now)
 
 
-def choose_shared_urgency(
-    priority, lowest_priority, target_s, elapsed_s, wait_s, prefill_s
-):
-    """Choose the urgency of a request where hosts know the load of all.
+def choose_shared_urgency(priority, account_priority, is_late):
+    """Choose the urgency of a request where many hosts share the engines.
 
-    Load answered: an engine whose queue is longer than the target of its urgent
-    requests. Those that can no longer meet it wait with the least urgent requests that
-    can, in order of arrival, but are not put behind them: they would not be served.
+    The priority of the account goes first; among requests of accounts with the same
+    priority, that of the route decides.
+
+    Load answered: an engine with prompts of two kinds, of which the long one is the
+    less urgent. A short one that waits behind several long ones misses its target.
+    One that has missed it already waits with the long ones, not behind them.
 
     Parameters
     ----------
     priority : int
-        Priority of the client account or route; 0 is the highest.
-    lowest_priority : int
-        Lowest priority of the routes that carry prompts, the highest number.
-    target_s, elapsed_s, wait_s, prefill_s : float
-        As for `choose_urgency`.
+        Priority of the route; 0 is the highest.
+    account_priority : int or None
+        Priority of the client account, which goes before that of the route.
+    is_late : bool
+        Whether the request can no longer meet its target.
 
     Returns
     -------
@@ -97,16 +100,15 @@
 
     Examples
     --------
-    >>> late, in_time = 2.0, 0.1
-    >>> [choose_shared_urgency(0, 2, 0.6, 0.0, w, 0.1) for w in (in_time, late)]
-    [0, 2]
-    >>> [choose_shared_urgency(2, 2, 1.5, 0.0, w, 0.1) for w in (in_time, late)]
-    [2, 3]
+    >>> choose_shared_urgency(0, 1, False), choose_shared_urgency(2, 1, False)
+    (3, 5)
+    >>> choose_shared_urgency(0, 1, True), choose_shared_urgency(2, None, False)
+    (5, 8)
     """
-    urgency = max(int(priority), 0)
-    if elapsed_s + wait_s + prefill_s > target_s * TARGET_SHARE:
-        urgency = max(urgency + 1, lowest_priority)
-    return min(urgency, LOWEST_URGENCY)
+    last = ROUTE_PRIORITIES - 1
+    rank = last if is_late else min(max(int(priority), 0), last)
+    first = priority if account_priority is None else account_priority
+    return min(max(int(first), 0) * ROUTE_PRIORITIES + rank, LOWEST_URGENCY)
 
 
 def choose_urgency(priority, target_s, elapsed_s, wait_s, prefill_s):
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -50,8 +50,10 @@
         self.origin = None
         self._excluded_boot_ids = set()
         self._active_upstream = None
-        # Work of the current attempt that its upstream has not done yet.
+        # Work of the current attempt that its upstream has not done yet, and tokens
+        # that it holds there.
         self._active_work = 0.0
+        self._active_tokens = 0.0
         self._choice = None
         self._refusal = None
         self._budget = _attempt_budget.AttemptBudget(gateway, request, route)
@@ -197,7 +199,9 @@
         self.record_begun()
         if self._active_upstream is not None:
             self.gateway.table.discard_expected_event(self._active_upstream, self)
-            self.gateway.table.end_request(self._active_upstream, self._active_work)
+            self.gateway.table.end_request(
+                self._active_upstream, self._active_work, self._active_tokens
+            )
             self._active_upstream = None
         self._forwarder.finish()
         self.exchange = None
@@ -277,8 +281,7 @@
         if self.timing.sent_s is None:
             self.timing.sent_s = self.gateway.read_clock()
         self.log.record_sent(dispatch)
-        self._active_work = _estimate_work(self.request)
-        self.gateway.table.begin_request(upstream, self._active_work)
+        self._count_work(choice)
         self._active_upstream = upstream
         self._choice = choice
         self._grace_watch.begin(exchange)
@@ -329,6 +332,20 @@
         if self.route.may_repeat and self._budget.reserve(upstream.service, reached):
             exchange.withdraw()
 
+    def _count_work(self, choice):
+        """Count the work of an attempt that begins."""
+        prompt = self.request.prompt
+        self._active_work, self._active_tokens = 1.0, 0.0
+        if prompt is not None and choice.work_ahead is None:
+            self._active_work = _prompt_work.estimate_work(prompt)
+        elif prompt is not None:
+            # What an engine generates hardly delays the prompts that it reads.
+            self._active_work = _prompt_work.estimate_read_work(prompt.input_tokens)
+            self._active_tokens = _prompt_work.estimate_held_tokens(prompt)
+        self.gateway.table.begin_request(
+            choice.upstream, self._active_work, self._active_tokens
+        )
+
     def _watch_overdue(self, choice):
         is_stream = self.route.kind is _model.RouteKind.STREAM
         if choice.expected_wait_s is None or not is_stream:
@@ -337,16 +354,17 @@
         self.gateway.overdue.watch(self, expected_s, self._dispatcher.sent_s)
 
     def _record_prompt_read(self, upstream, waited_s, now):
-        """Count the prompt of the request as done, where hosts share their loads."""
-        prompt, work_ahead = self.request.prompt, self._choice.work_ahead
-        if prompt is None or work_ahead is None:
+        """Count the prompt of the request as read, where hosts share their loads."""
+        if self.request.prompt is None or self._choice.work_ahead is None:
             return
-        read_work = self._active_work - _prompt_work.estimate_output_work(prompt)
-        self.gateway.table.reduce_work(upstream, read_work)
-        self._active_work -= read_work
+        self.gateway.table.reduce_work(upstream, self._active_work)
         self.gateway.chooser.placer.record_begun(
-            upstream.service, work_ahead + read_work, waited_s, now
+            upstream.service,
+            self._choice.work_ahead + self._active_work,
+            waited_s,
+            now,
         )
+        self._active_work = 0.0
 
     def _handle_failure(self, choice, failure):
         """Handle a failed attempt; return a refusal if no other attempt follows."""
@@ -386,7 +404,3 @@
 
     def _add_refusal(self, refusal):
         self._refusal = decisions.combine_refusals(self._refusal, refusal)
-
-
-def _estimate_work(request):
-    return _prompt_work.estimate_work(request.prompt) if request.prompt else 1.0
--- a/sycamorespoke/gateway/_dispatcher.py
+++ b/sycamorespoke/gateway/_dispatcher.py
@@ -126,23 +126,27 @@
             # Its caller has had the first event already.
             self.has_full_priority = False
             return priority
-        wait_s = self.gateway.table.estimate_wait_s(choice.upstream, now)
-        times_s = (self.route.target_latency_s, now - self.request.arrived_s)
-        if choice.expected_wait_s is None:
-            urgency = decisions.choose_urgency(
-                priority, *times_s, wait_s, self.prefill_s
-            )
-        else:
-            urgency = decisions.choose_shared_urgency(
-                priority,
-                self.gateway.views.get().configuration.lowest_priority,
-                *times_s,
-                max(wait_s, choice.expected_wait_s),
-                self.prefill_s,
-            )
+        if choice.expected_wait_s is not None:
+            return self._choose_shared_urgency(now)
+        urgency = decisions.choose_urgency(
+            priority,
+            self.route.target_latency_s,
+            now - self.request.arrived_s,
+            self.gateway.table.estimate_wait_s(choice.upstream, now),
+            self.prefill_s,
+        )
         self.has_full_priority = urgency == priority
         return urgency
 
+    def _choose_shared_urgency(self, now):
+        elapsed_s = now - self.request.arrived_s
+        is_late = elapsed_s + self.prefill_s > self.route.target_latency_s
+        self.has_full_priority = not is_late
+        account_priority = self.account.priority if self.account else None
+        return decisions.choose_shared_urgency(
+            self.route.priority, account_priority, is_late
+        )
+
     def _get_priority(self):
         if self.account is not None and self.account.priority is not None:
             return self.account.priority
--- a/sycamorespoke/gateway/_overdue.py
+++ b/sycamorespoke/gateway/_overdue.py
@@ -10,7 +10,7 @@
 # A request is overdue after this multiple of the time in which its first event was
 # expected, and this long at least.
 PATIENCE_FACTOR = 3.0
-MIN_PATIENCE_S = 0.6
+MIN_PATIENCE_S = 1.0
 
 
 class OverdueWatch:
--- a/sycamorespoke/gateway/_peer_loads.py
+++ b/sycamorespoke/gateway/_peer_loads.py
@@ -12,12 +12,12 @@
 
 @attrs.frozen
 class WorkReport:
-    """Work that one or more hosts have in progress at upstreams.
+    """Work, or another amount, that hosts have in progress at upstreams.
 
     Parameters
     ----------
     work_by_boot : dict of str to float
-        Work by boot ID of the upstream. Upstreams without work are left out.
+        Amount by boot ID of the upstream. Upstreams without any are left out.
     seen_s : float
         When the report was received, seconds of the boot clock.
     hosts : int, default=1
@@ -29,8 +29,8 @@
     hosts: int = 1
 
 
-class PeerLoads:
-    """Collects work reports of other hosts and summaries of them; thread-safe.
+class PeerAmounts:
+    """Collects reports of one amount and summaries of them; thread-safe.
 
     Notes
     -----
@@ -132,6 +132,20 @@
         return decisions.scale_sample(sample.work_by_boot, sample.hosts, hosts - 1)
 
 
+class PeerLoads(PeerAmounts):
+    """Collects the work of other hosts and the memory that their requests hold.
+
+    Attributes
+    ----------
+    tokens : PeerAmounts
+        Tokens that the requests of other hosts hold in the memory of engines.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.tokens = PeerAmounts()
+
+
 def _add_up(own_by_boot, reports, now):
     total_by_boot = dict(own_by_boot)
     for report in reports:
--- a/sycamorespoke/gateway/_peering.py
+++ b/sycamorespoke/gateway/_peering.py
@@ -228,10 +228,12 @@
         if not self.is_load_shared(self.views.get()):
             return None
         group = self.loads.sum_group(self.table.get_work_by_boot(), now)
+        tokens = self.loads.tokens.sum_group(self.table.get_tokens_by_boot(), now)
         return messages.UpdatesRequest(
             reader=self.host.name,
             group_work_by_upstream=group.work_by_boot,
             group_hosts=group.hosts,
+            group_tokens_by_upstream=tokens.work_by_boot,
         )
 
     def _list_other_readers(self):
--- a/sycamorespoke/gateway/_placing.py
+++ b/sycamorespoke/gateway/_placing.py
@@ -109,7 +109,12 @@
         }
         if request.prompt is None:
             return self._draw(upstreams, work_by_boot)
-        return self._place_by_wait(upstreams, work_by_boot, request, route, now)
+        full_s_by_boot = self._estimate_full_s(
+            view, upstreams, states_by_boot, request, now
+        )
+        return self._place_by_wait(
+            upstreams, work_by_boot, full_s_by_boot, request, route, now
+        )
 
     def record_begun(self, service, work_ahead, waited_s, now):
         """Learn from the wait of a request for its first event.
@@ -127,12 +132,32 @@
         """
         self.paces.observe(service, work_ahead, waited_s, now)
 
-    def _place_by_wait(self, upstreams, work_by_boot, request, route, now):
+    def _estimate_full_s(self, view, upstreams, states_by_boot, request, now):
+        """Estimate how long the request waits for memory at each engine, seconds."""
+        engine = view.configuration.services_by_name[upstreams[0].service].engine
+        if engine is None:
+            return {}
+        others_by_boot = self.loads.tokens.estimate_others(len(view.hosts), now) or {}
+        needed_tokens = _prompt_work.estimate_held_tokens(request.prompt)
+        return {
+            each.boot_id: placement.estimate_memory_wait_s(
+                states_by_boot[each.boot_id].tokens
+                + others_by_boot.get(each.boot_id, 0.0)
+                + needed_tokens,
+                engine.cache_tokens,
+            )
+            for each in upstreams
+        }
+
+    def _place_by_wait(
+        self, upstreams, work_by_boot, full_s_by_boot, request, route, now
+    ):
         s_per_unit = self.paces.get_s_per_unit(upstreams[0].service, now)
         candidates = [
             placement.EngineCandidate(
                 each.boot_id,
-                work_by_boot[each.boot_id] * s_per_unit,
+                work_by_boot[each.boot_id] * s_per_unit
+                + full_s_by_boot.get(each.boot_id, 0.0),
                 is_near=each.data_centre == self.data_centre,
             )
             for each in upstreams
--- a/sycamorespoke/gateway/_prompt_work.py
+++ b/sycamorespoke/gateway/_prompt_work.py
@@ -2,6 +2,8 @@
 
 # Prompt tokens that cost an engine as much as one generated token.
 PROMPT_TOKENS_PER_OUTPUT_TOKEN = 10.0
+# Share of the maximum number of tokens that answers have on average.
+EXPECTED_OUTPUT_RATIO = 0.3
 
 
 def affinity_key(prompt):
@@ -24,7 +26,8 @@
 
 def estimate_work(prompt):
     """Estimate the work of a request, in units of one generated token."""
-    return estimate_read_work(prompt.input_tokens) + estimate_output_work(prompt)
+    output = max(prompt.output_tokens, 1)
+    return estimate_read_work(prompt.input_tokens) + output
 
 
 def estimate_read_work(tokens):
@@ -32,9 +35,9 @@
     return tokens / PROMPT_TOKENS_PER_OUTPUT_TOKEN
 
 
-def estimate_output_work(prompt):
-    """Return the work of generating the answer, in units of one generated token."""
-    return float(max(prompt.output_tokens, 1))
+def estimate_held_tokens(prompt):
+    """Estimate the tokens that a request holds in the memory of an engine."""
+    return prompt.input_tokens + prompt.output_tokens * EXPECTED_OUTPUT_RATIO
 
 
 def count_shared_tokens(prompt):
--- a/sycamorespoke/gateway/_relay.py
+++ b/sycamorespoke/gateway/_relay.py
@@ -48,10 +48,9 @@
     pages_by_kind = source.make_pages(request.revisions_by_kind, now)
     if request.host:
         loads.record_report(request.host, request.work_by_upstream, now)
+        loads.tokens.record_report(request.host, request.tokens_by_upstream, now)
     if request.reader:
-        loads.record_group(
-            request.reader, request.group_work_by_upstream, request.group_hosts, now
-        )
+        _record_group(loads, request, now)
     total = loads.sum_reports(table.get_work_by_boot(), now)
     return messages.UpdatesReply(
         pages_by_store,
@@ -59,9 +58,16 @@
         total.work_by_boot,
         total.hosts,
         pool_outcomes(table, request, has_lost_links, now),
+        loads.tokens.sum_reports(table.get_tokens_by_boot(), now).work_by_boot,
     )
 
 
+def _record_group(loads, request, now):
+    reader, hosts = request.reader, request.group_hosts
+    loads.record_group(reader, request.group_work_by_upstream, hosts, now)
+    loads.tokens.record_group(reader, request.group_tokens_by_upstream, hosts, now)
+
+
 def pool_outcomes(table, request, has_lost_links, now):
     """Add what a host reports to the pool of a reader.
 
@@ -162,6 +168,7 @@
             self._set_peer(address)
         indexes = self.list_indexes()
         own_by_boot = self.table.get_work_by_boot()
+        tokens_by_boot = self.table.get_tokens_by_boot()
         request = messages.UpdatesRequest(
             {
                 index.store.address: (index.epoch or 0, index.next_number)
@@ -172,6 +179,7 @@
             own_by_boot,
             self.table.outcomes.drain(self.has_lost_links(now)),
             self.table.outcomes.data_centre,
+            tokens_by_upstream=tokens_by_boot,
         )
         reply = self._peer.send_request(request, REPLY_TIMEOUT_S)
         if not isinstance(reply, messages.UpdatesReply):
@@ -179,6 +187,8 @@
             return False
         report = _peer_loads.WorkReport(reply.work_by_upstream, now, reply.hosts)
         self.loads.record_summary(report, own_by_boot)
+        tokens = _peer_loads.WorkReport(reply.tokens_by_upstream, now, reply.hosts)
+        self.loads.tokens.record_summary(tokens, tokens_by_boot)
         self.table.set_pooled_ejections(reply.ejected_by_upstream, now)
         for index in indexes:
             page = reply.pages_by_store.get(index.store.address)
--- a/sycamorespoke/gateway/_table.py
+++ b/sycamorespoke/gateway/_table.py
@@ -46,7 +46,7 @@
                 for upstream in upstreams
             }
 
-    def begin_request(self, upstream, work):
+    def begin_request(self, upstream, work, tokens=0.0):
         """Add a request to those in flight.
 
         Parameters
@@ -55,18 +55,22 @@
             Upstream that gets the request.
         work : float
             Estimated work of the request, see `Chooser`.
+        tokens : float, default=0.0
+            Tokens that it holds in the memory of an engine until it ends.
         """
         with self._lock:
             state = self._get_state(upstream.boot_id)
             state.requests += 1
             state.work += work
+            state.tokens += tokens
 
-    def end_request(self, upstream, work):
+    def end_request(self, upstream, work, tokens=0.0):
         """Remove a request from those in flight; parameters as `begin_request`."""
         with self._lock:
             state = self._get_state(upstream.boot_id)
             state.requests -= 1
             state.work = max(state.work - work, 0.0) if state.requests else 0.0
+            state.tokens = max(state.tokens - tokens, 0.0) if state.requests else 0.0
 
     def reduce_work(self, upstream, work):
         """Take work that is done off a request in flight, in units as `begin_request`.
@@ -91,6 +95,15 @@
                 if state.work > 0
             }
 
+    def get_tokens_by_boot(self):
+        """Return the tokens that requests hold by boot ID, where they hold any."""
+        with self._lock:
+            return {
+                boot_id: state.tokens
+                for boot_id, state in self._states_by_boot.items()
+                if state.tokens > 0
+            }
+
     def record_success(self, upstream, now):
         """Record a successful response at ``now``, seconds of the boot clock."""
         self.outcomes.record(upstream.boot_id, None)
--- a/sycamorespoke/gateway/_upstream_state.py
+++ b/sycamorespoke/gateway/_upstream_state.py
@@ -18,6 +18,8 @@
         Requests of this host in flight at the upstream.
     work : float, default=0.0
         Estimated work of these requests, see `Chooser`.
+    tokens : float, default=0.0
+        Estimated tokens that these requests hold in the memory of an engine.
     failures : decisions.FailureHistory
         Recent failures.
     versions_by_model : dict of str to int
@@ -51,6 +53,7 @@
 
     requests: int = 0
     work: float = 0.0
+    tokens: float = 0.0
     failures: decisions.FailureHistory = attrs.field(factory=decisions.FailureHistory)
     versions_by_model: dict[str, int] = attrs.field(factory=dict)
     wait_estimate: decisions.WaitEstimate = attrs.field(factory=decisions.WaitEstimate)
--- a/sycamorespoke/messages/_update_messages.py
+++ b/sycamorespoke/messages/_update_messages.py
@@ -37,6 +37,8 @@
         the upstream.
     group_hosts : int, default=0
         Number of hosts in that sum.
+    tokens_by_upstream, group_tokens_by_upstream : dict of str to float
+        Tokens that requests hold in the memory of engines, as the work.
     """
 
     seen_by_store: dict[str, tuple[int, int]] = {}
@@ -49,6 +51,8 @@
     reader: str = ""
     group_work_by_upstream: dict[str, float] = {}
     group_hosts: int = 0
+    tokens_by_upstream: dict[str, float] = {}
+    group_tokens_by_upstream: dict[str, float] = {}
 
 
 class StorePage(_message.Message, tag="sp"):
@@ -123,6 +127,8 @@
     ejected_by_upstream : dict of str to float
         Upstreams that are ejected for all these hosts, by boot ID, with the seconds
         that remain.
+    tokens_by_upstream : dict of str to float
+        Sum of the tokens that requests hold in the memory of engines, as the work.
     """
 
     pages_by_store: dict[str, StorePage] = {}
@@ -130,3 +136,4 @@
     work_by_upstream: dict[str, float] = {}
     hosts: int = 0
     ejected_by_upstream: dict[str, float] = {}
+    tokens_by_upstream: dict[str, float] = {}
--- a/sycamorespoke/placement/__init__.py
+++ b/sycamorespoke/placement/__init__.py
@@ -4,7 +4,12 @@
 old. A choice by the least load would send all of them to the same upstream.
 """
 
-from sycamorespoke.placement._engines import EngineCandidate, WaitLimits, choose_engine
+from sycamorespoke.placement._engines import (
+    EngineCandidate,
+    WaitLimits,
+    choose_engine,
+    estimate_memory_wait_s,
+)
 from sycamorespoke.placement._pace import Pace, PaceTable
 from sycamorespoke.placement._services import ServiceCandidate, choose_by_draw
 
@@ -16,4 +21,5 @@
     "WaitLimits",
     "choose_by_draw",
     "choose_engine",
+    "estimate_memory_wait_s",
 ]
--- a/sycamorespoke/placement/_engines.py
+++ b/sycamorespoke/placement/_engines.py
@@ -4,8 +4,14 @@
 
 from sycamorespoke import decisions
 
-# Engines in the ranking of a prompt among which its cost alone decides.
+# Engines in the ranking of a prompt among which its cost alone decides: as a rule, and
+# when all of these are overrun.
 RANKED_CHOICES = 3
+MAX_RANKED_CHOICES = 8
+# Share of an engine's memory that is filled before requests have to wait for it.
+USABLE_MEMORY_RATIO = 0.85
+# Time in which the requests that fill an engine's memory end.
+MEMORY_TURNOVER_S = 2.0
 
 
 @attrs.frozen
@@ -78,7 +84,8 @@
     EngineCandidate
         The first of the ranking within ``limits.first_s``; else the one with the lowest
         cost of the first few; if even that one exceeds ``limits.any_s``, the next in
-        the ranking within it, or the one with the lowest cost of all.
+        the ranking within it, or the one with the lowest cost of some more. Of all
+        engines, hosts with the same figures would choose the same one.
 
     Examples
     --------
@@ -106,4 +113,28 @@
     for candidate in ranked[RANKED_CHOICES:]:
         if candidate.wait_s <= limits.any_s:
             return candidate
-    return min(ranked, key=compute_cost)
+    return min(ranked[:MAX_RANKED_CHOICES], key=compute_cost)
+
+
+def estimate_memory_wait_s(held_tokens, cache_tokens):
+    """Estimate how long a request waits until an engine has memory for it.
+
+    Parameters
+    ----------
+    held_tokens : float
+        Tokens that the requests at the engine hold, this one included.
+    cache_tokens : int
+        Memory of the engine, tokens.
+
+    Returns
+    -------
+    float
+        Seconds, 0 while memory is free.
+
+    Examples
+    --------
+    >>> estimate_memory_wait_s(50000.0, 100000), estimate_memory_wait_s(135000, 100000)
+    (0.0, 1.0)
+    """
+    over_tokens = held_tokens - cache_tokens * USABLE_MEMORY_RATIO
+    return max(over_tokens, 0.0) / cache_tokens * MEMORY_TURNOVER_S
