--- a/sycamorespoke/gateway/_dispatcher.py
+++ b/sycamorespoke/gateway/_dispatcher.py
@@ -125,9 +125,13 @@
         if self.request.continues_stream or last_event_id is not None:
             # Its caller has had the first event already.
             self.has_full_priority = False
-            return priority
+            is_shared = choice.expected_wait_s is not None
+            return self._share_urgency(is_late=False) if is_shared else priority
         if choice.expected_wait_s is not None:
-            return self._choose_shared_urgency(now)
+            elapsed_s = now - self.request.arrived_s
+            is_late = elapsed_s + self.prefill_s > self.route.target_latency_s
+            self.has_full_priority = not is_late
+            return self._share_urgency(is_late)
         urgency = decisions.choose_urgency(
             priority,
             self.route.target_latency_s,
@@ -138,10 +142,7 @@
         self.has_full_priority = urgency == priority
         return urgency
 
-    def _choose_shared_urgency(self, now):
-        elapsed_s = now - self.request.arrived_s
-        is_late = elapsed_s + self.prefill_s > self.route.target_latency_s
-        self.has_full_priority = not is_late
+    def _share_urgency(self, is_late):
         account_priority = self.account.priority if self.account else None
         return decisions.choose_shared_urgency(
             self.route.priority, account_priority, is_late
--- a/sycamorespoke/gateway/_placing.py
+++ b/sycamorespoke/gateway/_placing.py
@@ -39,6 +39,23 @@
     work_ahead: float | None = None
 
 
+@attrs.frozen
+class LoadSummary:
+    """What a host knows of the unread prompts at the engines of a service.
+
+    Parameters
+    ----------
+    mean_wait_s, max_wait_s : float
+        Time until the prompts are read, mean of the engines and longest, seconds.
+    s_per_unit : float
+        Time for a unit of work, as learnt, seconds.
+    """
+
+    mean_wait_s: float
+    max_wait_s: float
+    s_per_unit: float
+
+
 class Placer:
     """Places requests by what this host knows of the load of the upstreams.
 
@@ -116,6 +133,40 @@
             upstreams, work_by_boot, full_s_by_boot, request, route, now
         )
 
+    def summarize(self, view, table, now):
+        """Summarize what this host knows of the unread prompts by service.
+
+        Parameters
+        ----------
+        view : View
+            Current view of the deployment.
+        table : UpstreamTable
+            Holds this host's work.
+        now : float
+            Current time, seconds of the boot clock.
+
+        Returns
+        -------
+        dict of str to LoadSummary
+            By service with engines; empty where loads are not shared.
+        """
+        if not self.is_load_shared(view) or view.configuration is None:
+            return {}
+        others_by_boot = self.loads.estimate_others(len(view.hosts), now) or {}
+        own_by_boot = table.get_work_by_boot()
+        summaries = {}
+        for name, service in view.configuration.services_by_name.items():
+            work = [
+                own_by_boot.get(each.boot_id, 0.0)
+                + others_by_boot.get(each.boot_id, 0.0)
+                for each in view.list_upstreams(name)
+            ]
+            if service.engine is not None and work:
+                s_per_unit = self.paces.get_s_per_unit(name, now)
+                waits_s = (sum(work) / len(work) * s_per_unit, max(work) * s_per_unit)
+                summaries[name] = LoadSummary(*waits_s, s_per_unit)
+        return summaries
+
     def record_begun(self, service, work_ahead, waited_s, now):
         """Learn from the wait of a request for its first event.
 
--- a/sycamorespoke/gateway/_program_state.py
+++ b/sycamorespoke/gateway/_program_state.py
@@ -84,6 +84,11 @@
         for (service, state), count in counts.items():
             gauge("upstreams", count, service=service, state=state)
         self._refresh_links(view, now)
+        placer = program.gateway.chooser.placer
+        for service, load in placer.summarize(view, program.table, now).items():
+            gauge("unread_mean_seconds", load.mean_wait_s, service=service)
+            gauge("unread_max_seconds", load.max_wait_s, service=service)
+            gauge("work_unit_seconds", load.s_per_unit, service=service)
         gauge("weights_pending_seconds", self._compute_weights_pending_s(view, now))
 
     def _compute_weights_pending_s(self, view, now):
--- a/tests/decisions/test_urgency.py
+++ b/tests/decisions/test_urgency.py
@@ -81,3 +81,33 @@
         estimate = estimate.observe(2.0, 10.0)
     assert decisions.choose_urgency(0, TARGET_S, 0.0, estimate.read(10.0), 0.0) == 5
     assert decisions.choose_urgency(0, TARGET_S, 0.0, estimate.read(11.0), 0.0) == 0
+
+
+@pytest.mark.parametrize("account_priority", [None, 0, 1, 2])
+def test_urgent_route_goes_first_among_accounts_of_one_priority(account_priority):
+    urgent, other = (
+        decisions.choose_shared_urgency(priority, account_priority, is_late=False)
+        for priority in (0, 2)
+    )
+    assert urgent < other
+
+
+def test_priority_of_the_account_goes_before_that_of_the_route():
+    important = decisions.choose_shared_urgency(2, 0, is_late=False)
+    ordinary = decisions.choose_shared_urgency(0, 1, is_late=False)
+    assert important < ordinary
+
+
+def test_late_request_waits_with_the_least_urgent_and_not_behind_them():
+    late = decisions.choose_shared_urgency(0, 1, is_late=True)
+    assert late == decisions.choose_shared_urgency(2, 1, is_late=False)
+
+
+@pytest.mark.parametrize("priority", [-3, 0, 7, 100])
+def test_urgency_is_in_range(priority):
+    for account_priority in (None, -1, 0, 9):
+        for is_late in (False, True):
+            urgency = decisions.choose_shared_urgency(
+                priority, account_priority, is_late
+            )
+            assert 0 <= urgency <= 9
--- a/tests/gateway/test_peer_loads.py
+++ b/tests/gateway/test_peer_loads.py
@@ -48,6 +48,25 @@
     assert _peer_loads.PeerLoads().estimate_others(1, NOW) is None
 
 
+def test_groups_of_other_readers_make_the_sum_whole():
+    loads = _peer_loads.PeerLoads()
+    loads.record_report("h1", {"a": 2.0}, NOW)
+    loads.record_group("reader-2", {"a": 5.0, "b": 1.0}, 7, NOW)
+    assert loads.sum_group({"a": 1.0}, NOW).work_by_boot == {"a": 3.0}
+    total = loads.sum_reports({"a": 1.0}, NOW)
+    assert total.work_by_boot == {"a": 8.0, "b": 1.0}
+    assert total.hosts == 9
+    # The sum is of all hosts, so that nothing is scaled.
+    assert loads.estimate_others(9, NOW) == {"a": 7.0, "b": 1.0}
+
+
+def test_group_of_a_reader_that_is_lost_expires():
+    loads = _peer_loads.PeerLoads()
+    loads.record_group("reader-2", {"a": 5.0}, 7, NOW)
+    later_s = NOW + _peer_loads.REPORT_LIFETIME_S + 0.1
+    assert loads.sum_reports({}, later_s).hosts == 1
+
+
 class Fleet:
     """Many hosts that each send a few requests with the same prompt."""
 
--- a/tests/gateway/test_shared_source.py
+++ b/tests/gateway/test_shared_source.py
@@ -273,6 +273,19 @@
         assert pair.receiver_loads.estimate_others(2, now) == {boot_id: 3.0}
         assert pair.reader_loads.estimate_others(2, now) == {boot_id: 5.0}
 
+    def test_hosts_exchange_the_tokens_that_their_requests_hold(self, pair):
+        upstream = test_table.UPSTREAM
+        pair.receiver_table.begin_request(upstream, 5.0, 700.0)
+        pair.reader_table.begin_request(upstream, 3.0, 400.0)
+        with self.serve(pair, pair.reader) as server:
+            requester = self.make_requester(pair, [server.address])
+            assert requester.step(pair.clock.now)
+        now = pair.clock.now
+        expected = {upstream.boot_id: 400.0}
+        assert pair.receiver_loads.tokens.estimate_others(2, now) == expected
+        expected = {upstream.boot_id: 700.0}
+        assert pair.reader_loads.tokens.estimate_others(2, now) == expected
+
     def test_step_waits_when_no_reader_replies(self, pair):
         requester = self.make_requester(pair, ["127.0.0.1:1"])
         assert not requester.step(pair.clock.now)
