Even load: placement by the expected wait that hosts know together

Cause: servers were overrun in turns while others idled. Engines' loads counted the maximum of running answers instead of prompts that are not read yet; readers scaled a sample of their own group; the bound of affinity was eight requests; all hosts fell back to the same engine; the account's priority hid the route's, so short urgent prompts waited behind long ones.

Change: unread prompts and held memory of all hosts (readers tell each other the sums of their groups), expected wait learnt from waits, a ranking of engines per prompt whose first is kept while its wait is short, the better of two draws for plain services, urgency by account and route, overdue first events. From 17 registered hosts on (shared_load_hosts).

--- a/sycamorespoke/decisions/_urgency.py
+++ b/sycamorespoke/decisions/_urgency.py
@@ -16,6 +16,8 @@
 TARGET_SHARE = 0.85
 LATE_PENALTY = 5
 LOWEST_URGENCY = 9
+# Priorities of routes that are told apart within one priority of accounts.
+ROUTE_PRIORITIES = 3
 
 
 @attrs.frozen
@@ -72,6 +74,43 @@
         return WaitEstimate(estimate_s, now)
 
 
+def choose_shared_urgency(priority, account_priority, is_late):
+    """Choose the urgency of a request where many hosts share the engines.
+
+    The priority of the account goes first; among requests of accounts with the same
+    priority, that of the route decides.
+
+    Load answered: an engine with prompts of two kinds, of which the long one is the
+    less urgent. A short one that waits behind several long ones misses its target.
+    One that has missed it already waits with the long ones, not behind them.
+
+    Parameters
+    ----------
+    priority : int
+        Priority of the route; 0 is the highest.
+    account_priority : int or None
+        Priority of the client account, which goes before that of the route.
+    is_late : bool
+        Whether the request can no longer meet its target.
+
+    Returns
+    -------
+    int
+        0 (most urgent) to 9 (least urgent).
+
+    Examples
+    --------
+    >>> choose_shared_urgency(0, 1, False), choose_shared_urgency(2, 1, False)
+    (3, 5)
+    >>> choose_shared_urgency(0, 1, True), choose_shared_urgency(2, None, False)
+    (5, 8)
+    """
+    last = ROUTE_PRIORITIES - 1
+    rank = last if is_late else min(max(int(priority), 0), last)
+    first = priority if account_priority is None else account_priority
+    return min(max(int(first), 0) * ROUTE_PRIORITIES + rank, LOWEST_URGENCY)
+
+
 def choose_urgency(priority, target_s, elapsed_s, wait_s, prefill_s):
     """Choose the urgency that an engine is given for a request.
 
--- a/sycamorespoke/messages/_update_messages.py
+++ b/sycamorespoke/messages/_update_messages.py
@@ -30,6 +30,15 @@
     forwarded_outcomes : list of (str, str, dict)
         Data centre, name and outcomes, as above, of hosts that report to the asking
         host, which is a reader.
+    reader : str, default=""
+        Name of the asking host, if it is a reader that sends the sum of its group.
+    group_work_by_upstream : dict of str to float
+        Work in progress of that reader and the hosts that report to it, by boot ID of
+        the upstream.
+    group_hosts : int, default=0
+        Number of hosts in that sum.
+    tokens_by_upstream, group_tokens_by_upstream : dict of str to float
+        Tokens that requests hold in the memory of engines, as the work.
     """
 
     seen_by_store: dict[str, tuple[int, int]] = {}
@@ -39,6 +48,11 @@
     outcomes_by_upstream: dict[str, tuple[int, int, float]] = {}
     data_centre: str = ""
     forwarded_outcomes: list[tuple[str, str, dict[str, tuple[int, int, float]]]] = []
+    reader: str = ""
+    group_work_by_upstream: dict[str, float] = {}
+    group_hosts: int = 0
+    tokens_by_upstream: dict[str, float] = {}
+    group_tokens_by_upstream: dict[str, float] = {}
 
 
 class StorePage(_message.Message, tag="sp"):
@@ -113,6 +127,8 @@
     ejected_by_upstream : dict of str to float
         Upstreams that are ejected for all these hosts, by boot ID, with the seconds
         that remain.
+    tokens_by_upstream : dict of str to float
+        Sum of the tokens that requests hold in the memory of engines, as the work.
     """
 
     pages_by_store: dict[str, StorePage] = {}
@@ -120,3 +136,4 @@
     work_by_upstream: dict[str, float] = {}
     hosts: int = 0
     ejected_by_upstream: dict[str, float] = {}
+    tokens_by_upstream: dict[str, float] = {}
--- a/tests/gateway/test_peer_loads.py
+++ b/tests/gateway/test_peer_loads.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sycamorespoke.gateway import _chooser, _peer_loads, _table
+from sycamorespoke.gateway import _chooser, _peer_loads, _prompt_work, _table
 from tests.gateway import test_chooser
 
 NOW = 100.0
@@ -48,6 +48,25 @@
     assert _peer_loads.PeerLoads().estimate_others(1, NOW) is None
 
 
+def test_groups_of_other_readers_make_the_sum_whole():
+    loads = _peer_loads.PeerLoads()
+    loads.record_report("h1", {"a": 2.0}, NOW)
+    loads.record_group("reader-2", {"a": 5.0, "b": 1.0}, 7, NOW)
+    assert loads.sum_group({"a": 1.0}, NOW).work_by_boot == {"a": 3.0}
+    total = loads.sum_reports({"a": 1.0}, NOW)
+    assert total.work_by_boot == {"a": 8.0, "b": 1.0}
+    assert total.hosts == 9
+    # The sum is of all hosts, so that nothing is scaled.
+    assert loads.estimate_others(9, NOW) == {"a": 7.0, "b": 1.0}
+
+
+def test_group_of_a_reader_that_is_lost_expires():
+    loads = _peer_loads.PeerLoads()
+    loads.record_group("reader-2", {"a": 5.0}, 7, NOW)
+    later_s = NOW + _peer_loads.REPORT_LIFETIME_S + 0.1
+    assert loads.sum_reports({}, later_s).hosts == 1
+
+
 class Fleet:
     """Many hosts that each send a few requests with the same prompt."""
 
@@ -83,12 +102,12 @@
             reader.record_report(number, host.table.get_work_by_boot(), NOW)
         for number, host in enumerate(self.hosts):
             own_by_boot = host.table.get_work_by_boot() if number < len(group) else {}
-            host.loads.record_summary(reader.sum_reports({}, NOW), own_by_boot)
+            host.placer.loads.record_summary(reader.sum_reports({}, NOW), own_by_boot)
 
     def run(self):
         """Send one request of each host a round; return the requests by engine."""
         request = test_chooser.make_request()
-        work = _chooser.estimate_work(request.prompt)
+        work = _prompt_work.estimate_work(request.prompt)
         requests_by_engine = {}
         for _ in range(ROUNDS):
             for number, host in enumerate(self.hosts):
