--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -5,12 +5,13 @@
     _attempt_budget,
     _attempt_checks,
     _attempt_log,
+    _attempt_work,
+    _chooser,
     _crash_watch,
     _dispatcher,
     _exchange,
     _forwarding,
     _model,
-    _prompt_work,
     _requests,
     _upstream_gate,
     _upstream_observer,
@@ -18,6 +19,9 @@
 )
 
 SERVER_ERROR_STATUS = 500
+# A request is taken back only if another upstream is expected to begin it within this
+# share of the time for which it has waited.
+FASTER_RATIO = 0.3
 
 
 class Attempts:
@@ -49,12 +53,7 @@
         # Upstreams that may continue the stream, once it has begun.
         self.origin = None
         self._excluded_boot_ids = set()
-        self._active_upstream = None
-        # Work of the current attempt that its upstream has not done yet, and tokens
-        # that it holds there.
-        self._active_work = 0.0
-        self._active_tokens = 0.0
-        self._choice = None
+        self._work = _attempt_work.AttemptWork(gateway, request)
         self._refusal = None
         self._budget = _attempt_budget.AttemptBudget(gateway, request, route)
         # Upstreams that received the request, whether or not they ran it.
@@ -197,12 +196,9 @@
     def finish(self):
         """Mark the current attempt, if any, as ended."""
         self.record_begun()
-        if self._active_upstream is not None:
-            self.gateway.table.discard_expected_event(self._active_upstream, self)
-            self.gateway.table.end_request(
-                self._active_upstream, self._active_work, self._active_tokens
-            )
-            self._active_upstream = None
+        if self._work.upstream is not None:
+            self.gateway.table.discard_expected_event(self._work.upstream, self)
+        self._work.end()
         self._forwarder.finish()
         self.exchange = None
 
@@ -281,9 +277,7 @@
         if self.timing.sent_s is None:
             self.timing.sent_s = self.gateway.read_clock()
         self.log.record_sent(dispatch)
-        self._count_work(choice)
-        self._active_upstream = upstream
-        self._choice = choice
+        self._work.begin(choice)
         self._grace_watch.begin(exchange)
         self._watch_overdue(choice)
         if self._dispatcher.has_full_priority:
@@ -297,6 +291,7 @@
         """Record that the upstream has begun the request, or that it has ended."""
         self._grace_watch.end()
         self.gateway.overdue.unwatch(self)
+        self._work.record_read()
 
     def record_first_event(self):
         """Record the time at which the first event of the stream arrived."""
@@ -308,7 +303,7 @@
         waited_s = now - self._dispatcher.sent_s
         self.log.record_first_event(self.exchange.dispatch, waited_s)
         self.gateway.table.record_first_event(upstream, self, now)
-        self._record_prompt_read(upstream, waited_s, now)
+        self._work.learn_pace(waited_s, now)
         self.origin = decisions.StreamOrigin(
             upstream.service, upstream.software_version
         )
@@ -317,34 +312,48 @@
                 self.request, self.origin, self.deadline_s, now
             )
 
-    def handle_overdue(self):
-        """Act on a first event that is overdue; called from another thread.
+    def may_take_back(self):
+        """Decide whether to take back the request, whose first event is overdue.
 
-        That the upstream is slow counts like a request without a response. The
-        request is taken back if it may be sent again.
+        Returns
+        -------
+        bool
+            Whether another upstream would begin it much sooner, and its kind and the
+            retry budget allow to send it again. That another one would counts against
+            this upstream like a missing response.
         """
-        upstream, exchange = self._active_upstream, self.exchange
-        if upstream is None or exchange is None:
-            return
+        upstream, waited_s = self._work.upstream, self._read_waited_s()
+        if upstream is None or not self._is_faster_elsewhere(upstream, waited_s):
+            return False
         self.log.record_overdue(upstream)
         self._observer.record_failure(upstream, domain.ErrorKind.DEADLINE_AFTER_SEND)
         reached = len(self._reached_boot_ids) + 1
-        if self.route.may_repeat and self._budget.reserve(upstream.service, reached):
+        return self.route.may_repeat and self._budget.reserve(upstream.service, reached)
+
+    def take_back(self):
+        """Take the request back from its upstream; called from another thread."""
+        exchange = self.exchange
+        if exchange is not None:
             exchange.withdraw()
 
-    def _count_work(self, choice):
-        """Count the work of an attempt that begins."""
-        prompt = self.request.prompt
-        self._active_work, self._active_tokens = 1.0, 0.0
-        if prompt is not None and choice.work_ahead is None:
-            self._active_work = _prompt_work.estimate_work(prompt)
-        elif prompt is not None:
-            # What an engine generates hardly delays the prompts that it reads.
-            self._active_work = _prompt_work.estimate_read_work(prompt.input_tokens)
-            self._active_tokens = _prompt_work.estimate_held_tokens(prompt)
-        self.gateway.table.begin_request(
-            choice.upstream, self._active_work, self._active_tokens
+    def _read_waited_s(self):
+        return self.gateway.read_clock() - self._dispatcher.sent_s
+
+    def _is_faster_elsewhere(self, upstream, waited_s):
+        """Return whether another upstream would begin the request much sooner."""
+        excluded = self._excluded_boot_ids | {upstream.boot_id}
+        choice = self.gateway.chooser.choose(
+            self.gateway.views.get(),
+            self.route,
+            self.request,
+            excluded,
+            self.gateway.read_clock(),
+            self.origin,
         )
+        if not isinstance(choice, _chooser.Choice) or choice.expected_wait_s is None:
+            return False
+        expected_s = choice.expected_wait_s + self._dispatcher.prefill_s
+        return expected_s < waited_s * FASTER_RATIO
 
     def _watch_overdue(self, choice):
         is_stream = self.route.kind is _model.RouteKind.STREAM
@@ -353,19 +362,6 @@
         expected_s = choice.expected_wait_s + self._dispatcher.prefill_s
         self.gateway.overdue.watch(self, expected_s, self._dispatcher.sent_s)
 
-    def _record_prompt_read(self, upstream, waited_s, now):
-        """Count the prompt of the request as read, where hosts share their loads."""
-        if self.request.prompt is None or self._choice.work_ahead is None:
-            return
-        self.gateway.table.reduce_work(upstream, self._active_work)
-        self.gateway.chooser.placer.record_begun(
-            upstream.service,
-            self._choice.work_ahead + self._active_work,
-            waited_s,
-            now,
-        )
-        self._active_work = 0.0
-
     def _handle_failure(self, choice, failure):
         """Handle a failed attempt; return a refusal if no other attempt follows."""
         upstream = choice.upstream
--- a/sycamorespoke/gateway/_overdue.py
+++ b/sycamorespoke/gateway/_overdue.py
@@ -11,10 +11,13 @@
 # expected, and this long at least.
 PATIENCE_FACTOR = 3.0
 MIN_PATIENCE_S = 1.0
+# A step that is later than this by more than its interval follows a suspension, during
+# which no event could be read.
+MAX_DELAY_S = 0.3
 
 
 class OverdueWatch:
-    """Tells attempts that their first event is overdue; thread-safe.
+    """Takes back attempts whose first event is overdue; thread-safe.
 
     Load answered: an upstream that goes silent keeps the requests that it has until
     their deadlines, and gets more of them until then.
@@ -23,6 +26,9 @@
     def __init__(self):
         self._lock = threading.Lock()
         self._due_by_attempts = {}
+        # Attempts that are overdue and have not begun so far.
+        self._overdue = set()
+        self._stepped_s = None
 
     def start(self):
         """Watch in a background thread until the process ends."""
@@ -34,7 +40,7 @@
         Parameters
         ----------
         attempts : Attempts
-            Has ``handle_overdue()``.
+            Has ``may_take_back()`` and ``take_back()``.
         expected_s : float
             Time in which its first event is expected, seconds.
         now : float
@@ -48,10 +54,22 @@
         """Stop watching an attempt, which has begun or ended."""
         with self._lock:
             self._due_by_attempts.pop(attempts, None)
+            self._overdue.discard(attempts)
 
     def step(self, now):
-        """Tell the attempts that are overdue at ``now``, once each."""
+        """Take back the attempts that are overdue at ``now`` and had better be."""
+        for attempts in self._select(now):
+            is_better_elsewhere = attempts.may_take_back()
+            # Under the lock, so that none is taken back that has begun meanwhile.
+            with self._lock:
+                is_waiting = attempts in self._overdue
+                self._overdue.discard(attempts)
+                if is_waiting and is_better_elsewhere:
+                    attempts.take_back()
+
+    def _select(self, now):
         with self._lock:
+            self._skip_suspension(now)
             overdue = [
                 attempts
                 for attempts, due_s in self._due_by_attempts.items()
@@ -59,8 +77,17 @@
             ]
             for attempts in overdue:
                 del self._due_by_attempts[attempts]
-                # Under the lock, so that none is told that has begun meanwhile.
-                attempts.handle_overdue()
+            self._overdue.update(overdue)
+        return overdue
+
+    def _skip_suspension(self, now):
+        """Give each attempt the time again for which this process did not run."""
+        stepped_s, self._stepped_s = self._stepped_s, now
+        if stepped_s is None or now - stepped_s <= INTERVAL_S + MAX_DELAY_S:
+            return
+        delay_s = now - stepped_s
+        for attempts in self._due_by_attempts:
+            self._due_by_attempts[attempts] += delay_s
 
     def _run(self):
         pause = threading.Event()
--- a/sycamorespoke/gateway/_placing.py
+++ b/sycamorespoke/gateway/_placing.py
@@ -185,8 +185,8 @@
 
     def _estimate_full_s(self, view, upstreams, states_by_boot, request, now):
         """Estimate how long the request waits for memory at each engine, seconds."""
-        engine = view.configuration.services_by_name[upstreams[0].service].engine
-        if engine is None:
+        service = view.configuration.services_by_name.get(upstreams[0].service)
+        if service is None or service.engine is None:
             return {}
         others_by_boot = self.loads.tokens.estimate_others(len(view.hosts), now) or {}
         needed_tokens = _prompt_work.estimate_held_tokens(request.prompt)
@@ -195,7 +195,7 @@
                 states_by_boot[each.boot_id].tokens
                 + others_by_boot.get(each.boot_id, 0.0)
                 + needed_tokens,
-                engine.cache_tokens,
+                service.engine.cache_tokens,
             )
             for each in upstreams
         }
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -219,6 +219,9 @@
             self._limits = view.configuration.limits
             self.server.set_limits(self._limits)
             self.forwarded_server.set_limits(_forwarded.scale_limits(self._limits))
+        if view.configuration:
+            services = view.configuration.services_by_name
+            self.gateway.chooser.placer.paces.retain(services)
 
     def stop(self):
         """Shut down gracefully.
--- a/sycamorespoke/gateway/_relay.py
+++ b/sycamorespoke/gateway/_relay.py
@@ -51,6 +51,10 @@
         loads.tokens.record_report(request.host, request.tokens_by_upstream, now)
     if request.reader:
         _record_group(loads, request, now)
+        # Another reader has its own sums.
+        return messages.UpdatesReply(
+            ejected_by_upstream=pool_outcomes(table, request, has_lost_links, now)
+        )
     total = loads.sum_reports(table.get_work_by_boot(), now)
     return messages.UpdatesReply(
         pages_by_store,
--- a/sycamorespoke/placement/_pace.py
+++ b/sycamorespoke/placement/_pace.py
@@ -53,11 +53,13 @@
         work : float
             Work that was ahead of the request, its own prompt included, units.
         wait_s : float
-            Time until its first event, seconds.
+            Time until its first event, seconds. Of a longer wait than the slowest
+            engine needs for the work, the rest has another cause.
         now : float
             Current time, seconds.
         """
         decay = self._compute_decay(now)
+        wait_s = min(wait_s, work * DEFAULT_S_PER_UNIT * MAX_RATIO)
         return Pace(
             self.products * decay + work * wait_s,
             self.squares * decay + work * work,
@@ -95,6 +97,12 @@
         """Return the time that a unit of work takes at a service, seconds."""
         return self._paces_by_service.get(service, Pace()).get_s_per_unit(now)
 
+    def retain(self, services):
+        """Forget the paces of services that are not configured any more."""
+        with self._lock:
+            for service in self._paces_by_service.keys() - set(services):
+                del self._paces_by_service[service]
+
     def dump(self, now):
         """Return the microseconds for a unit of work by service."""
         with self._lock:
