--- a/sycamorespoke/placement/_engines.py
+++ b/sycamorespoke/placement/_engines.py
@@ -4,10 +4,12 @@
 
 from sycamorespoke import decisions
 
-# Engines in the ranking of a prompt among which its cost alone decides: as a rule, and
-# when all of these are overrun.
-RANKED_CHOICES = 3
+# Engines in the ranking of a prompt of which the cheaper is taken.
+RANKED_CHOICES = 2
+# A prompt goes further down its ranking, at most so far, where these are overrun by more
+# than this multiple of the mean wait.
 MAX_RANKED_CHOICES = 8
+OVERRUN_RATIO = 1.5
 # Share of an engine's memory that is filled before requests have to wait for it.
 USABLE_MEMORY_RATIO = 0.85
 # Time in which the requests that fill an engine's memory end.
@@ -47,7 +49,8 @@
         Wait at the first engine of the ranking up to which the others are not
         considered, seconds.
     any_s : float
-        Wait beyond which engines further down the ranking are considered, seconds.
+        Wait up to which engines further down the ranking are not considered, whatever
+        the others' wait, seconds.
     """
 
     first_s: float
@@ -60,8 +63,11 @@
     Each prompt has a ranking of the engines of its own, the same on all hosts, so that
     hosts with the same figures do not choose the same engine for different prompts.
     The first engine of the ranking probably has the prompt's shared blocks. It is left
-    for the next ones where its wait is long and the wait that this saves is longer
-    than reading the blocks again.
+    for the second where its wait is long and the wait that this saves is longer than
+    reading the blocks again. The next two are considered only where these are much
+    more loaded than the others, as for a prompt that is in great demand: under a load
+    that is too high everywhere, more choices would read more blocks again, and all
+    hosts would choose the few engines that seemed free half a second ago.
 
     Load answered: many hosts with sums of the load that are up to half a second old,
     and demand that is uneven over the prompts.
@@ -82,10 +88,8 @@
     Returns
     -------
     EngineCandidate
-        The first of the ranking within ``limits.first_s``; else the one with the lowest
-        cost of the first few; if even that one exceeds ``limits.any_s``, the next in
-        the ranking within it, or the one with the lowest cost of some more. Of all
-        engines, hosts with the same figures would choose the same one.
+        The first of the ranking within ``limits.first_s``; else the cheaper of the
+        first two that are not overrun; the cheaper of the first two if all are.
 
     Examples
     --------
@@ -107,13 +111,14 @@
     first = ranked[0]
     if first.wait_s <= limits.first_s and (first.is_near or not far_s):
         return first
-    chosen = min(ranked[:RANKED_CHOICES], key=compute_cost)
-    if chosen.wait_s <= limits.any_s:
-        return chosen
-    for candidate in ranked[RANKED_CHOICES:]:
-        if candidate.wait_s <= limits.any_s:
-            return candidate
-    return min(ranked[:MAX_RANKED_CHOICES], key=compute_cost)
+    mean_wait_s = sum(candidate.wait_s for candidate in ranked) / len(ranked)
+    limit_s = max(limits.any_s, mean_wait_s * OVERRUN_RATIO)
+    for start in range(0, MAX_RANKED_CHOICES, RANKED_CHOICES):
+        choices = ranked[start : start + RANKED_CHOICES]
+        chosen = min(choices, key=compute_cost, default=first)
+        if chosen.wait_s <= limit_s:
+            return chosen
+    return min(ranked[:RANKED_CHOICES], key=compute_cost)
 
 
 def estimate_memory_wait_s(held_tokens, cache_tokens):
