--- a/sycamorespoke/placement/_engines.py
+++ b/sycamorespoke/placement/_engines.py
@@ -6,8 +6,8 @@
 
 # Engines in the ranking of a prompt of which the cheaper is taken.
 RANKED_CHOICES = 2
-# A prompt goes further down its ranking, at most so far, where these are overrun by more
-# than this multiple of the mean wait.
+# A prompt goes further down its ranking, at most so far, where these are overrun by
+# more than this multiple of the mean wait.
 MAX_RANKED_CHOICES = 8
 OVERRUN_RATIO = 1.5
 # Share of an engine's memory that is filled before requests have to wait for it.
