--- a/tests/platform/test_endless_bodies.py
+++ b/tests/platform/test_endless_bodies.py
@@ -41,7 +41,13 @@
     }
 
 
-def register(store, upstreams_by_service, kinds=("safe", "unsafe"), timeout_ms=4000):
+def register(
+    store,
+    upstreams_by_service,
+    kinds=("safe", "unsafe"),
+    timeout_ms=4000,
+    **configuration,
+):
     routes = [
         make_route(f"{service}-{kind}", kind, service, timeout_ms)
         for service in upstreams_by_service
@@ -49,7 +55,7 @@
     ]
     services = [{"Name": name, "MaxConns": 100} for name in upstreams_by_service]
     tenants = [{"Name": "t", "ApiKeys": [in_process_gateway.API_KEY]}]
-    configuration = {"Version": 1, "Routes": routes, "Services": services}
+    configuration |= {"Version": 1, "Routes": routes, "Services": services}
     store.put("config", "main", {**configuration, "Tenants": tenants})
     for service, upstream in upstreams_by_service.items():
         entry = {
