--- a/sycamorespoke/serving/__init__.py
+++ b/sycamorespoke/serving/__init__.py
@@ -1,5 +1,6 @@
 """The HTTP server for callers, and the clock for the times of their requests."""
 
+from sycamorespoke.serving._allocator import limit_arenas
 from sycamorespoke.serving._byte_budget import (
     ByteBudget,
     ByteHold,
@@ -21,5 +22,6 @@
     "CallerLimits",
     "CallerServer",
     "compute_held_bytes",
+    "limit_arenas",
     "read_clock",
 ]
