Callers: all that is held for them is in one budget, the slowest go first

Cause: the budget counted bodies over 64 KiB only, not connections, parsers, heads, short bodies, requests sent ahead; the ports for readiness and operators had none.

Change: connections, heads, bodies and unread answers of each port come out of the budget of the process. Where places or bytes run short, connections without progress are closed, oldest first (a pure function); running requests stay. What is sent ahead waits unparsed. HeaderTimeoutMs is read. Entry hosts of the product's own interface have the same budget for callers (memory_mb).

--- a/sycamorespoke/entry/_program.py
+++ b/sycamorespoke/entry/_program.py
@@ -99,12 +99,16 @@
             self.permits,
             random.Random(),
         )
+        self.byte_budget = serving.ByteBudget(
+            serving.compute_held_bytes(entry_settings.memory_mb)
+        )
         self.server = serving.CallerServer(
             entry_settings.listen,
             self._make_application(),
             entry_settings.threads,
             MAX_CALLER_CONNECTIONS,
             serving.CallerLimits(),
+            self.byte_budget,
         )
 
     def start(self):
@@ -112,7 +116,9 @@
         operators_app = telemetry.make_operators_app(
             self.metrics, self._dump, self._get_in_force, self.drain.request_drain
         )
-        telemetry.OperatorsServer(self.settings.operators_listen, operators_app).start()
+        telemetry.OperatorsServer(
+            self.settings.operators_listen, operators_app, self.byte_budget
+        ).start()
         self.pump.start()
         self.transfers.start()
         self.permits.start()
--- a/sycamorespoke/gateway/_forwarded.py
+++ b/sycamorespoke/gateway/_forwarded.py
@@ -148,6 +148,7 @@
         connection_limit,
         scale_limits(limits),
         byte_budget,
+        owner="forwarded",
     )
     application.address = f"{listen.rpartition(':')[0]}:{server.port}"
     return server
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -158,11 +158,15 @@
             self.state.get_in_force,
             self.stop_requested.set,
         )
-        telemetry.OperatorsServer(self.settings.operators_listen, operators_app).start()
+        telemetry.OperatorsServer(
+            self.settings.operators_listen, operators_app, self.byte_budget
+        ).start()
         readiness_app = _readiness.make_readiness_app(
             self.deployment.ready_path, self.is_ready
         )
-        telemetry.OperatorsServer(self.settings.ready_listen, readiness_app).start()
+        telemetry.OperatorsServer(
+            self.settings.ready_listen, readiness_app, self.byte_budget, "ready"
+        ).start()
         self.suspension.start()
         self.gateway.version_grace.start()
         self.gateway.overdue.start()
--- a/sycamorespoke/gateway/_program_state.py
+++ b/sycamorespoke/gateway/_program_state.py
@@ -55,6 +55,7 @@
                 kind.value: count
                 for kind, count in program.byte_budget.count_held().items()
             },
+            "closed_connections": program.server.count_closed(),
             "relayed_objects": program.source.count_objects(),
             "stores": program.block_planner.dump(now),
         }
@@ -66,6 +67,8 @@
         now = serving.read_clock()
         view = program.views.get()
         gauge("caller_connections", program.server.count_connections())
+        for reason, count in program.server.count_closed().items():
+            gauge("closed_connections", count, reason=reason)
         gauge("is_ready", int(program.is_ready()))
         for kind in decisions.ContentKind:
             count = view.crashes.count_quarantined(kind)
--- a/sycamorespoke/platform/_objects.py
+++ b/sycamorespoke/platform/_objects.py
@@ -272,6 +272,8 @@
         body_bytes=body_bytes or defaults.body_bytes,
         idle_s=_duration_s(value.get("IdleTimeoutMs", 0), "IdleTimeoutMs")
         or defaults.idle_s,
+        header_s=_duration_s(value.get("HeaderTimeoutMs", 0), "HeaderTimeoutMs")
+        or defaults.header_s,
     )
 
 
--- a/sycamorespoke/serving/__init__.py
+++ b/sycamorespoke/serving/__init__.py
@@ -7,12 +7,10 @@
     ByteKind,
     compute_held_bytes,
 )
+from sycamorespoke.serving._channel import BrokenStreamError
 from sycamorespoke.serving._clock import read_clock
-from sycamorespoke.serving._server import (
-    BrokenStreamError,
-    CallerLimits,
-    CallerServer,
-)
+from sycamorespoke.serving._limits import CallerLimits
+from sycamorespoke.serving._server import CallerServer
 
 __all__ = [
     "BrokenStreamError",
--- a/sycamorespoke/serving/_server.py
+++ b/sycamorespoke/serving/_server.py
@@ -5,103 +5,25 @@
 
 import contextlib
 import logging
-import socket
-import struct
 import threading
 import time
 
-import attrs
-import waitress.channel
-import waitress.server
+import waitress.adjustments
 import waitress.task
 
-from sycamorespoke.serving import _byte_budget, _parser
+from sycamorespoke.serving import _byte_budget, _eviction, _listener
 
 BUFFER_BYTES = 1073741824
 CLOSE_POLL_INTERVAL_S = 0.05
 INITIAL_THREADS = 4
 LOOP_CALL_TIMEOUT_S = 1.0
 # Callers reuse connections for less than the configured time. Idle connections are
-# closed well after it, since waitress uses the wall clock, which may jump.
+# closed well after it.
 IDLE_TIMEOUT_FACTOR = 2.0
 IDLE_TIMEOUT_MARGIN_S = 20.0
 CLEANUP_INTERVAL_S = 5
-# Value of SO_LINGER: on, for 0 seconds.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
-
-@attrs.frozen
-class CallerLimits:
-    """Limits on requests and connections of callers.
-
-    Parameters
-    ----------
-    header_bytes : int
-        Maximum size of the request line and headers, in bytes.
-    body_bytes : int
-        Maximum size of a body, in bytes.
-    idle_s : float
-        Minimum time for which an idle connection is kept open, in seconds.
-    """
-
-    header_bytes: int = 65536
-    body_bytes: int = 67108864
-    idle_s: float = 60.0
-
-
-class BrokenStreamError(Exception):
-    """Raised to end a stream early; the closed connection signals it to the caller."""
-
-
-class _Task(waitress.task.WSGITask):
-    """Task that keeps the connection open after a chunked response."""
-
-    def service(self):
-        try:
-            super().service()
-        except BrokenStreamError:
-            self._end_early()
-        except Exception:
-            # Waitress logs it, and responds if no response has begun.
-            if self.wrote_header:
-                self._end_early()
-            raise
-
-    def _end_early(self):
-        """Have the caller detect the error by the missing end of the body."""
-        self.close_on_finish = True
-        is_unframed = not self.chunked_response and self.content_length is None
-        if is_unframed:
-            self.channel.reset_on_close()
-
-    def get_environment(self):
-        environ = super().get_environment()
-        environ["caller.arrived_s"] = self.request.arrived_s
-        environ["caller.on_leave"] = self.channel.set_on_disconnect
-        return environ
-
-    def set_close_on_finish(self):
-        # Waitress closes the connection after each response without a length,
-        # although a chunked response marks its end.
-        is_close_requested = (
-            self.request.headers.get("CONNECTION", "").lower() == "close"
-        )
-        may_keep_open = (
-            self.version == "1.1" and self.chunked_response and not is_close_requested
-        )
-        if not may_keep_open:
-            super().set_close_on_finish()
-
-    def finish(self):
-        super().finish()
-        if self.channel.server.closes_connections:
-            # The response may have begun before the shutdown.
-            self.close_on_finish = True
-
-    def build_response_header(self):
-        if self.channel.server.closes_connections:
-            super().set_close_on_finish()
-        return super().build_response_header()
+# The load balancer hides which caller sends a request.
+CALLERS = "callers"
 
 
 # Waitress warns about each request that waits for a thread, even if that thread is
@@ -126,42 +48,6 @@
         super().add_task(task)
 
 
-class _Channel(waitress.channel.HTTPChannel):
-    """Channel that notifies the running request when its caller disconnects."""
-
-    parser_class = _parser.Parser
-    task_class = _Task
-    _on_disconnect = None
-
-    def set_on_disconnect(self, function):
-        """Set the function to call on disconnect; call it now if disconnected."""
-        self._on_disconnect = function
-        if not self.connected:
-            function()
-
-    def reset_on_close(self):
-        """Make the later close of the connection a reset instead of a regular end."""
-        # The socket is closed already if the caller has disconnected.
-        with contextlib.suppress(OSError):
-            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-
-    def service(self):
-        """Execute one request."""
-        self._on_disconnect = None
-        super().service()
-
-    def handle_close(self):
-        """Close the connection."""
-        super().handle_close()
-        if self.request is not None:
-            self.request.close()
-        # The first one is being served, which closes it.
-        for request in self.requests[1:]:
-            request.release()
-        if self.requests and self._on_disconnect is not None:
-            self._on_disconnect()
-
-
 class CallerServer:
     """Waitress server that runs in a background thread.
 
@@ -175,12 +61,15 @@
         Maximum number of concurrent requests, 1 to 1024. Threads are started on
         demand.
     connection_limit : int
-        Maximum number of open connections; further ones wait.
+        Maximum number of open connections. A further one takes the place of one
+        that makes no progress; without any it is closed at once.
     limits : CallerLimits
         Limits on requests and connections of callers.
     byte_budget : ByteBudget or None, default=None
-        Bounds what the process holds for others: bodies of requests, and what callers
-        have not read yet. ``None`` for no limit.
+        Bounds what the process holds for others: connections, requests, and what
+        callers have not read yet. ``None`` for no limit.
+    owner : str, default="callers"
+        Name of the port in the budget.
 
     Notes
     -----
@@ -194,35 +83,32 @@
     """
 
     def __init__(
-        self, listen, app, threads, connection_limit, limits, byte_budget=None
+        self,
+        listen,
+        app,
+        threads,
+        connection_limit,
+        limits,
+        byte_budget=None,
+        owner=CALLERS,
     ):
         dispatcher = _Dispatcher(threads)
         dispatcher.set_thread_count(min(INITIAL_THREADS, threads))
-        self._server = waitress.server.create_server(
-            app,
-            _dispatcher=dispatcher,
+        adj = waitress.adjustments.Adjustments(
             listen=listen,
-            threads=min(INITIAL_THREADS, threads),
             ident=None,
-            connection_limit=connection_limit,
             asyncore_use_poll=True,
-            max_request_header_size=limits.header_bytes,
-            max_request_body_size=limits.body_bytes,
-            channel_timeout=_compute_channel_timeout_s(limits),
             cleanup_interval=CLEANUP_INTERVAL_S,
-            # Reading ahead lets the server detect that a caller has disconnected.
-            channel_request_lookahead=1,
             # Waitress writes larger buffers to files.
             inbuf_overflow=BUFFER_BYTES,
             outbuf_overflow=BUFFER_BYTES,
             expose_tracebacks=False,
             clear_untrusted_proxy_headers=False,
         )
-        self._server.channel_class = _Channel
-        byte_budget = byte_budget or _byte_budget.ByteBudget()
-        byte_budget.add_buffers(self.count_buffered_bytes)
-        self._server.adj.byte_budget = byte_budget
-        self._server.closes_connections = False
+        adj.byte_budget = byte_budget or _byte_budget.ByteBudget()
+        adj.owner = owner
+        self._server = _listener.Listener(app, dispatcher, adj, connection_limit)
+        self.set_limits(limits)
 
     def start(self):
         """Listen and serve in the background."""
@@ -239,6 +125,8 @@
         adj.max_request_header_size = limits.header_bytes
         adj.max_request_body_size = limits.body_bytes
         adj.channel_timeout = _compute_channel_timeout_s(limits)
+        adj.idle_s = limits.idle_s
+        adj.header_s = limits.header_s
 
     def close_connections_after_responses(self):
         """Close each connection after its current or next response."""
@@ -283,10 +171,12 @@
         """Return the number of open connections."""
         return len(self._server.active_channels)
 
-    def count_buffered_bytes(self):
-        """Return the number of bytes that callers have not read yet."""
-        channels = list(self._server.active_channels.values())
-        return sum(channel.total_outbufs_len for channel in channels)
+    def count_closed(self):
+        """Return the number of connections closed before callers did, by reason."""
+        closed_by_reason = self._server.closed_by_reason
+        return {
+            reason.value: closed_by_reason[reason] for reason in _eviction.CloseReason
+        }
 
     def _run_in_loop(self, function):
         done = threading.Event()
@@ -306,8 +196,7 @@
 
     def _close_idle_channels(self):
         for channel in list(self._server.active_channels.values()):
-            is_idle = channel.request is None and not channel.requests
-            if is_idle and not channel.total_outbufs_len:
+            if channel.is_idle():
                 with contextlib.suppress(OSError):
                     channel.handle_close()
 
--- a/sycamorespoke/settings/_classes.py
+++ b/sycamorespoke/settings/_classes.py
@@ -116,6 +116,8 @@
         hexadecimal digits.
     threads : int, default=64
         Number of threads that serve requests of callers, 1 to 1024.
+    memory_mb : float, default=512.0
+        Memory limit of the process, megabytes.
     drain_s : float, default=30.0
         Maximum duration of a graceful shutdown, seconds, 0 to 3600.
     seeds : tuple of str, default=()
@@ -133,6 +135,7 @@
     platform: BaseUrl
     shared_key: SharedKey = attrs.field(repr=False)
     threads: ThreadCount = 64
+    memory_mb: Number = 512.0
     drain_s: DrainSeconds = 30.0
     seeds: AddressList = ()
     log_level: LogLevel = "INFO"
--- a/sycamorespoke/telemetry/_operators.py
+++ b/sycamorespoke/telemetry/_operators.py
@@ -1,11 +1,14 @@
 """Operators' HTTP endpoint of a daemon: metrics, state dump, drain."""
 
-import threading
-
 import msgspec
-import waitress
+
+from sycamorespoke import serving
 
 OPERATOR_THREADS = 2
+# Few, since descriptors are reserved for them.
+OPERATOR_CONNECTIONS = 32
+# Requests of operators and load balancers are short.
+OPERATOR_LIMITS = serving.CallerLimits(header_bytes=16_384, body_bytes=16_384)
 
 
 def make_operators_app(metrics, dump, in_force, drain):
@@ -57,22 +60,29 @@
         IP address and port, ``"IP:port"``.
     app : callable
         WSGI application, for example of `make_operators_app`.
+    byte_budget : serving.ByteBudget or None, default=None
+        Budget of the process, if it has one.
+    owner : str, default="operators"
+        Name of the port in the budget.
     """
 
-    def __init__(self, listen, app):
+    def __init__(self, listen, app, byte_budget=None, owner="operators"):
         self.listen = listen
         self.app = app
-        self._server = None
+        self.byte_budget = byte_budget
+        self.owner = owner
 
     def start(self):
         """Start to listen; serve until the process exits."""
-        self._server = waitress.create_server(
-            self.app, listen=self.listen, threads=OPERATOR_THREADS, ident=None
-        )
-        thread = threading.Thread(
-            target=self._server.run, name="operators", daemon=True
-        )
-        thread.start()
+        serving.CallerServer(
+            self.listen,
+            self.app,
+            OPERATOR_THREADS,
+            OPERATOR_CONNECTIONS,
+            OPERATOR_LIMITS,
+            self.byte_budget,
+            self.owner,
+        ).start()
 
 
 def _respond(start_response, body, content_type, status="200 OK"):
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -64,7 +64,12 @@
         "Tenants": [
             {"Name": "t", "ApiKeys": ["k1", "k2"], "Priority": 3, "Isolated": True}
         ],
-        "Limits": {"MaxHeaderBytes": 999, "MaxBodyBytes": 9999, "IdleTimeoutMs": 5000},
+        "Limits": {
+            "MaxHeaderBytes": 999,
+            "MaxBodyBytes": 9999,
+            "HeaderTimeoutMs": 2000,
+            "IdleTimeoutMs": 5000,
+        },
         "SomethingNew": 1,
     }
     configuration = _objects.parse_configuration(make_object(spec), 0.0)
@@ -79,7 +84,7 @@
     assert route.weights_by_service == {"s": 1.0}
     account = gateway.Account("t", 3, is_isolated=True)
     assert configuration.accounts_by_key == {"k1": account, "k2": account}
-    assert configuration.limits == serving.CallerLimits(999, 9999, 5.0)
+    assert configuration.limits == serving.CallerLimits(999, 9999, 5.0, 2.0)
     services = configuration.services_by_name
     assert services["s"].engine == gateway.EngineSpec(64, 104140, 327680)
     assert services["k"].store.address == "10.0.0.1:80"
