--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -67,6 +67,7 @@
     """
 
     def __init__(self, gateway_settings, deployment):
+        serving.limit_arenas()
         self.settings = gateway_settings
         self.deployment = deployment
         self.state = _program_state.ProgramState(self)
--- a/sycamorespoke/platform/__main__.py
+++ b/sycamorespoke/platform/__main__.py
@@ -6,7 +6,7 @@
 
 import loguru
 
-from sycamorespoke import gateway, platform, serving, settings, telemetry
+from sycamorespoke import gateway, platform, settings, telemetry
 
 SETTINGS_PATH_VARIABLE = "SYCAMORESPOKE_BOOT"
 LOG_FLUSH_TIMEOUT_S = 0.2
@@ -32,7 +32,6 @@
         print(loaded, file=sys.stderr)
         return settings.EXIT_INVALID
     sink = telemetry.configure_bounded_logging(loaded.name, loaded.log_level)
-    serving.limit_arenas()
     deployment = platform.make_deployment(loaded.name, loaded.platform)
     program = gateway.GatewayProgram(loaded, deployment)
     signal.signal(signal.SIGTERM, lambda *_: program.stop_requested.set())
--- a/sycamorespoke/platform/_objects.py
+++ b/sycamorespoke/platform/_objects.py
@@ -264,17 +264,14 @@
 
 
 def _parse_limits(value):
-    defaults = serving.CallerLimits()
-    header_bytes = int(_number(value.get("MaxHeaderBytes", 0), "MaxHeaderBytes"))
-    body_bytes = int(_number(value.get("MaxBodyBytes", 0), "MaxBodyBytes"))
-    return serving.CallerLimits(
-        header_bytes=header_bytes or defaults.header_bytes,
-        body_bytes=body_bytes or defaults.body_bytes,
-        idle_s=_duration_s(value.get("IdleTimeoutMs", 0), "IdleTimeoutMs")
-        or defaults.idle_s,
-        header_s=_duration_s(value.get("HeaderTimeoutMs", 0), "HeaderTimeoutMs")
-        or defaults.header_s,
-    )
+    limits = {
+        "header_bytes": int(_number(value.get("MaxHeaderBytes", 0), "MaxHeaderBytes")),
+        "body_bytes": int(_number(value.get("MaxBodyBytes", 0), "MaxBodyBytes")),
+        "idle_s": _duration_s(value.get("IdleTimeoutMs", 0), "IdleTimeoutMs"),
+        "header_s": _duration_s(value.get("HeaderTimeoutMs", 0), "HeaderTimeoutMs"),
+    }
+    stated = {name: limit for name, limit in limits.items() if limit}
+    return serving.CallerLimits(**stated)
 
 
 def _duration_s(value_ms, key):
