--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -67,6 +67,7 @@
     """
 
     def __init__(self, gateway_settings, deployment):
+        serving.limit_arenas()
         self.settings = gateway_settings
         self.deployment = deployment
         self.state = _program_state.ProgramState(self)
@@ -158,11 +159,15 @@
             self.state.get_in_force,
             self.stop_requested.set,
         )
-        telemetry.OperatorsServer(self.settings.operators_listen, operators_app).start()
+        telemetry.OperatorsServer(
+            self.settings.operators_listen, operators_app, self.byte_budget
+        ).start()
         readiness_app = _readiness.make_readiness_app(
             self.deployment.ready_path, self.is_ready
         )
-        telemetry.OperatorsServer(self.settings.ready_listen, readiness_app).start()
+        telemetry.OperatorsServer(
+            self.settings.ready_listen, readiness_app, self.byte_budget, "ready"
+        ).start()
         self.suspension.start()
         self.gateway.version_grace.start()
         self.gateway.overdue.start()
