Rollout of weights: module and actor are named after weights

Cause: the roll-out of a service's software version needs the plain name. Change: gateway/_rollout.py is _weight_rollout.py, Rollout is WeightRollout; Tick and Stop, which all tasks get, lie in _task_messages.py. The lease name stays.

--- a/sycamorespoke/gateway/_deployment.py
+++ b/sycamorespoke/gateway/_deployment.py
@@ -19,9 +19,9 @@
         Has ``register(host)``, ``unregister(name)`` and
         ``get_or_create_peer_key(proposed)``.
     leases : object
-        Client of lease objects, see `TaskLease` and `Rollout`.
+        Client of lease objects, see `TaskLease` and `WeightRollout`.
     engines : object
-        Client that reads reports of engines and sends orders, see `Rollout`.
+        Client that reads reports of engines and sends orders, see `WeightRollout`.
     block_stores : object
         Client of the block stores, see `BlockPlanner` and `Retirement`.
     crash_records : object
--- a/sycamorespoke/gateway/_host_tasks.py
+++ b/sycamorespoke/gateway/_host_tasks.py
@@ -6,7 +6,12 @@
 import pykka
 
 from sycamorespoke import serving
-from sycamorespoke.gateway import _retirement, _rollout, _task_lease
+from sycamorespoke.gateway import (
+    _retirement,
+    _task_lease,
+    _task_messages,
+    _weight_rollout,
+)
 
 MS_PER_S = 1000.0
 # Interval of the ticks during a shutdown.
@@ -48,11 +53,11 @@
 
         self.leases_by_name = {
             name: make_lease(name)
-            for name in (_rollout.LEASE_NAME, _retirement.LEASE_NAME)
+            for name in (_weight_rollout.LEASE_NAME, _retirement.LEASE_NAME)
         }
         rollout_lease, retirement_lease = self.leases_by_name.values()
         self.actors_by_lease = {
-            _rollout.LEASE_NAME: _rollout.Rollout.start(
+            _weight_rollout.LEASE_NAME: _weight_rollout.WeightRollout.start(
                 rollout_lease, views, table, deployment.leases, deployment.engines
             ),
             _retirement.LEASE_NAME: _retirement.Retirement.start(
@@ -64,7 +69,7 @@
     def tick(self, now):
         """Let the actors check for pending work at ``now``."""
         for actor in self.actors_by_lease.values():
-            actor.tell(_rollout.Tick(now))
+            actor.tell(_task_messages.Tick(now))
 
     def start_stop(self, deadline_s):
         """Tell the actors of a shutdown and let them act until `finish_stop`.
@@ -76,7 +81,7 @@
         """
         now = serving.read_clock()
         for actor in self.actors_by_lease.values():
-            actor.tell(_rollout.Stop(now, deadline_s - RELEASE_LEAD_S))
+            actor.tell(_task_messages.Stop(now, deadline_s - RELEASE_LEAD_S))
         threading.Thread(target=self._run, name="stopping tasks", daemon=True).start()
 
     def finish_stop(self, deadline_s):
@@ -100,7 +105,7 @@
             if now >= end_s:
                 return False
             try:
-                actor.ask(_rollout.Stop(now, now), timeout=end_s - now)
+                actor.ask(_task_messages.Stop(now, now), timeout=end_s - now)
             except pykka.Timeout:
                 return False
             if task_lease.is_release_pending():
--- a/sycamorespoke/gateway/_retirement.py
+++ b/sycamorespoke/gateway/_retirement.py
@@ -4,7 +4,7 @@
 import pykka
 
 from sycamorespoke import decisions, serving
-from sycamorespoke.gateway import _orders, _rollout, _source
+from sycamorespoke.gateway import _orders, _source, _task_messages
 
 LEASE_NAME = "stores"
 BLOCKS_PER_REQUEST = 200
@@ -47,10 +47,12 @@
         try:
             if isinstance(message, _orders.LeaseUpdate):
                 self.task_lease.observe(message)
-            elif isinstance(message, _rollout.Stop):
+            elif isinstance(message, _task_messages.Stop):
                 self.task_lease.set_stopping(message.release_at_s)
                 self.step(message.now)
-            elif isinstance(message, _rollout.Tick) and message.now >= self._next_s:
+            elif (
+                isinstance(message, _task_messages.Tick) and message.now >= self._next_s
+            ):
                 self._next_s = message.now + STEP_S
                 self.step(message.now)
         except Exception:
--- a/sycamorespoke/gateway/_view_updater.py
+++ b/sycamorespoke/gateway/_view_updater.py
@@ -9,9 +9,10 @@
 from sycamorespoke.gateway import (
     _follower,
     _orders,
-    _rollout,
     _target_versions,
+    _task_messages,
     _views,
+    _weight_rollout,
 )
 
 FRESHNESS_BY_SECTION = {
@@ -178,7 +179,7 @@
                 for model, target in targets_by_model.items()
             },
         ).info("weights named")
-        self.actors_by_lease[_rollout.LEASE_NAME].tell(_rollout.Tick(now))
+        self.actors_by_lease[_weight_rollout.LEASE_NAME].tell(_task_messages.Tick(now))
 
     def _handle_hosts(self, items_by_name, now):
         self.views.replace_fields(hosts_by_name=items_by_name)
@@ -187,7 +188,7 @@
         for name, actor in self.actors_by_lease.items():
             if name in items_by_name:
                 actor.tell(items_by_name[name])
-        announced = items_by_name.get(_rollout.LOADING_NAME)
+        announced = items_by_name.get(_weight_rollout.LOADING_NAME)
         if announced is not None and announced != self._announced:
             self._announced = announced
             self._handle_announcement(
--- a/sycamorespoke/gateway/_weight_load.py
+++ b/sycamorespoke/gateway/_weight_load.py
@@ -18,7 +18,7 @@
 
     Parameters
     ----------
-    rollout : Rollout
+    rollout : WeightRollout
         Rollout that the load belongs to.
     upstream : Upstream
         The engine.
--- a/sycamorespoke/gateway/_rollout.py
+++ b/sycamorespoke/gateway/_weight_rollout.py
@@ -3,7 +3,6 @@
 import concurrent.futures
 import threading
 
-import attrs
 import loguru
 import pykka
 
@@ -14,6 +13,7 @@
     _running_loads,
     _sent_orders,
     _statements,
+    _task_messages,
     _upstream_gate,
     _weight_load,
 )
@@ -32,37 +32,7 @@
 HANDOVER_WAIT_S = 1.5
 
 
-@attrs.frozen
-class Tick:
-    """Message that triggers a check for pending work.
-
-    Parameters
-    ----------
-    now : float
-        Current time, seconds of the boot clock.
-    """
-
-    now: float
-
-
-@attrs.frozen
-class Stop:
-    """Message that this host stops and leaves its tasks to the other hosts.
-
-    Parameters
-    ----------
-    now : float
-        Current time, seconds of the boot clock.
-    release_at_s : float
-        When to hand the tasks over even if no other host is registered, seconds of
-        the boot clock.
-    """
-
-    now: float
-    release_at_s: float
-
-
-class Rollout(pykka.ThreadingActor):
+class WeightRollout(pykka.ThreadingActor):
     """Orders engines to load weights while this host holds the lease of the task.
 
     Parameters
@@ -106,7 +76,7 @@
             if isinstance(message, _orders.LeaseUpdate):
                 self.task_lease.observe(message)
                 return
-            if isinstance(message, Stop):
+            if isinstance(message, _task_messages.Stop):
                 self.task_lease.set_stopping(message.release_at_s)
             self.step(message.now)
         except Exception:
@@ -236,7 +206,7 @@
 
     def wake(self):
         """Start further loads without waiting for the next periodic tick."""
-        self.actor_ref.tell(Tick(serving.read_clock()))
+        self.actor_ref.tell(_task_messages.Tick(serving.read_clock()))
 
     def record_loaded(self, upstream, model, version):
         """Record a weight version that an engine reports, to be announced."""
--- a/tests/fakes/rollout_fleet.py
+++ b/tests/fakes/rollout_fleet.py
@@ -12,13 +12,14 @@
 from sycamorespoke.gateway import (
     _model,
     _orders,
-    _rollout,
     _source,
     _statements,
     _table,
     _target_versions,
     _task_lease,
+    _task_messages,
     _views,
+    _weight_rollout,
 )
 from sycamorespoke.platform import _engines
 from tests.fakes import lease_objects
@@ -174,9 +175,14 @@
             targets_by_model=dict(fleet.targets_by_model),
         )
         self.task_lease = _task_lease.TaskLease(
-            _rollout.LEASE_NAME, name, self.views, self, serving.read_clock, LEASE_S
+            _weight_rollout.LEASE_NAME,
+            name,
+            self.views,
+            self,
+            serving.read_clock,
+            LEASE_S,
         )
-        self.actor = _rollout.Rollout.start(
+        self.actor = _weight_rollout.WeightRollout.start(
             self.task_lease, self.views, _table.UpstreamTable(), self, self
         )
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -189,7 +195,7 @@
         self.is_stopping = True
         self.fleet.deregister(self.name)
         self.views.replace_fields(hosts_by_name=self.fleet.list_hosts_by_name())
-        self.actor.tell(_rollout.Stop(serving.read_clock(), release_at_s))
+        self.actor.tell(_task_messages.Stop(serving.read_clock(), release_at_s))
 
     def kill(self):
         """End without a trace: nothing of this host is sent any more."""
@@ -254,7 +260,7 @@
             if now >= next_tick_s:
                 tick_s = STOPPING_TICK_S if self.is_stopping else TICK_S
                 next_tick_s = now + tick_s
-                self.actor.tell(_rollout.Tick(now))
+                self.actor.tell(_task_messages.Tick(now))
             self._is_gone.wait(POLL_S)
 
 
--- a/tests/gateway/test_isolation.py
+++ b/tests/gateway/test_isolation.py
@@ -15,7 +15,7 @@
     _model,
     _requests,
     _retirement,
-    _rollout,
+    _task_messages,
     _views,
 )
 from tests.fakes import in_process_gateway
@@ -203,7 +203,7 @@
 def retire(store, views, client, now):
     actor = _retirement.Retirement.start(_HeldLease(), views, store.blocks, client)
     try:
-        actor.ask(_rollout.Tick(now), timeout=5.0)
+        actor.ask(_task_messages.Tick(now), timeout=5.0)
     finally:
         actor.stop()
 
--- a/tests/gateway/test_retirement.py
+++ b/tests/gateway/test_retirement.py
@@ -7,12 +7,12 @@
     _blocks,
     _model,
     _retirement,
-    _rollout,
     _source,
     _statements,
     _store_index,
     _target_versions,
     _task_lease,
+    _task_messages,
     _views as views_module,
 )
 from tests.fakes import lease_objects
@@ -114,7 +114,7 @@
     actor = start(index, client)
     begun_s = serving.read_clock()
     for number in range(4):
-        actor.tell(_rollout.Tick(begun_s + number))
+        actor.tell(_task_messages.Tick(begun_s + number))
     actor.proxy().task_lease.get(timeout=5.0)
     assert len(client.freed) == 1
 
@@ -137,7 +137,7 @@
     other = start(make_index(("v1 m", "old")), second, "h2", leases, hosts=hosts)
     step(holder)
     now = serving.read_clock()
-    holder.ask(_rollout.Stop(now, now + 5.0), timeout=5.0)
+    holder.ask(_task_messages.Stop(now, now + 5.0), timeout=5.0)
     step(other)
     assert second.freed == [(STORE.address, [("v1 m", "old")], 7)]
 
@@ -146,6 +146,6 @@
     client = StoreClient()
     actor = start(make_index(("v1 m", "old")), client)
     now = serving.read_clock()
-    actor.ask(_rollout.Stop(now, now + 5.0), timeout=5.0)
+    actor.ask(_task_messages.Stop(now, now + 5.0), timeout=5.0)
     step(actor)
     assert client.freed == [(STORE.address, [("v1 m", "old")], 7)]
--- a/tests/gateway/test_view_updater.py
+++ b/tests/gateway/test_view_updater.py
@@ -9,12 +9,12 @@
     _follower,
     _model,
     _orders,
-    _rollout,
     _software_versions,
     _source,
     _table,
     _view_updater,
     _views as views_module,
+    _weight_rollout,
 )
 
 UPSTREAM = _model.Upstream("i-1", 7, "s", "1.1.1.1:1", "z", versions_by_model={"m": 1})
@@ -54,7 +54,7 @@
             kinds,
             self,
             self.views,
-            {_rollout.LEASE_NAME: self.weights},
+            {_weight_rollout.LEASE_NAME: self.weights},
             self.table,
             self.software_versions,
             lambda freshness: decisions.WatchTiming(2.5, 0.0),
@@ -76,8 +76,8 @@
             follower.step()
 
     def announce(self, value):
-        update = _orders.LeaseUpdate(_rollout.LOADING_NAME, value, 1)
-        self.items_by_kind["leases"] = {_rollout.LOADING_NAME: update}
+        update = _orders.LeaseUpdate(_weight_rollout.LOADING_NAME, value, 1)
+        self.items_by_kind["leases"] = {_weight_rollout.LOADING_NAME: update}
 
 
 @pytest.fixture
--- a/tests/gateway/test_rollout.py
+++ b/tests/gateway/test_weight_rollout.py
@@ -9,14 +9,15 @@
 from sycamorespoke.gateway import (
     _model,
     _orders,
-    _rollout,
     _source,
     _statements,
     _table,
     _target_versions,
     _task_lease,
+    _task_messages,
     _views as views_module,
     _weight_load,
+    _weight_rollout,
 )
 from tests.fakes import lease_objects
 
@@ -100,9 +101,11 @@
         )
         table = _table.UpstreamTable()
         task_lease = _task_lease.TaskLease(
-            _rollout.LEASE_NAME, host, views, leases, serving.read_clock, 3.0
+            _weight_rollout.LEASE_NAME, host, views, leases, serving.read_clock, 3.0
+        )
+        actor = _weight_rollout.WeightRollout.start(
+            task_lease, views, table, leases, engines
         )
-        actor = _rollout.Rollout.start(task_lease, views, table, leases, engines)
         actors.append(actor)
         return actor
 
@@ -114,7 +117,7 @@
 def run_until(actor, is_done, timeout_s=8.0):
     deadline_s = time.monotonic() + timeout_s
     while not is_done() and time.monotonic() < deadline_s:
-        actor.tell(_rollout.Tick(serving.read_clock()))
+        actor.tell(_task_messages.Tick(serving.read_clock()))
         time.sleep(0.05)
     return is_done()
 
@@ -252,7 +255,7 @@
 def test_loads_that_wait_for_a_thread_do_not_keep_unanswered_ones_from_a_place(
     start, monkeypatch
 ):
-    monkeypatch.setattr(_rollout, "MAX_LOADS", 2)
+    monkeypatch.setattr(_weight_rollout, "MAX_LOADS", 2)
     silent = {f"i{n}": FakeEngine(lost_orders=2) for n in range(2)}
     others = {f"i{n}": FakeEngine() for n in range(2, 9)}
     engines = FakeEngines(**silent, **others)
--- a/tests/gateway/test_rollout_handover.py
+++ b/tests/gateway/test_weight_rollout_handover.py
@@ -5,7 +5,7 @@
 import pytest
 
 from sycamorespoke import serving
-from sycamorespoke.gateway import _rollout
+from sycamorespoke.gateway import _task_messages
 from tests.fakes import rollout_fleet
 
 TIMEOUT_S = 15.0
@@ -170,5 +170,5 @@
 def test_stop_is_handled_while_there_is_no_work(start_fleet):
     fleet = start_fleet(2, 3)
     host = fleet.hosts_by_name["h0"]
-    host.actor.ask(_rollout.Stop(0.0, GRACE_S), timeout=TIMEOUT_S)
+    host.actor.ask(_task_messages.Stop(0.0, GRACE_S), timeout=TIMEOUT_S)
     assert fleet.store.objects == {}
