--- a/sycamorespoke/gateway/__init__.py
+++ b/sycamorespoke/gateway/__init__.py
@@ -2,6 +2,7 @@
 
 from sycamorespoke.gateway._connections import SOCKET_OPTIONS
 from sycamorespoke.gateway._deployment import Deployment, ObjectKind, ObjectKinds
+from sycamorespoke.gateway._lease_objects import LeaseStore
 from sycamorespoke.gateway._model import (
     Account,
     BlockStore,
@@ -32,6 +33,7 @@
     Response,
     ResponseHead,
 )
+from sycamorespoke.gateway._shared_objects import SharedObjects
 from sycamorespoke.gateway._source import (
     Change,
     Changes,
@@ -60,6 +62,7 @@
     "GatewayProgram",
     "HistoryGone",
     "Host",
+    "LeaseStore",
     "LeaseUpdate",
     "Listing",
     "ObjectKind",
@@ -75,6 +78,7 @@
     "Route",
     "RouteKind",
     "Service",
+    "SharedObjects",
     "Statements",
     "StoreEvent",
     "StoreEvents",
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -12,6 +12,7 @@
     _model,
     _prompt_work,
     _requests,
+    _rollout_watch,
     _upstream_gate,
     _upstream_observer,
     _version_grace,
@@ -85,6 +86,7 @@
             self._reached_boot_ids,
             self._dispatcher,
         )
+        self._rollout_watch = _rollout_watch.RolloutWatch(gateway, route)
         self._observer = _upstream_observer.UpstreamObserver(gateway, self.log)
 
     def cancel(self):
@@ -132,6 +134,7 @@
                     now = self.gateway.read_clock()
                     self.gateway.table.record_success(choice.upstream, now)
                     return head
+                self._rollout_watch.record_status(head.status)
                 self._observer.record_server_error(choice.upstream, head.status)
                 self._exclude_reached(choice.upstream)
                 if not self._may_repeat(choice.upstream.service):
@@ -149,6 +152,7 @@
         if self._forwarder.peer is not None:
             # The host that has sent the request relates it to its upstream.
             return
+        self._rollout_watch.record_status(head.status)
         self.crash_watch.record_whole(head, self.gateway.read_clock())
 
     def handle_broken_response(self, failure, last_event_id=None):
@@ -171,6 +175,7 @@
         if self._forwarder.peer is not None:
             return self._end_forwarded(failure)
         now = self.gateway.read_clock()
+        self._rollout_watch.record_failure(failure)
         kind = failure.refusal.kind
         self._observer.record_broken(upstream, kind)
         self.crash_watch.record_lost(upstream, kind, has_begun=True, now=now)
@@ -197,6 +202,7 @@
     def finish(self):
         """Mark the current attempt, if any, as ended."""
         self.record_begun()
+        self._rollout_watch.finish()
         if self._active_upstream is not None:
             self.gateway.table.discard_expected_event(self._active_upstream, self)
             self.gateway.table.end_request(
@@ -281,6 +287,7 @@
         if self.timing.sent_s is None:
             self.timing.sent_s = self.gateway.read_clock()
         self.log.record_sent(dispatch)
+        self._rollout_watch.begin(upstream)
         self._count_work(choice)
         self._active_upstream = upstream
         self._choice = choice
@@ -371,6 +378,7 @@
         upstream = choice.upstream
         refusal = failure.refusal
         self.log.record_failed(upstream, refusal.reason)
+        self._rollout_watch.record_failure(failure)
         self.finish()
         self._add_refusal(refusal)
         if failure.head is not None:
--- a/sycamorespoke/gateway/_candidates.py
+++ b/sycamorespoke/gateway/_candidates.py
@@ -9,6 +9,8 @@
 TRIED = "tried"
 OTHER_SOFTWARE = "other_software"
 RATE_LIMITED = "rate_limited"
+# The software version is on trial, was rolled back, or is not known to be in use.
+VERSION_BARRED = "version_barred"
 
 
 def is_candidate(upstream, excluded, origin, reasons):
--- a/sycamorespoke/gateway/_chooser.py
+++ b/sycamorespoke/gateway/_chooser.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from sycamorespoke import decisions, domain
+from sycamorespoke import decisions, domain, rollouts
 from sycamorespoke.gateway import _candidates, _placing, _prompt_work, _rate_limiter
 
 # Requests stop going to engines with older weights this long before the grace period
@@ -85,6 +85,8 @@
     shared_load_hosts : int, default=0
         Number of entry hosts from which on requests are placed by the expected wait;
         0 for never.
+    known_rollouts : rollouts.Rollouts or None, default=None
+        Rollouts of software versions, if they are followed.
 
     Attributes
     ----------
@@ -101,10 +103,12 @@
         loads,
         generator=None,
         shared_load_hosts=0,
+        known_rollouts=None,
     ):
         self.host = host
         self.table = table
         self.limits = limits
+        self.known_rollouts = known_rollouts
         self.rate_limiter = _rate_limiter.RateLimiter(host, limits)
         self.placer = _placing.Placer(
             data_centre, loads, shared_load_hosts, generator=generator
@@ -141,12 +145,40 @@
                 for upstream in view.list_upstreams(service)
                 if _candidates.is_candidate(upstream, excluded, origin, reasons)
             ]
-            result = self._choose_among(view, upstreams, request, route, now, reasons)
-            if isinstance(result, Choice):
-                return result
-            refusal = result or refusal
+            is_retry = bool(excluded)
+            planned = rollouts.PlannedRequest(
+                service, route.name, request.id, is_retry, origin is not None
+            )
+            plan = self._plan(view, planned, upstreams, reasons, now)
+            for group in plan.groups:
+                result = self._choose_among(view, group, request, route, now, reasons)
+                if isinstance(result, Choice):
+                    self._settle(plan, result)
+                    return result
+                refusal = result or refusal
+            self._settle(plan, None)
         return refusal or _candidates.make_refusal(reasons)
 
+    def _plan(self, view, planned, upstreams, reasons, now):
+        """Return the groups of upstreams that a request may use, by preference."""
+        if self.known_rollouts is None:
+            return rollouts.Plan((upstreams,))
+        plan = self.known_rollouts.plan(
+            planned, upstreams, view.hosts_by_name, view.rollouts_confirmed_s, now
+        )
+        allowed_ids = {each.boot_id for group in plan.groups for each in group}
+        barred = sum(each.boot_id not in allowed_ids for each in upstreams)
+        if barred:
+            reasons[_candidates.VERSION_BARRED] += barred
+        return plan
+
+    def _settle(self, plan, choice):
+        """Take back what a plan reserved unless the choice uses it."""
+        if plan.reserved_for is None:
+            return
+        if choice is None or not plan.reserved_for.is_trial(choice.upstream):
+            self.known_rollouts.cancel_reservation(plan)
+
     def find_opening_s(self, view, route, now):
         """Find when an upstream of a route may get requests.
 
--- a/sycamorespoke/gateway/_deployment.py
+++ b/sycamorespoke/gateway/_deployment.py
@@ -30,6 +30,8 @@
         Objects with records of streams, see `StoredOrigins`.
     ready_path : str
         Path that the load balancer polls for readiness.
+    rollout_states : object, default=None
+        Has ``write(order, state)``, see `RolloutStates`.
     """
 
     protocol: object
@@ -42,6 +44,7 @@
     crash_records: object
     stream_records: object
     ready_path: str
+    rollout_states: object = None
 
 
 @attrs.frozen
@@ -72,6 +75,8 @@
         The leases.
     crashes : ObjectKind
         `CrashReport` and `QuarantinedBlock` objects.
+    rollouts : ObjectKind or None, default=None
+        Orders to bring in a software version of a service.
     """
 
     configuration: ObjectKind
@@ -81,3 +86,4 @@
     hosts: ObjectKind
     leases: ObjectKind
     crashes: ObjectKind
+    rollouts: ObjectKind | None = None
--- a/sycamorespoke/gateway/_gateway.py
+++ b/sycamorespoke/gateway/_gateway.py
@@ -62,6 +62,8 @@
         Planned end of the process.
     read_clock : callable
         Returns the current time, seconds of the boot clock.
+    rollouts : rollouts.Rollouts or None, default=None
+        Rollouts of software versions, if they are followed.
     """
 
     protocol: object
@@ -81,6 +83,7 @@
     byte_budget: object
     shutdown: object
     read_clock: object
+    rollouts: object = None
 
     def __call__(self, environ, start_response):
         """Serve one request; this is the WSGI entry point."""
--- a/sycamorespoke/gateway/_host_tasks.py
+++ b/sycamorespoke/gateway/_host_tasks.py
@@ -8,6 +8,7 @@
 from sycamorespoke import serving
 from sycamorespoke.gateway import (
     _retirement,
+    _rollout_states,
     _task_lease,
     _task_messages,
     _weight_rollout,
@@ -38,9 +39,19 @@
         States of the upstreams.
     block_planner : BlockPlanner
         Indexes of the block stores.
+    rollouts : rollouts.Rollouts or None, default=None
+        What this host knows of rollouts of software versions, if they are followed.
     """
 
-    def __init__(self, gateway_settings, deployment, views, table, block_planner):
+    def __init__(
+        self,
+        gateway_settings,
+        deployment,
+        views,
+        table,
+        block_planner,
+        rollouts=None,
+    ):
         def make_lease(name):
             return _task_lease.TaskLease(
                 name,
@@ -64,6 +75,12 @@
                 retirement_lease, views, block_planner, deployment.block_stores
             ),
         }
+        if rollouts is not None:
+            name = _rollout_states.LEASE_NAME
+            self.leases_by_name[name] = make_lease(name)
+            self.actors_by_lease[name] = _rollout_states.RolloutStates.start(
+                self.leases_by_name[name], rollouts, deployment.rollout_states
+            )
         self._is_ended = threading.Event()
 
     def tick(self, now):
--- a/sycamorespoke/platform/_leases.py
+++ b/sycamorespoke/gateway/_lease_objects.py
@@ -1,7 +1,7 @@
-"""Leases as objects of the platform's store."""
+"""Leases as objects of the store."""
 
-from sycamorespoke import clients, gateway
-from sycamorespoke.platform import _names, _shared_objects
+from sycamorespoke import clients
+from sycamorespoke.gateway import _shared_objects, _source
 
 
 class LeaseStore:
@@ -9,12 +9,15 @@
 
     Parameters
     ----------
-    store : ObjectStoreClient
+    store : object
         Client of the store. The version of a lease object is its revision there.
+    kind : str
+        Kind of the objects.
     """
 
-    def __init__(self, store):
+    def __init__(self, store, kind):
         self.store = store
+        self.kind = kind
 
     def get(self, name):
         """Read a lease object.
@@ -29,10 +32,10 @@
         clients.StoredObject, clients.Missing or clients.Unavailable
             Value and version, if there is such an object.
         """
-        stored = self.store.read(_names.KIND_LEASES, _object_name(name))
+        stored = self.store.read(self.kind, _object_name(name))
         if stored is None:
             return clients.Missing()
-        if isinstance(stored, gateway.Unavailable):
+        if isinstance(stored, _source.Unavailable):
             return clients.Unavailable(stored.reason)
         return clients.StoredObject(stored.spec, stored.revision)
 
@@ -56,11 +59,9 @@
             `clients.Uncertain` if the write may have been applied.
         """
         if version == 0:
-            result = self.store.create(_names.KIND_LEASES, _object_name(name), value)
+            result = self.store.create(self.kind, _object_name(name), value)
         else:
-            result = self.store.replace(
-                _names.KIND_LEASES, _object_name(name), value, version
-            )
+            result = self.store.replace(self.kind, _object_name(name), value, version)
         if result.outcome is clients.WriteOutcome.CONFLICT:
             return clients.Conflict()
         if result.outcome is clients.WriteOutcome.REJECTED:
@@ -84,14 +85,9 @@
         bool
             Whether the store confirmed the write.
         """
-        objects = _shared_objects.SharedObjects(self.store, _names.KIND_LEASES)
+        objects = _shared_objects.SharedObjects(self.store, self.kind)
         return objects.write(name, value)
 
 
-def parse_lease(stored, now):
-    """Parse a lease object of a list or watch."""
-    return gateway.LeaseUpdate(stored.name, stored.spec, stored.revision)
-
-
 def _object_name(name):
     return name.rpartition("/")[2]
--- a/sycamorespoke/gateway/_peering.py
+++ b/sycamorespoke/gateway/_peering.py
@@ -52,6 +52,8 @@
     is_load_shared : callable
         Takes a view and returns whether readers tell each other the work of their
         groups.
+    rollout_exchange : rollouts.RolloutExchange or None, default=None
+        Reports of rollouts of software versions, if these are followed.
     """
 
     host: _model.Host
@@ -66,6 +68,7 @@
     forwarded: object
     reachability: object
     is_load_shared: object
+    rollout_exchange: object = None
     _plan: decisions.ReaderPlan = attrs.field(init=False)
     _target_ages: object = attrs.field(init=False)
     _planned_hosts_by_name: dict | None = attrs.field(init=False, default=None)
@@ -179,6 +182,8 @@
         self.directory.start(messages.Codec(key))
         self.forwarding.start(key)
         self._target_ages.start(messages.Codec(key), stop_requested)
+        if self.rollout_exchange is not None:
+            self.rollout_exchange.start(messages.Codec(key), stop_requested)
         _relay.UpdateRequester(
             self.host.name,
             self.blocks.list_indexes,
@@ -223,6 +228,12 @@
     def _(self, message: messages.TargetAgesRequest):
         return self._target_ages.make_reply(serving.read_clock())
 
+    @_handle_request.register
+    def _(self, message: messages.RolloutReport):
+        if self.rollout_exchange is None:
+            return None
+        return self.rollout_exchange.handle(message, serving.read_clock())
+
     def _make_group(self, now):
         """Return the message with the work of this reader's group, if it is shared."""
         if not self.is_load_shared(self.views.get()):
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -4,7 +4,7 @@
 
 import loguru
 
-from sycamorespoke import quarantine, serving, telemetry
+from sycamorespoke import quarantine, rollouts, serving, telemetry
 from sycamorespoke.gateway import (
     _blocks,
     _chooser,
@@ -26,6 +26,7 @@
     _readiness,
     _request_metrics,
     _retry_budgets,
+    _rollout_states,
     _shared_source,
     _shutdown,
     _software_versions,
@@ -125,6 +126,16 @@
         )
         self._limits = serving.CallerLimits()
         self._usable_files = max(gateway_settings.files - RESERVED_FILES, 64)
+        self.rollout_limits = rollouts.Limits(
+            gateway_settings.canary_share,
+            gateway_settings.canary_slack,
+            gateway_settings.rollback_ms / MS_PER_S,
+        )
+        self.rollouts = None
+        if gateway_settings.canary_share > 0:
+            self.rollouts = rollouts.Rollouts(
+                gateway_settings.name, self.rollout_limits
+            )
         self.gateway = self._make_gateway()
         self.server = serving.CallerServer(
             gateway_settings.listen,
@@ -145,7 +156,12 @@
             self.byte_budget,
         )
         self.tasks = _host_tasks.HostTasks(
-            gateway_settings, deployment, self.views, self.table, self.block_planner
+            gateway_settings,
+            deployment,
+            self.views,
+            self.table,
+            self.block_planner,
+            self.rollouts,
         )
         self.peering = self._make_peering()
         self.view_updater = self._make_view_updater()
@@ -277,6 +293,7 @@
                 self._make_limits(),
                 self.loads,
                 shared_load_hosts=settings.shared_load_hosts,
+                known_rollouts=self.rollouts,
             ),
             table=self.table,
             pool=self.pool,
@@ -306,6 +323,7 @@
             byte_budget=self.byte_budget,
             shutdown=self.shutdown,
             read_clock=serving.read_clock,
+            rollouts=self.rollouts,
         )
 
     def _make_forwarding(self):
@@ -339,6 +357,18 @@
             self.forwarded,
             self.reachability,
             self.gateway.chooser.placer.is_load_shared,
+            self._make_rollout_exchange(),
+        )
+
+    def _make_rollout_exchange(self):
+        if self.rollouts is None:
+            return None
+        return rollouts.RolloutExchange(
+            self.settings.name,
+            self.rollouts,
+            rollouts.Judge(self.rollout_limits),
+            self.views,
+            self.tasks.leases_by_name[_rollout_states.LEASE_NAME],
         )
 
     def _make_view_updater(self):
@@ -351,4 +381,5 @@
             self.software_versions,
             self.peering.choose_timing,
             self.peering.update_plan,
+            self.rollouts,
         )
--- a/sycamorespoke/gateway/_program_state.py
+++ b/sycamorespoke/gateway/_program_state.py
@@ -57,6 +57,7 @@
             },
             "relayed_objects": program.source.count_objects(),
             "stores": program.block_planner.dump(now),
+            "rollouts": self._dump_rollouts(now),
         }
 
     def refresh_gauges(self):
@@ -84,8 +85,23 @@
         for (service, state), count in counts.items():
             gauge("upstreams", count, service=service, state=state)
         self._refresh_links(view, now)
+        self._refresh_rollouts(now)
         gauge("weights_pending_seconds", self._compute_weights_pending_s(view, now))
 
+    def _dump_rollouts(self, now):
+        known = self.program.rollouts
+        return {} if known is None else known.dump(now)
+
+    def _refresh_rollouts(self, now):
+        gauge = self.program.metrics.gauge
+        for service, rollout in self._dump_rollouts(now).items():
+            gauge("rollout_fraction", rollout["fraction"], service=service)
+            gauge("rollout_requests", rollout["sent"], service=service, version="all")
+            gauge("rollout_requests", rollout["tried"], service=service, version="new")
+            for state in ("running", "completed", "rolled back"):
+                is_state = int(rollout["state"] == state)
+                gauge("rollout_state", is_state, service=service, state=state)
+
     def _compute_weights_pending_s(self, view, now):
         gate = _upstream_gate.UpstreamGate(self.program.views, self.program.table)
         engines = _engine_versions.list_engine_versions(
--- a/sycamorespoke/platform/_shared_objects.py
+++ b/sycamorespoke/gateway/_shared_objects.py
@@ -1,6 +1,7 @@
-"""Objects of one kind in the platform's store that hosts write for each other."""
+"""Objects of one kind in the store that hosts write for each other."""
 
-from sycamorespoke import clients, gateway
+from sycamorespoke import clients
+from sycamorespoke.gateway import _source
 
 
 class SharedObjects:
@@ -8,8 +9,8 @@
 
     Parameters
     ----------
-    store : ObjectStoreClient
-        Client of the store.
+    store : object
+        Client of the store, with ``read``, ``create``, ``replace`` and ``delete``.
     kind : str
         Kind of the objects.
     """
@@ -27,7 +28,7 @@
             If the store does not tell.
         """
         stored = self.store.read(self.kind, name)
-        if isinstance(stored, gateway.Unavailable):
+        if isinstance(stored, _source.Unavailable):
             raise LookupError(stored.reason)
         return None if stored is None else stored.spec
 
--- a/sycamorespoke/gateway/_task_lease.py
+++ b/sycamorespoke/gateway/_task_lease.py
@@ -165,6 +165,10 @@
             if now < until_s
         }
 
+    def get_holder(self):
+        """Return the name of the host that last held the lease, as far as known."""
+        return self.keeper.last_holder
+
     def discard(self):
         """Stop using the lease because another host was found to hold it."""
         self.keeper.discard()
--- a/sycamorespoke/gateway/_view_updater.py
+++ b/sycamorespoke/gateway/_view_updater.py
@@ -9,6 +9,7 @@
 from sycamorespoke.gateway import (
     _follower,
     _orders,
+    _rollout_states,
     _target_versions,
     _task_messages,
     _views,
@@ -24,6 +25,7 @@
     "hosts": decisions.Freshness.RELAXED,
     "leases": decisions.Freshness.RELAXED,
     "crashes": decisions.Freshness.URGENT,
+    _views.ROLLOUTS: decisions.Freshness.URGENT,
 }
 # Sections that every host reads itself when it starts.
 FIRST_SECTIONS = frozenset({_views.CONFIGURATION, "hosts"})
@@ -52,6 +54,9 @@
         `decisions.WatchTiming`.
     on_configuration : callable
         Called with the view after each new configuration.
+    rollouts : rollouts.Rollouts or None, default=None
+        Records the orders to bring in software versions; ``None`` if they are not
+        followed.
     """
 
     def __init__(
@@ -64,6 +69,7 @@
         software_versions,
         choose_timing,
         on_configuration,
+        rollouts=None,
     ):
         self.kinds = kinds
         self.source = source
@@ -73,6 +79,9 @@
         self.software_versions = software_versions
         self.choose_timing = choose_timing
         self.on_configuration = on_configuration
+        self.rollouts = rollouts
+        if rollouts is not None:
+            views.replace_fields(rollouts_by_name=None)
         self._announced = None
         self._versions_by_boot = {}
         self._followers = self._make_followers()
@@ -119,6 +128,10 @@
             self._make_subscription("leases", self._handle_leases),
             self._make_subscription("crashes", self._handle_crashes),
         ]
+        if self.rollouts is not None:
+            subscriptions.append(
+                self._make_subscription(_views.ROLLOUTS, self._handle_rollouts)
+            )
         return [
             _follower.Follower(
                 self.source,
@@ -153,6 +166,8 @@
             if upstream.is_draining:
                 self.table.record_leaving(upstream, now)
         self.software_versions.record(items_by_name.values(), now)
+        if self.rollouts is not None:
+            self.rollouts.record_upstreams(items_by_name.values(), now)
         # Before the list is in use, so that no request is sent with an older version.
         self._record_announced(items_by_name.values())
         self.views.replace_fields(upstreams_by_id=items_by_name)
@@ -181,6 +196,12 @@
         ).info("weights named")
         self.actors_by_lease[_weight_rollout.LEASE_NAME].tell(_task_messages.Tick(now))
 
+    def _handle_rollouts(self, items_by_name, now):
+        self.rollouts.record_orders(items_by_name.values(), now)
+        self.views.replace_fields(rollouts_by_name=items_by_name)
+        actor = self.actors_by_lease[_rollout_states.LEASE_NAME]
+        actor.tell(_task_messages.Tick(now))
+
     def _handle_hosts(self, items_by_name, now):
         self.views.replace_fields(hosts_by_name=items_by_name)
 
--- a/sycamorespoke/gateway/_views.py
+++ b/sycamorespoke/gateway/_views.py
@@ -9,6 +9,7 @@
 
 CONFIGURATION = "configuration"
 VERSIONS = "versions"
+ROLLOUTS = "rollouts"
 # A load announcement expires after this time, in case its host fails to replace it.
 LOADING_TIMEOUT_S = 3.0
 
@@ -36,6 +37,9 @@
         Registered entry hosts.
     crashes : quarantine.CrashRecords
         Reports of all hosts on upstreams that ended, and contents in quarantine.
+    rollouts_by_name : dict of str to rollouts.RolloutOrder or None
+        Orders to bring in software versions; ``None`` if they are followed and not
+        known yet.
     confirmed_s_by_section : dict of str to float
         When the source last confirmed each section, seconds of the boot clock.
     """
@@ -48,6 +52,7 @@
     loading_seen_s: float = float("-inf")
     hosts_by_name: dict[str, _model.Host] = attrs.field(factory=dict)
     crashes: quarantine.CrashRecords = attrs.field(factory=quarantine.CrashRecords)
+    rollouts_by_name: dict | None = attrs.field(factory=dict)
     confirmed_s_by_section: dict[str, float] = attrs.field(factory=dict)
 
     @property
@@ -58,6 +63,7 @@
             self.upstreams_by_id,
             self.data_centres_out,
             self.targets_by_model,
+            self.rollouts_by_name,
         )
 
     @property
@@ -70,6 +76,11 @@
         """When the target versions were last confirmed, seconds of the boot clock."""
         return self.confirmed_s_by_section.get(VERSIONS, float("-inf"))
 
+    @property
+    def rollouts_confirmed_s(self):
+        """When the rollouts were last confirmed, seconds of the boot clock."""
+        return self.confirmed_s_by_section.get(ROLLOUTS, float("-inf"))
+
     @property
     def configuration_confirmed_s(self):
         """When the configuration was last confirmed, seconds of the boot clock."""
--- a/sycamorespoke/messages/__init__.py
+++ b/sycamorespoke/messages/__init__.py
@@ -14,6 +14,11 @@
 )
 from sycamorespoke.messages._peer import NoReply, Peer, send_request
 from sycamorespoke.messages._reach_messages import ReachReply, ReachRequest
+from sycamorespoke.messages._rollout_messages import (
+    RolloutReply,
+    RolloutReport,
+    RouteTally,
+)
 from sycamorespoke.messages._server import Server
 from sycamorespoke.messages._target_messages import (
     TargetAge,
@@ -70,6 +75,9 @@
     "PermitReturn",
     "ReachReply",
     "ReachRequest",
+    "RolloutReply",
+    "RolloutReport",
+    "RouteTally",
     "Server",
     "StorePage",
     "StreamOriginRecord",
--- a/sycamorespoke/messages/_types.py
+++ b/sycamorespoke/messages/_types.py
@@ -12,6 +12,7 @@
     _message,
     _origin_messages,
     _reach_messages,
+    _rollout_messages,
     _target_messages,
     _update_messages,
 )
@@ -241,4 +242,6 @@
     _forward_messages.ForwardedRequest,
     _target_messages.TargetAgesRequest,
     _target_messages.TargetAgesReply,
+    _rollout_messages.RolloutReport,
+    _rollout_messages.RolloutReply,
 )
--- a/sycamorespoke/platform/_deployment.py
+++ b/sycamorespoke/platform/_deployment.py
@@ -4,11 +4,10 @@
 from sycamorespoke.platform import (
     _block_stores,
     _engines,
-    _leases,
     _names,
     _objects,
     _protocol,
-    _shared_objects,
+    _rollouts,
     _store,
 )
 
@@ -65,7 +64,7 @@
 
     def unregister(self, name):
         """Remove the entry of a host; return whether it is gone."""
-        return _shared_objects.SharedObjects(self.store, _names.KIND_HOSTS).delete(name)
+        return gateway.SharedObjects(self.store, _names.KIND_HOSTS).delete(name)
 
 
 def make_deployment(host, address):
@@ -97,16 +96,18 @@
             ),
             versions=_make_kind(_names.KIND_VERSIONS, _objects.parse_target_version),
             hosts=_make_kind(_names.KIND_HOSTS, _objects.parse_host),
-            leases=_make_kind(_names.KIND_LEASES, _leases.parse_lease),
+            leases=_make_kind(_names.KIND_LEASES, _parse_lease),
             crashes=_make_kind(_names.KIND_CRASHES, _parse_crash_record),
+            rollouts=_make_kind(_names.KIND_ROLLOUTS, _rollouts.parse_order),
         ),
         registry=HostRegistry(store),
-        leases=_leases.LeaseStore(store),
+        leases=gateway.LeaseStore(store, _names.KIND_LEASES),
         engines=_engines.EngineClient(host),
         block_stores=_block_stores.BlockStoreClient(),
-        crash_records=_shared_objects.SharedObjects(store, _names.KIND_CRASHES),
-        stream_records=_shared_objects.SharedObjects(store, _names.KIND_STREAMS),
+        crash_records=gateway.SharedObjects(store, _names.KIND_CRASHES),
+        stream_records=gateway.SharedObjects(store, _names.KIND_STREAMS),
         ready_path=_names.READY_PATH,
+        rollout_states=_rollouts.RolloutStates(store),
     )
 
 
@@ -117,5 +118,9 @@
     return gateway.ObjectKind(name, parse_value)
 
 
+def _parse_lease(stored, now):
+    return gateway.LeaseUpdate(stored.name, stored.spec, stored.revision)
+
+
 def _parse_crash_record(stored, now):
     return quarantine.parse_crash_record(stored.name, stored.spec, now)
--- a/sycamorespoke/platform/_names.py
+++ b/sycamorespoke/platform/_names.py
@@ -103,6 +103,8 @@
 KIND_DATA_CENTRES_OUT = "evacuations"
 # Target versions of models.
 KIND_VERSIONS = "versions"
+# Orders to bring in a software version, one object for each service.
+KIND_ROLLOUTS = "rollouts"
 KIND_HOSTS = "syk-hosts"
 KIND_PEER_KEYS = "syk-keys"
 # Name of the only object of that kind.
--- a/sycamorespoke/platform/_objects.py
+++ b/sycamorespoke/platform/_objects.py
@@ -33,11 +33,17 @@
         Revision of the store at the last change of the object.
     spec : object
         JSON value that the writer stored.
+    created_revision : object, default=0
+        JSON value of the revision at which the object was created.
+    status : object, default=None
+        JSON value of its status.
     """
 
     name: str
     revision: int
     spec: object
+    created_revision: object = 0
+    status: object = None
 
 
 def parse_object(value):
@@ -53,6 +59,8 @@
         name=clients.check_name(_field(metadata, "Name", str), "Name"),
         revision=_field(metadata, "Revision", int),
         spec=value.get("Spec"),
+        created_revision=metadata.get("CreatedRev", 0),
+        status=value.get("Status"),
     )
 
 
--- a/sycamorespoke/platform/_store.py
+++ b/sycamorespoke/platform/_store.py
@@ -167,6 +167,11 @@
             meta["Revision"] = revision
         return self._write("PUT", kind, name, {"Metadata": meta, "Spec": spec})
 
+    def replace_status(self, kind, name, status, revision):
+        """Replace the status of an object of a given revision, as `replace` does."""
+        value = {"Metadata": {"Name": name, "Revision": revision}, "Status": status}
+        return self._write("PUT", kind, f"{name}/status", value)
+
     def delete(self, kind, name):
         """Delete an object.
 
--- /dev/null
+++ b/sycamorespoke/rollouts/_rollouts.py
@@ -0,0 +1,328 @@
+"""What this host knows of all rollouts, and which upstreams its requests may use."""
+
+import collections
+import secrets
+import threading
+
+import attrs
+
+from sycamorespoke.rollouts import (
+    _durations,
+    _host_rollout,
+    _listed_versions,
+    _orders,
+    _plan,
+    _reports,
+    _verdict,
+)
+
+# Rollouts that are remembered after others have replaced them.
+MAX_REMEMBERED = 64
+# Reports are sent at this interval, or a longer one where many hosts report.
+REPORT_INTERVAL_S = 0.25
+MAX_REPORTS_PER_S = 180.0
+# Without a reply of the holder for this long, or for so many intervals, a host sends
+# the version on trial no requests.
+JUDGED_S = 1.5
+JUDGED_INTERVALS = 4
+# Part of the time for a roll-back that this may take.
+MAX_PATIENCE_RATIO = 0.5
+
+
+@attrs.frozen
+class Limits:
+    """Limits on the use of a version on trial, over all hosts.
+
+    Parameters
+    ----------
+    share : float
+        Share of the requests of its service that it may get, 0 to 1.
+    slack : float
+        Requests that it may get in addition.
+    rollback_s : float, default=5.0
+        Time after it has shown to be bad from which it may get none, seconds.
+    """
+
+    share: float
+    slack: float
+    rollback_s: float = 5.0
+
+    def compute_patience_s(self, hosts):
+        """Compute how long a host goes on without a reply of the holder, seconds.
+
+        Examples
+        --------
+        >>> Limits(0.1, 50.0).compute_patience_s(9)
+        1.5
+        >>> Limits(0.1, 50.0).compute_patience_s(90)
+        2.0
+        """
+        interval_s = compute_report_interval_s(hosts)
+        wanted_s = max(JUDGED_S, JUDGED_INTERVALS * interval_s)
+        return min(wanted_s, MAX_PATIENCE_RATIO * self.rollback_s)
+
+
+@attrs.frozen
+class SentRequest:
+    """A request that is under way at an upstream.
+
+    Parameters
+    ----------
+    upstream : Upstream
+        The upstream.
+    route : str
+        Name of the route.
+    begun_s : float
+        When it was sent, seconds of the boot clock.
+    """
+
+    upstream: object
+    route: str
+    begun_s: float
+
+
+def compute_report_interval_s(hosts):
+    """Compute the interval of the reports of one host, seconds.
+
+    Examples
+    --------
+    >>> compute_report_interval_s(9)
+    0.25
+    >>> compute_report_interval_s(90)
+    0.5
+    """
+    return max(REPORT_INTERVAL_S, hosts / MAX_REPORTS_PER_S)
+
+
+class Rollouts:
+    """Rollouts as one host knows them; thread-safe.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host.
+    limits : Limits
+        Limits on the use of a version on trial.
+    """
+
+    def __init__(self, host, limits):
+        self.host = host
+        self.limits = limits
+        self.boot_id = secrets.token_hex(4)
+        self._lock = threading.Lock()
+        self._current_by_service = {}
+        self._rollouts_by_id = collections.OrderedDict()
+        self._listed = _listed_versions.ListedVersions()
+        self._durations = _durations.Durations()
+        self._in_flight_by_version = collections.Counter()
+
+    def record_upstreams(self, upstreams, now):
+        """Record the upstreams that are listed at ``now``, seconds."""
+        with self._lock:
+            self._listed.record(upstreams, now)
+
+    def record_orders(self, orders, now):
+        """Record the orders that the store holds.
+
+        An order that is no longer listed stays in force: it may only be unreadable.
+
+        Parameters
+        ----------
+        orders : iterable of RolloutOrder
+            The orders.
+        now : float
+            Current time, seconds of the boot clock.
+        """
+        with self._lock:
+            for order in orders:
+                self._record_order(order, now)
+
+    def _record_order(self, order, now):
+        current = self._current_by_service.get(order.id.service)
+        if current is not None and order.revision < current.order.revision:
+            return
+        rollout = self._rollouts_by_id.get(order.id)
+        if rollout is None:
+            rollout = _host_rollout.HostRollout(order, now)
+            self._rollouts_by_id[order.id] = rollout
+            _reports.log(
+                "rollout began", order, duration_s=order.duration_s, state=order.state
+            )
+        self._current_by_service[order.id.service] = rollout
+        if rollout.adopt_order(order, now):
+            _reports.log("rollout ended", order, state=order.state, told_by="store")
+        while len(self._rollouts_by_id) > MAX_REMEMBERED:
+            self._rollouts_by_id.popitem(last=False)
+
+    def plan(self, request, upstreams, hosts_by_name, confirmed_s, now):
+        """Decide which upstreams of a service a request may use, in which order.
+
+        Parameters
+        ----------
+        request : PlannedRequest
+            What counts of the request.
+        upstreams : list of Upstream
+            Upstreams of the service that may get it otherwise.
+        hosts_by_name : dict of str to Host
+            Registered entry hosts.
+        confirmed_s : float
+            When the orders were last confirmed, seconds of the boot clock.
+        now : float
+            Current time, seconds of the boot clock.
+
+        Returns
+        -------
+        Plan
+            Groups of upstreams; each is used only if those before it cannot be.
+        """
+        with self._lock:
+            usable = [
+                upstream
+                for upstream in upstreams
+                if self._listed.may_use(upstream, confirmed_s)
+            ]
+            rollout = self._current_by_service.get(request.service)
+            if rollout is None:
+                return _plan.Plan((usable,))
+            patience_s = self.limits.compute_patience_s(len(hosts_by_name))
+            situation = _plan.Situation(
+                is_judged=now - rollout.judged_s <= patience_s,
+                may_reserve=lambda: rollout.reserve(
+                    self.host,
+                    hosts_by_name,
+                    self.limits.share,
+                    self.limits.slack,
+                    request.route,
+                    now,
+                ),
+                share=self.limits.share,
+            )
+            return _plan.make_plan(rollout, request, usable, situation, now)
+
+    def cancel_reservation(self, plan):
+        """Take back what a plan reserved and its request did not use."""
+        if plan.reserved_for is not None:
+            with self._lock:
+                plan.reserved_for.cancel_reservation()
+
+    def begin(self, upstream, route, now):
+        """Count a request that is sent to an upstream; returns a `SentRequest`."""
+        with self._lock:
+            key = upstream.service, upstream.software_version
+            self._in_flight_by_version[key] += 1
+            rollout = self._current_by_service.get(upstream.service)
+            if rollout is not None and rollout.end is None:
+                rollout.count_sent(upstream)
+        return SentRequest(upstream, route, now)
+
+    def end(self, sent, outcome, now):
+        """Count the end of a request.
+
+        Parameters
+        ----------
+        sent : SentRequest
+            What `begin` returned.
+        outcome : Outcome
+            How it ended.
+        now : float
+            Current time, seconds of the boot clock.
+        """
+        upstream = sent.upstream
+        key = upstream.service, upstream.software_version
+        with self._lock:
+            self._in_flight_by_version[key] -= 1
+            if self._in_flight_by_version[key] <= 0:
+                del self._in_flight_by_version[key]
+            rollout = self._current_by_service.get(upstream.service)
+            if rollout is None or rollout.end is not None:
+                rollout = None
+            is_trial = rollout is not None and rollout.is_trial(upstream)
+            is_cold = upstream.is_cold(sent.begun_s)
+            duration_s = now - sent.begun_s
+            sample = upstream.service, sent.route
+            is_slow = not is_cold and self._durations.is_slow(sample, duration_s)
+            if outcome is _durations.Outcome.WHOLE and not (is_trial or is_cold):
+                self._durations.record(sample, duration_s)
+            if rollout is None:
+                return
+            if outcome is _durations.Outcome.LOST:
+                rollout.count_lost(upstream, now)
+            elif outcome is not _durations.Outcome.CANCELLED or is_slow:
+                is_failed = outcome is _durations.Outcome.FAILED
+                rollout.count_end(upstream, sent.route, is_failed or is_slow)
+            if is_trial:
+                self._stop_if_bad(rollout)
+
+    def _stop_if_bad(self, rollout):
+        """End the trial at this host at once if what it has seen itself is enough."""
+        if rollout.has_stopped:
+            return
+        evidence = rollout.make_evidence()
+        finding = _verdict.find_bad(evidence, evidence, _verdict.LOCAL_FALSE_ALARM)
+        if finding is None:
+            return
+        rollout.has_stopped = True
+        _reports.log(
+            "trial stopped", rollout.order, **_reports.describe_finding(finding)
+        )
+
+    def list_pending(self):
+        """Return the orders whose end the store does not hold yet."""
+        with self._lock:
+            return [
+                rollout.order
+                for rollout in self._current_by_service.values()
+                if not rollout.order.is_ended
+            ]
+
+    def get_end(self, rollout_id):
+        """Return how a rollout ended; ``None`` if it goes on or is not known."""
+        with self._lock:
+            rollout = self._rollouts_by_id.get(rollout_id)
+            return rollout and rollout.end
+
+    def make_reports(self, now):
+        """Return a `messages.RolloutReport` for each rollout that is under way."""
+        with self._lock:
+            return [
+                _reports.make_report(
+                    rollout, self.host, self.boot_id, self._in_flight_by_version, now
+                )
+                for rollout in self._current_by_service.values()
+                if not rollout.order.is_ended
+            ]
+
+    def apply_reply(self, reply, now):
+        """Adopt what the holder of the task says; from then on it binds this host.
+
+        Parameters
+        ----------
+        reply : messages.RolloutReply
+            Reply of the holder to a request that was sent after ``now``, or at it.
+        now : float
+            Seconds of the boot clock.
+        """
+        rollout_id = _orders.RolloutId(reply.service, reply.version, reply.created)
+        with self._lock:
+            rollout = self._rollouts_by_id.get(rollout_id)
+            if rollout is None or not reply.is_holder:
+                return
+            rollout.judged_s = max(rollout.judged_s, now)
+            rollout.wanted_routes = frozenset(reply.wanted_routes)
+            if reply.is_moving and not rollout.is_moving:
+                _reports.log("rollout phase", rollout.order, phase="moving")
+            rollout.is_moving = rollout.is_moving or reply.is_moving
+            rollout.fraction = reply.fraction
+            end = _orders.RolloutState(reply.end) if reply.end else None
+            if rollout.set_end(end, now):
+                _reports.log(
+                    "rollout ended", rollout.order, state=end, told_by="holder"
+                )
+
+    def dump(self, now):
+        """Return the rollouts as JSON values by service."""
+        with self._lock:
+            return {
+                service: _reports.describe(rollout, now)
+                for service, rollout in self._current_by_service.items()
+            }
--- a/sycamorespoke/settings/_classes.py
+++ b/sycamorespoke/settings/_classes.py
@@ -66,6 +66,14 @@
     shared_load_hosts : int, default=0
         Number of entry hosts from which on they place requests by the wait that they
         expect together; 0 for never.
+    canary_share : float, default=0.0
+        Share of the requests of a service that a software version on trial may get
+        from all hosts, 0 to 1; 0 if rollouts of software versions are not followed.
+    canary_slack : float, default=0.0
+        Requests that a version on trial may get in addition to ``canary_share``.
+    rollback_ms : int, default=5000
+        Time after a version has shown to be bad from which it may get no request,
+        milliseconds, above 0.
     log_level : str, default="DEBUG"
         ``"DEBUG"`` also logs successful requests, up to a rate limit.
     """
@@ -89,6 +97,9 @@
     cold_tolerated: Number = 1.5
     cold_slack: Number = 5.0
     shared_load_hosts: Count = 0
+    canary_share: Number = 0.0
+    canary_slack: Number = 0.0
+    rollback_ms: Count = 5000
     log_level: LogLevel = "DEBUG"
 
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,7 +1,7 @@
 """Tests of the client of the object store, and of leases in the store."""
 
 from sycamorespoke import clients, decisions, gateway, membership
-from sycamorespoke.platform import _leases, _store
+from sycamorespoke.platform import _store
 
 
 def test_a_list_returns_the_objects_of_all_pages(fake_store):
@@ -61,7 +61,9 @@
 
 
 def make_keeper(fake_store, name, clock):
-    leases = _leases.LeaseStore(_store.ObjectStoreClient(fake_store.address))
+    leases = gateway.LeaseStore(
+        _store.ObjectStoreClient(fake_store.address), "syk-leases"
+    )
     return membership.LeaseKeeper("weights", name, leases, clock, 3.0)
 
 
@@ -99,7 +101,9 @@
 
 
 def test_lease_store_returns_missing_stored_conflict_and_unavailable(fake_store):
-    leases = _leases.LeaseStore(_store.ObjectStoreClient(fake_store.address))
+    leases = gateway.LeaseStore(
+        _store.ObjectStoreClient(fake_store.address), "syk-leases"
+    )
     assert leases.get("leases/x") == clients.Missing()
     assert leases.announce("loading", ["i-1@1"])
     assert leases.announce("loading", [])
