--- a/sycamorespoke/rollouts/_exchange.py
+++ b/sycamorespoke/rollouts/_exchange.py
@@ -92,7 +92,7 @@
             self._judge(reports, now)
             return
         for report in reports:
-            self._send(report)
+            self._send(report, now)
 
     def _judge(self, reports, now):
         orders = self.rollouts.list_pending()
@@ -123,13 +123,12 @@
         hosts = len(self.views.get().hosts_by_name)
         return _rollouts.compute_report_interval_s(hosts)
 
-    def _send(self, report):
+    def _send(self, report, now):
         hosts_by_name = self.views.get().hosts_by_name
         name = self._choose_host(hosts_by_name)
         if name is None:
             return
         peer = self._get_peer(hosts_by_name[name].peer_address)
-        sent_s = serving.read_clock()
         reply = peer.send_request(report, REPLY_TIMEOUT_S)
         if not isinstance(reply, messages.RolloutReply):
             loguru.logger.bind(peer=name, reason=reply.reason).info(
@@ -141,7 +140,7 @@
             self._set_holder(reply.holder if reply.holder != name else "")
             return
         self._holder, self._vain_count = name, 0
-        self.rollouts.apply_reply(reply, sent_s)
+        self.rollouts.apply_reply(reply, now)
 
     def _set_holder(self, name):
         self._holder = name
