--- a/sycamorespoke/rollouts/_phases.py
+++ b/sycamorespoke/rollouts/_phases.py
@@ -4,13 +4,13 @@
 
 from sycamorespoke.rollouts import _orders
 
-# Points of the allowed duration: from the first, the service moves if every route was
-# tried; from the second, if some requests were.
-TRIAL_RATIO = 0.55
-LATE_TRIAL_RATIO = 0.75
+# Part of the allowed duration after which the service moves if every route was tried.
+TRIAL_RATIO = 0.5
+# It moves without some routes if there is only so much time left besides the move.
+LATE_MOVE_S = 0.5
 # Part of the allowed duration over which the requests move.
-RAMP_RATIO = 0.15
-MIN_RAMP_S = 1.5
+RAMP_RATIO = 0.25
+MIN_RAMP_S = 2.5
 # All requests have gone to the new version for so long before the old one ends.
 SETTLE_S = 1.0
 # The end is decided this long before the allowed duration is over.
@@ -79,28 +79,31 @@
 
     Examples
     --------
-    >>> compute_fraction(0.1, 0.75, 10.0)
-    0.55
+    >>> compute_fraction(0.1, 1.25, 10.0)
+    0.325
     >>> compute_fraction(0.1, 5.0, 10.0)
     1.0
     """
     progress = min(max(moving_s / compute_ramp_s(duration_s), 0.0), 1.0)
-    return start + (1.0 - start) * progress
+    # Slowly at first: what shows only under load is seen before most requests move.
+    return start + (1.0 - start) * progress**2
 
 
 def compute_moving_s(start, fraction, duration_s):
     """Compute for how long a service has been moving that has reached a fraction."""
     progress = (fraction - start) / (1.0 - start) if start < 1.0 else 1.0
-    return min(max(progress, 0.0), 1.0) * compute_ramp_s(duration_s)
+    return min(max(progress, 0.0), 1.0) ** 0.5 * compute_ramp_s(duration_s)
 
 
 def should_move(facts):
     """Decide whether a service begins to move to the new version."""
     if facts.is_bad or facts.moving_s is not None:
         return False
-    if facts.age_s >= LATE_TRIAL_RATIO * facts.duration_s:
-        return facts.has_some
-    return facts.has_enough and facts.age_s >= TRIAL_RATIO * facts.duration_s
+    if facts.age_s < TRIAL_RATIO * facts.duration_s:
+        return False
+    ramp_s = compute_ramp_s(facts.duration_s)
+    latest_s = compute_limit_s(facts.duration_s) - ramp_s - LATE_MOVE_S
+    return facts.has_enough or (facts.has_some and facts.age_s >= latest_s)
 
 
 def decide_end(facts):
--- a/tests/fakes/object_store.py
+++ b/tests/fakes/object_store.py
@@ -145,7 +145,7 @@
             self.changed.wait(time_left_s)
 
     def _write(self, method, kind, name, body):
-        name = name or body["Metadata"]["Name"]
+        name, _, part = (name or body["Metadata"]["Name"]).partition("/")
         stored = self.objects.get((kind, name))
         if method == "POST":
             if stored:
@@ -156,15 +156,19 @@
         expected = body["Metadata"].get("Revision")
         if expected is not None and expected != stored["Metadata"]["Revision"]:
             return 409, stored
+        if part == "status":
+            return 200, self._store(kind, name, stored["Spec"], body["Status"])
         if stored["Spec"] == body["Spec"]:
             # Replacing a value by an equal one does not change the revision.
             return 200, stored
         return 200, self._store(kind, name, body["Spec"])
 
-    def _store(self, kind, name, spec):
+    def _store(self, kind, name, spec, status=None):
         self.revision += 1
-        metadata = {"Name": name, "Revision": self.revision}
-        stored = {"Metadata": metadata, "Spec": spec, "Status": None}
+        previous = self.objects.get((kind, name))
+        created = previous["Metadata"]["CreatedRev"] if previous else self.revision
+        metadata = {"Name": name, "Revision": self.revision, "CreatedRev": created}
+        stored = {"Metadata": metadata, "Spec": spec, "Status": status}
         self.objects[kind, name] = stored
         self._publish(kind, stored, False)
         return stored
--- a/tests/fakes/upstream_fleet.py
+++ b/tests/fakes/upstream_fleet.py
@@ -94,6 +94,8 @@
         them as ready.
     backoffs_by_id : dict of str to str
         Times that upstreams name when they refuse requests, which they do with all.
+    failing_versions : set of str
+        Software versions that respond to every second plain request with an error.
     """
 
     def __init__(
@@ -114,6 +116,7 @@
         self.rate_limits_by_id = {}
         self.leaving_ids = set()
         self.backoffs_by_id = {}
+        self.failing_versions = set()
         self.arrivals = []
         self.crashes = []
         self.store = object_store.FakeObjectStore()
@@ -171,6 +174,21 @@
             if each.upstream == upstream_id and each.at_s > since_s
         ]
 
+    def start_version(self, version, count):
+        """Start upstreams of another software version beside those that run."""
+        self.software_versions = (version,)
+        for _ in range(count):
+            self._start_one()
+
+    def stop_version(self, version):
+        """Stop all upstreams of a software version at once, without draining."""
+        for upstream_id in self.list_ids():
+            if self.versions_by_id[upstream_id] == version:
+                with self._lock:
+                    server = self._servers_by_id.pop(upstream_id)
+                server.crash()
+                self.store.delete("servers", upstream_id)
+
     def close(self):
         """Close the upstreams and the store."""
         with self._lock:
@@ -228,6 +246,10 @@
             time.sleep(CRASH_DELAY_S)
             self.crash(upstream_id)
             return
+        is_failing = self.versions_by_id[upstream_id] in self.failing_versions
+        if not prefix and is_failing and len(self.arrivals) % 2:
+            scripted_upstream.respond(request, 500, b"failed")
+            return
         if not prefix:
             time.sleep(self.answer_s)
             scripted_upstream.respond(request)
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -31,8 +31,8 @@
     """Start the hosts before a fleet; end their processes after the test."""
     gateways = []
 
-    def start(fleet):
-        fleet_hosts.start_hosts(fleet, tmp_path, gateways)
+    def start(fleet, **settings):
+        fleet_hosts.start_hosts(fleet, tmp_path, gateways, **settings)
         return gateways
 
     yield start
--- a/tests/platform/fleet_hosts.py
+++ b/tests/platform/fleet_hosts.py
@@ -10,13 +10,17 @@
 UPSTREAMS = 5
 
 
-def start_hosts(fleet, folder, gateways):
+def start_hosts(fleet, folder, gateways, **settings):
     """Start the hosts, append them to ``gateways`` and wait until they are ready."""
     for number in range(HOSTS):
         own_folder = folder / f"h{number}"
         own_folder.mkdir()
         name = f'"h{number}"'
-        gateways.append(test_program.GatewayProcess(fleet.store, own_folder, name=name))
+        gateways.append(
+            test_program.GatewayProcess(
+                fleet.store, own_folder, **{"name": name, **settings}
+            )
+        )
     assert all(gateway.wait_ready() for gateway in gateways)
 
 
