--- a/sycamorespoke/rollouts/__init__.py
+++ b/sycamorespoke/rollouts/__init__.py
@@ -9,7 +9,8 @@
 from sycamorespoke.rollouts._judge import Judge
 from sycamorespoke.rollouts._orders import RolloutId, RolloutOrder, RolloutState
 from sycamorespoke.rollouts._plan import Plan, PlannedRequest
-from sycamorespoke.rollouts._rollouts import Limits, Rollouts, SentRequest
+from sycamorespoke.rollouts._rollouts import Rollouts, SentRequest
+from sycamorespoke.rollouts._timing import Limits
 
 __all__ = [
     "Judge",
--- a/sycamorespoke/rollouts/_exchange.py
+++ b/sycamorespoke/rollouts/_exchange.py
@@ -5,7 +5,7 @@
 import loguru
 
 from sycamorespoke import decisions, messages, serving
-from sycamorespoke.rollouts import _orders, _rollouts
+from sycamorespoke.rollouts import _orders, _timing
 
 REPLY_TIMEOUT_S = 0.25
 # While the holder is not known, so many hosts are asked in turn: those that would
@@ -121,7 +121,7 @@
 
     def _compute_interval_s(self):
         hosts = len(self.views.get().hosts_by_name)
-        return _rollouts.compute_report_interval_s(hosts)
+        return _timing.compute_report_interval_s(hosts)
 
     def _send(self, report, now):
         hosts_by_name = self.views.get().hosts_by_name
@@ -131,9 +131,10 @@
         peer = self._get_peer(hosts_by_name[name].peer_address)
         reply = peer.send_request(report, REPLY_TIMEOUT_S)
         if not isinstance(reply, messages.RolloutReply):
-            loguru.logger.bind(peer=name, reason=reply.reason).info(
-                "rollout report without a reply"
-            )
+            if self._holder:
+                loguru.logger.bind(peer=name, reason=reply.reason).info(
+                    "rollout report without a reply"
+                )
             self._set_holder("")
             return
         if not reply.is_holder:
--- a/sycamorespoke/rollouts/_judge.py
+++ b/sycamorespoke/rollouts/_judge.py
@@ -12,6 +12,7 @@
     _orders,
     _phases,
     _reports,
+    _timing,
     _verdict,
 )
 
@@ -20,8 +21,11 @@
 SNAPSHOT_S = 0.25
 # A new holder decides no end from evidence that may lack most of the hosts.
 FIRST_REPORTS_S = 1.0
-# A judge that was not asked to decide for longer than this did not hold the task.
+FIRST_INTERVALS = 2
+# A judge that was not asked to decide for longer than this, or for so many intervals,
+# did not hold the task.
 MAX_STEP_S = 1.0
+MAX_STEP_INTERVALS = 3
 # Reports of connections lost at one upstream within this time are one failure.
 LOST_TOGETHER_S = 0.5
 
@@ -43,6 +47,7 @@
     end: _orders.RolloutState | None = None
     moving_since_s: float | None = None
     finding: _verdict.Finding | None = None
+    wanted_routes: list = attrs.field(factory=list)
     stepped_s: float = float("-inf")
     # Each is a report and the time at which it was received.
     reports_by_boot: dict = attrs.field(factory=dict)
@@ -56,8 +61,8 @@
         previous, _ = self.reports_by_boot.get(key, (None, 0.0))
         self._count_lost(previous, report, now)
         self.reports_by_boot[key] = report, now
-        if report.end and self.end is not _orders.RolloutState.ROLLED_BACK:
-            self.end = _orders.RolloutState(report.end)
+        if self.end is not _orders.RolloutState.ROLLED_BACK:
+            self.end = _orders.RolloutState.parse_end(report.end) or self.end
 
     def adopt_move(self, report, duration_s, share, now):
         """Continue a move that another host began to order."""
@@ -201,14 +206,15 @@
             judged = self._judged_by_id.get(order.id)
             if judged is None:
                 return
-            self._note_gap(judged, now)
+            self._note_gap(judged, len(hosts), now)
             if judged.end is None:
                 self._decide(judged, order, hosts, now)
 
-    def _note_gap(self, judged, now):
+    def _note_gap(self, judged, host_count, now):
         gap_s = now - judged.stepped_s
         judged.stepped_s = now
-        if gap_s <= MAX_STEP_S:
+        interval_s = _timing.compute_report_interval_s(host_count)
+        if gap_s <= max(MAX_STEP_S, MAX_STEP_INTERVALS * interval_s):
             return
         judged.since_s = now
         if judged.moving_since_s is not None and gap_s < float("inf"):
@@ -218,6 +224,7 @@
         evidence = judged.sum_evidence()
         judged.finding = judged.find_bad(evidence, now)
         judged.keep_snapshot(evidence, now)
+        judged.wanted_routes = _verdict.list_wanted_routes(evidence)
         facts = _phases.Facts(
             age_s=judged.compute_age_s(now),
             duration_s=order.duration_s,
@@ -227,7 +234,9 @@
             has_some=_verdict.has_enough(evidence, needs_all_routes=False),
             is_drained=judged.is_drained(hosts),
         )
-        if not facts.is_bad and now - judged.since_s < FIRST_REPORTS_S:
+        interval_s = _timing.compute_report_interval_s(len(hosts))
+        first_s = max(FIRST_REPORTS_S, FIRST_INTERVALS * interval_s)
+        if not facts.is_bad and now - judged.since_s < first_s:
             return
         if _phases.should_move(facts):
             judged.moving_since_s = now
@@ -252,7 +261,7 @@
             end=judged.end.value if judged.end else "",
             is_moving=moving_s is not None,
             fraction=fraction,
-            wanted_routes=_verdict.list_wanted_routes(judged.sum_evidence()),
+            wanted_routes=judged.wanted_routes,
         )
 
 
--- a/sycamorespoke/rollouts/_orders.py
+++ b/sycamorespoke/rollouts/_orders.py
@@ -17,6 +17,20 @@
         """Whether the rollout has ended."""
         return self is not RolloutState.RUNNING
 
+    @classmethod
+    def parse_end(cls, text):
+        """Return the final state of a text; ``None`` for any other text.
+
+        Examples
+        --------
+        >>> RolloutState.parse_end("completed")
+        <RolloutState.COMPLETED: 'completed'>
+        >>> RolloutState.parse_end("running") is None
+        True
+        """
+        states = (state for state in cls if state.is_final and state.value == text)
+        return next(states, None)
+
 
 @attrs.frozen
 class RolloutId:
--- a/sycamorespoke/rollouts/_rollouts.py
+++ b/sycamorespoke/rollouts/_rollouts.py
@@ -18,48 +18,6 @@
 
 # Rollouts that are remembered after others have replaced them.
 MAX_REMEMBERED = 64
-# Reports are sent at this interval, or a longer one where many hosts report.
-REPORT_INTERVAL_S = 0.25
-MAX_REPORTS_PER_S = 180.0
-# Without a reply of the holder for this long, or for so many intervals, a host sends
-# the version on trial no requests.
-JUDGED_S = 1.5
-JUDGED_INTERVALS = 4
-# Part of the time for a roll-back that this may take.
-MAX_PATIENCE_RATIO = 0.5
-
-
-@attrs.frozen
-class Limits:
-    """Limits on the use of a version on trial, over all hosts.
-
-    Parameters
-    ----------
-    share : float
-        Share of the requests of its service that it may get, 0 to 1.
-    slack : float
-        Requests that it may get in addition.
-    rollback_s : float, default=5.0
-        Time after it has shown to be bad from which it may get none, seconds.
-    """
-
-    share: float
-    slack: float
-    rollback_s: float = 5.0
-
-    def compute_patience_s(self, hosts):
-        """Compute how long a host goes on without a reply of the holder, seconds.
-
-        Examples
-        --------
-        >>> Limits(0.1, 50.0).compute_patience_s(9)
-        1.5
-        >>> Limits(0.1, 50.0).compute_patience_s(90)
-        2.0
-        """
-        interval_s = compute_report_interval_s(hosts)
-        wanted_s = max(JUDGED_S, JUDGED_INTERVALS * interval_s)
-        return min(wanted_s, MAX_PATIENCE_RATIO * self.rollback_s)
 
 
 @attrs.frozen
@@ -81,19 +39,6 @@
     begun_s: float
 
 
-def compute_report_interval_s(hosts):
-    """Compute the interval of the reports of one host, seconds.
-
-    Examples
-    --------
-    >>> compute_report_interval_s(9)
-    0.25
-    >>> compute_report_interval_s(90)
-    0.5
-    """
-    return max(REPORT_INTERVAL_S, hosts / MAX_REPORTS_PER_S)
-
-
 class Rollouts:
     """Rollouts as one host knows them; thread-safe.
 
@@ -313,7 +258,7 @@
                 _reports.log("rollout phase", rollout.order, phase="moving")
             rollout.is_moving = rollout.is_moving or reply.is_moving
             rollout.fraction = reply.fraction
-            end = _orders.RolloutState(reply.end) if reply.end else None
+            end = _orders.RolloutState.parse_end(reply.end)
             if rollout.set_end(end, now):
                 _reports.log(
                     "rollout ended", rollout.order, state=end, told_by="holder"
