--- a/tests/gateway/test_chooser.py
+++ b/tests/gateway/test_chooser.py
@@ -1,11 +1,12 @@
 """Choice of the upstream for an attempt."""
 
+import collections
 import random
 
 import attrs
 import pytest
 
-from sycamorespoke import decisions, domain
+from sycamorespoke import decisions, domain, messages, rollouts
 from sycamorespoke.gateway import (
     _chooser,
     _model,
@@ -195,3 +196,82 @@
     assert "(backoff 2, draining 1, other_software 1, tried 1)" in refusal.reason
     empty = harness.chooser.choose(make_view(), ROUTE, make_request(), set(), NOW)
     assert "(none listed)" in empty.reason
+
+
+def make_known_rollouts(listed, **fields):
+    """Return rollouts with an order for the version ``v2`` that a holder judges."""
+    known = rollouts.Rollouts("h1", rollouts.Limits(0.1, 50.0))
+    known.record_upstreams(listed[:1], NOW - 9.0)
+    known.record_upstreams(listed, NOW - 9.0)
+    rollout_id = rollouts.RolloutId("s", "v2", 5)
+    known.record_orders([rollouts.RolloutOrder("s", rollout_id, 16.0, 5)], NOW - 9.0)
+    reply = messages.RolloutReply("s", "v2", 5, "h2", True, **fields)
+    known.apply_reply(reply, NOW)
+    return known
+
+
+def make_versions(count=3):
+    return [
+        make_upstream(f"{version}-{number}", software_version=version)
+        for version in ("v1", "v2")
+        for number in range(count)
+    ]
+
+
+def choose_versions(harness, view, count=400, **options):
+    """Choose and send requests; return how many went to each version."""
+    counts = collections.Counter()
+    for _ in range(count):
+        choice = harness.choose(view, prompt=None, **options)
+        if isinstance(choice, _chooser.Choice):
+            known = harness.chooser.known_rollouts
+            sent = known.begin(choice.upstream, "r", NOW)
+            known.end(sent, rollouts.Outcome.WHOLE, NOW + 0.1)
+            counts[choice.upstream.software_version] += 1
+    return counts
+
+
+def make_rollout_view(upstreams):
+    return make_view(*upstreams, confirmed_s_by_section={_views.ROLLOUTS: NOW})
+
+
+def test_version_on_trial_gets_its_share_at_few_upstreams():
+    upstreams = make_versions()
+    harness = ChooserHarness()
+    harness.chooser.known_rollouts = make_known_rollouts(upstreams)
+    view = make_rollout_view(upstreams)
+    counts = choose_versions(harness, view)
+    # Of the 399 requests before the last 8 in 100, and 20 at the start.
+    assert counts == {"v1": 349, "v2": 51}
+
+
+def test_trial_goes_to_the_old_version_if_its_upstreams_cannot_take_it():
+    upstreams = make_versions()
+    harness = ChooserHarness()
+    harness.chooser.known_rollouts = make_known_rollouts(upstreams)
+    draining = [attrs.evolve(each, is_draining=True) for each in upstreams[3:]]
+    view = make_rollout_view([*upstreams[:3], *draining])
+    assert choose_versions(harness, view) == {"v1": 400}
+
+
+def test_version_that_was_rolled_back_is_no_fallback():
+    upstreams = make_versions()
+    harness = ChooserHarness()
+    harness.chooser.known_rollouts = make_known_rollouts(upstreams, end="rolled back")
+    draining = [attrs.evolve(each, is_draining=True) for each in upstreams[:3]]
+    view = make_rollout_view([*draining, *upstreams[3:]])
+    refusal = harness.choose(view)
+    assert isinstance(refusal, domain.Refusal)
+    assert "version_barred 3" in refusal.reason
+
+
+def test_old_version_is_the_fallback_while_the_service_moves():
+    upstreams = make_versions()
+    harness = ChooserHarness()
+    harness.chooser.known_rollouts = make_known_rollouts(
+        upstreams, is_moving=True, fraction=1.0
+    )
+    assert choose_versions(harness, make_rollout_view(upstreams)) == {"v2": 400}
+    draining = [attrs.evolve(each, is_draining=True) for each in upstreams[3:]]
+    view = make_rollout_view([*upstreams[:3], *draining])
+    assert choose_versions(harness, view) == {"v1": 400}
--- a/tests/gateway/test_view_updater.py
+++ b/tests/gateway/test_view_updater.py
@@ -3,12 +3,13 @@
 import attrs
 import pytest
 
-from sycamorespoke import decisions
+from sycamorespoke import decisions, rollouts
 from sycamorespoke.gateway import (
     _deployment,
     _follower,
     _model,
     _orders,
+    _rollout_states,
     _software_versions,
     _source,
     _table,
@@ -29,12 +30,13 @@
 
 
 class UpdaterHarness:
-    def __init__(self):
+    def __init__(self, known_rollouts=None):
         self.items_by_kind = {}
         self.revision = 0
         self.views = views_module.Views()
         self.table = _table.UpstreamTable()
         self.weights = Actor()
+        self.rollout_states = Actor()
         kinds = _deployment.ObjectKinds(
             *(
                 _deployment.ObjectKind(name, lambda value, now: value["Spec"])
@@ -46,6 +48,7 @@
                     "hosts",
                     "leases",
                     "crashes",
+                    "rollouts",
                 )
             )
         )
@@ -54,11 +57,15 @@
             kinds,
             self,
             self.views,
-            {_weight_rollout.LEASE_NAME: self.weights},
+            {
+                _weight_rollout.LEASE_NAME: self.weights,
+                _rollout_states.LEASE_NAME: self.rollout_states,
+            },
             self.table,
             self.software_versions,
             lambda freshness: decisions.WatchTiming(2.5, 0.0),
             lambda view: None,
+            known_rollouts,
         )
 
     def list(self, kind):
@@ -158,3 +165,28 @@
     harness.items_by_kind["upstreams"] = {UPSTREAM.id: UPSTREAM}
     harness.list_all_kinds()
     assert loaded_versions(harness) == {"m": 2}
+
+
+def list_kinds(harness):
+    return {follower.subscription.kind for follower in harness.updater._followers}
+
+
+def test_rollouts_are_not_followed_unless_switched_on():
+    harness = UpdaterHarness()
+    assert "rollouts" not in list_kinds(harness)
+    harness.list_all_kinds()
+    assert harness.views.get().is_complete is False
+    assert harness.views.get().rollouts_by_name == {}
+
+
+def test_rollouts_are_known_before_callers_are_served():
+    known = rollouts.Rollouts("h1", rollouts.Limits(0.1, 50.0))
+    harness = UpdaterHarness(known)
+    assert harness.views.get().rollouts_by_name is None
+    rollout_id = rollouts.RolloutId("s", "v2", 5)
+    order = rollouts.RolloutOrder("s", rollout_id, 16.0, 5)
+    harness.items_by_kind["rollouts"] = {"s": order}
+    harness.list_all_kinds()
+    assert harness.views.get().rollouts_by_name == {"s": order}
+    assert known.list_pending() == [order]
+    assert harness.rollout_states.messages
--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -23,6 +23,11 @@
     _table,
 )
 from sycamorespoke.quarantine import _quarantine
+from sycamorespoke.rollouts import (
+    _listed_versions as _rollout_versions,
+    _share,
+    _timing,
+)
 from tests import mechanisms_off_run_once
 
 _chain_block_keys = domain.chain_block_keys
@@ -177,6 +182,18 @@
     _listed_versions.ListedVersions.read = lambda *_: frozenset()
 
 
+def _send_any_share():
+    _share.may_try = lambda *_, **__: True
+
+
+def _use_versions_before_their_orders():
+    _rollout_versions.ListedVersions.may_use = lambda *_: True
+
+
+def _need_no_judge():
+    _timing.Limits.compute_patience_s = lambda *_: float("inf")
+
+
 OFF_BY_NAME = {
     **mechanisms_off_run_once.OFF_BY_NAME,
     "block-checks": _skip_block_checks,
@@ -203,5 +220,8 @@
     "quarantine": _ignore_quarantine,
     "lost-before-response": _ignore_requests_lost_before_a_response,
     "moments": _count_upstreams_lost_together,
+    "rollout-share": _send_any_share,
+    "rollout-orders": _use_versions_before_their_orders,
+    "rollout-judge": _need_no_judge,
     "disproof": _keep_disproved_quarantine,
 }
