--- a/sycamorespoke/gateway/_chooser.py
+++ b/sycamorespoke/gateway/_chooser.py
@@ -166,10 +166,10 @@
         plan = self.known_rollouts.plan(
             planned, upstreams, view.hosts_by_name, view.rollouts_confirmed_s, now
         )
-        allowed_ids = {each.boot_id for group in plan.groups for each in group}
-        barred = sum(each.boot_id not in allowed_ids for each in upstreams)
-        if barred:
-            reasons[_candidates.VERSION_BARRED] += barred
+        if len(plan.groups[0]) < len(upstreams):
+            allowed_ids = {each.boot_id for group in plan.groups for each in group}
+            barred = sum(each.boot_id not in allowed_ids for each in upstreams)
+            reasons.update({_candidates.VERSION_BARRED: barred} if barred else {})
         return plan
 
     def _settle(self, plan, choice):
