Roll-outs: a version that an earlier order left gets no request under a later one

Cause: under a later order for the same service, all other versions counted as the old one, also one that had been rolled back and had not drained yet.

--- a/sycamorespoke/rollouts/_rollouts.py
+++ b/sycamorespoke/rollouts/_rollouts.py
@@ -129,6 +129,8 @@
             rollout = self._current_by_service.get(request.service)
             if rollout is None:
                 return _plan.Plan((usable,))
+            barred = self._list_left_versions(rollout)
+            usable = [each for each in usable if each.software_version not in barred]
             patience_s = self.limits.compute_patience_s(len(hosts_by_name))
             situation = _plan.Situation(
                 is_judged=now - rollout.judged_s <= patience_s,
@@ -144,6 +146,22 @@
             )
             return _plan.make_plan(rollout, request, usable, situation, now)
 
+    def _list_left_versions(self, current):
+        """Return the versions that earlier orders of a service did not complete."""
+        ends_by_version = {
+            rollout.order.id.version: rollout.end
+            for rollout in sorted(
+                self._rollouts_by_id.values(), key=lambda each: each.order.id.created
+            )
+            if rollout.order.id.service == current.order.id.service
+        }
+        return {
+            version
+            for version, end in ends_by_version.items()
+            if end is not _orders.RolloutState.COMPLETED
+            and version != current.order.id.version
+        }
+
     def cancel_reservation(self, plan):
         """Take back what a plan reserved and its request did not use."""
         if plan.reserved_for is not None:
--- a/tests/rollouts/test_rollouts.py
+++ b/tests/rollouts/test_rollouts.py
@@ -114,6 +114,23 @@
     assert known.list_pending() == [other]
 
 
+@pytest.mark.parametrize("state", [None, ROLLED_BACK])
+def test_version_of_an_earlier_order_gets_nothing_unless_it_was_completed(state):
+    known = make_known(attrs.evolve(ORDER, state=state, revision=9))
+    later = rollouts.RolloutOrder("s", rollouts.RolloutId("s", "v3", 12), 16.0, 12)
+    known.record_orders([later], NOW)
+    assert plan(known) == [["v1"]]
+
+
+def test_version_that_a_later_order_completed_is_used():
+    known = make_known(attrs.evolve(ORDER, state=ROLLED_BACK, revision=9))
+    again = rollouts.RolloutId("s", "v2", 20)
+    known.record_orders([rollouts.RolloutOrder("s", again, 16.0, 21, COMPLETED)], NOW)
+    later = rollouts.RolloutOrder("s", rollouts.RolloutId("s", "v3", 30), 16.0, 30)
+    known.record_orders([later], NOW)
+    assert plan(known) == [["v1", "v2"]]
+
+
 def test_order_that_is_no_longer_listed_stays_in_force():
     known = make_known(attrs.evolve(ORDER, state=ROLLED_BACK, revision=9))
     known.record_orders([], NOW)
