--- a/sycamorespoke/gateway/_chooser.py
+++ b/sycamorespoke/gateway/_chooser.py
@@ -5,7 +5,13 @@
 import attrs
 
 from sycamorespoke import decisions, domain, rollouts
-from sycamorespoke.gateway import _candidates, _placing, _prompt_work, _rate_limiter
+from sycamorespoke.gateway import (
+    _candidates,
+    _placing,
+    _prompt_work,
+    _rate_limiter,
+    _version_plan,
+)
 
 # Requests stop going to engines with older weights this long before the grace period
 # ends, or earlier by as much as requests wait there.
@@ -145,40 +151,21 @@
                 for upstream in view.list_upstreams(service)
                 if _candidates.is_candidate(upstream, excluded, origin, reasons)
             ]
-            is_retry = bool(excluded)
             planned = rollouts.PlannedRequest(
-                service, route.name, request.id, is_retry, origin is not None
+                service, route.name, request.id, bool(excluded), origin is not None
+            )
+            plan = _version_plan.make(
+                self.known_rollouts, planned, view, upstreams, reasons, now
             )
-            plan = self._plan(view, planned, upstreams, reasons, now)
             for group in plan.groups:
                 result = self._choose_among(view, group, request, route, now, reasons)
                 if isinstance(result, Choice):
-                    self._settle(plan, result)
+                    _version_plan.settle(self.known_rollouts, plan, result.upstream)
                     return result
                 refusal = result or refusal
-            self._settle(plan, None)
+            _version_plan.settle(self.known_rollouts, plan, None)
         return refusal or _candidates.make_refusal(reasons)
 
-    def _plan(self, view, planned, upstreams, reasons, now):
-        """Return the groups of upstreams that a request may use, by preference."""
-        if self.known_rollouts is None:
-            return rollouts.Plan((upstreams,))
-        plan = self.known_rollouts.plan(
-            planned, upstreams, view.hosts_by_name, view.rollouts_confirmed_s, now
-        )
-        if len(plan.groups[0]) < len(upstreams):
-            allowed_ids = {each.boot_id for group in plan.groups for each in group}
-            barred = sum(each.boot_id not in allowed_ids for each in upstreams)
-            reasons.update({_candidates.VERSION_BARRED: barred} if barred else {})
-        return plan
-
-    def _settle(self, plan, choice):
-        """Take back what a plan reserved unless the choice uses it."""
-        if plan.reserved_for is None:
-            return
-        if choice is None or not plan.reserved_for.is_trial(choice.upstream):
-            self.known_rollouts.cancel_reservation(plan)
-
     def find_opening_s(self, view, route, now):
         """Find when an upstream of a route may get requests.
 
--- a/sycamorespoke/rollouts/_durations.py
+++ b/sycamorespoke/rollouts/_durations.py
@@ -15,9 +15,9 @@
 
     WHOLE = "whole"
     FAILED = "failed"
-    # The connection ended, or none could be made.
+    # The connection ended before the response did.
     LOST = "lost"
-    # The caller left, or the request was taken back.
+    # The caller left, the request was taken back, or it was not sent.
     CANCELLED = "cancelled"
 
 
--- a/tests/gateway/test_rollout_watch.py
+++ b/tests/gateway/test_rollout_watch.py
@@ -62,3 +62,15 @@
     server.close()
     assert recorder.begun == [("i-1", route)]
     assert recorder.ended == [("i-1", outcome)]
+
+
+def test_upstream_that_is_not_there_says_nothing_of_its_version():
+    server = scripted_upstream.ScriptedUpstream(respond_with(200), "i-1")
+    gateway = in_process_gateway.InProcessGateway([server])
+    server.close()
+    recorder = Recorder()
+    gateway.gateway.rollouts = recorder
+    gateway.request("/unsafe/x")
+    gateway.close()
+    outcomes = {outcome for _, outcome in recorder.ended}
+    assert outcomes == {rollouts.Outcome.CANCELLED}
