--- a/sycamorespoke/gateway/_rollout_watch.py
+++ b/sycamorespoke/gateway/_rollout_watch.py
@@ -3,7 +3,8 @@
 from sycamorespoke import domain, rollouts
 
 SERVER_ERROR_STATUS = 500
-# An upstream that cannot be connected to is not there: that says nothing of its version.
+# An upstream that cannot be connected to is not there, which says nothing of its
+# version.
 OUTCOME_BY_KIND = {
     domain.ErrorKind.UPSTREAM_LOST: rollouts.Outcome.LOST,
     domain.ErrorKind.ANSWER_MISMATCH: rollouts.Outcome.FAILED,
