--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -13,6 +13,7 @@
     _forwarding,
     _model,
     _requests,
+    _rollout_watch,
     _upstream_gate,
     _upstream_observer,
     _version_grace,
@@ -84,6 +85,7 @@
             self._reached_boot_ids,
             self._dispatcher,
         )
+        self._rollout_watch = _rollout_watch.RolloutWatch(gateway, route)
         self._observer = _upstream_observer.UpstreamObserver(gateway, self.log)
 
     def cancel(self):
@@ -131,6 +133,7 @@
                     now = self.gateway.read_clock()
                     self.gateway.table.record_success(choice.upstream, now)
                     return head
+                self._rollout_watch.record_status(head.status)
                 self._observer.record_server_error(choice.upstream, head.status)
                 self._exclude_reached(choice.upstream)
                 if not self._may_repeat(choice.upstream.service):
@@ -148,6 +151,7 @@
         if self._forwarder.peer is not None:
             # The host that has sent the request relates it to its upstream.
             return
+        self._rollout_watch.record_status(head.status)
         self.crash_watch.record_whole(head, self.gateway.read_clock())
 
     def handle_broken_response(self, failure, last_event_id=None):
@@ -170,6 +174,7 @@
         if self._forwarder.peer is not None:
             return self._end_forwarded(failure)
         now = self.gateway.read_clock()
+        self._rollout_watch.record_failure(failure)
         kind = failure.refusal.kind
         self._observer.record_broken(upstream, kind)
         self.crash_watch.record_lost(upstream, kind, has_begun=True, now=now)
@@ -196,6 +201,7 @@
     def finish(self):
         """Mark the current attempt, if any, as ended."""
         self.record_begun()
+        self._rollout_watch.finish()
         if self._work.upstream is not None:
             self.gateway.table.discard_expected_event(self._work.upstream, self)
         self._work.end()
@@ -277,6 +283,7 @@
         if self.timing.sent_s is None:
             self.timing.sent_s = self.gateway.read_clock()
         self.log.record_sent(dispatch)
+        self._rollout_watch.begin(upstream)
         self._work.begin(choice)
         self._grace_watch.begin(exchange)
         self._watch_overdue(choice)
@@ -367,6 +374,7 @@
         upstream = choice.upstream
         refusal = failure.refusal
         self.log.record_failed(upstream, refusal.reason)
+        self._rollout_watch.record_failure(failure)
         self.finish()
         self._add_refusal(refusal)
         if failure.head is not None:
--- a/sycamorespoke/gateway/_host_tasks.py
+++ b/sycamorespoke/gateway/_host_tasks.py
@@ -6,7 +6,13 @@
 import pykka
 
 from sycamorespoke import serving
-from sycamorespoke.gateway import _retirement, _rollout, _task_lease
+from sycamorespoke.gateway import (
+    _retirement,
+    _rollout_states,
+    _task_lease,
+    _task_messages,
+    _weight_rollout,
+)
 
 MS_PER_S = 1000.0
 # Interval of the ticks during a shutdown.
@@ -33,9 +39,19 @@
         States of the upstreams.
     block_planner : BlockPlanner
         Indexes of the block stores.
+    rollouts : rollouts.Rollouts or None, default=None
+        What this host knows of rollouts of software versions, if they are followed.
     """
 
-    def __init__(self, gateway_settings, deployment, views, table, block_planner):
+    def __init__(
+        self,
+        gateway_settings,
+        deployment,
+        views,
+        table,
+        block_planner,
+        rollouts=None,
+    ):
         def make_lease(name):
             return _task_lease.TaskLease(
                 name,
@@ -48,23 +64,29 @@
 
         self.leases_by_name = {
             name: make_lease(name)
-            for name in (_rollout.LEASE_NAME, _retirement.LEASE_NAME)
+            for name in (_weight_rollout.LEASE_NAME, _retirement.LEASE_NAME)
         }
         rollout_lease, retirement_lease = self.leases_by_name.values()
         self.actors_by_lease = {
-            _rollout.LEASE_NAME: _rollout.Rollout.start(
+            _weight_rollout.LEASE_NAME: _weight_rollout.WeightRollout.start(
                 rollout_lease, views, table, deployment.leases, deployment.engines
             ),
             _retirement.LEASE_NAME: _retirement.Retirement.start(
                 retirement_lease, views, block_planner, deployment.block_stores
             ),
         }
+        if rollouts is not None:
+            name = _rollout_states.LEASE_NAME
+            self.leases_by_name[name] = make_lease(name)
+            self.actors_by_lease[name] = _rollout_states.RolloutStates.start(
+                self.leases_by_name[name], rollouts, deployment.rollout_states
+            )
         self._is_ended = threading.Event()
 
     def tick(self, now):
         """Let the actors check for pending work at ``now``."""
         for actor in self.actors_by_lease.values():
-            actor.tell(_rollout.Tick(now))
+            actor.tell(_task_messages.Tick(now))
 
     def start_stop(self, deadline_s):
         """Tell the actors of a shutdown and let them act until `finish_stop`.
@@ -76,7 +98,7 @@
         """
         now = serving.read_clock()
         for actor in self.actors_by_lease.values():
-            actor.tell(_rollout.Stop(now, deadline_s - RELEASE_LEAD_S))
+            actor.tell(_task_messages.Stop(now, deadline_s - RELEASE_LEAD_S))
         threading.Thread(target=self._run, name="stopping tasks", daemon=True).start()
 
     def finish_stop(self, deadline_s):
@@ -100,7 +122,7 @@
             if now >= end_s:
                 return False
             try:
-                actor.ask(_rollout.Stop(now, now), timeout=end_s - now)
+                actor.ask(_task_messages.Stop(now, now), timeout=end_s - now)
             except pykka.Timeout:
                 return False
             if task_lease.is_release_pending():
--- a/sycamorespoke/gateway/_program_state.py
+++ b/sycamorespoke/gateway/_program_state.py
@@ -58,6 +58,7 @@
             "closed_connections": program.server.count_closed(),
             "relayed_objects": program.source.count_objects(),
             "stores": program.block_planner.dump(now),
+            "rollouts": self._dump_rollouts(now),
         }
 
     def refresh_gauges(self):
@@ -92,8 +93,23 @@
             gauge("unread_mean_seconds", load.mean_wait_s, service=service)
             gauge("unread_max_seconds", load.max_wait_s, service=service)
             gauge("work_unit_seconds", load.s_per_unit, service=service)
+        self._refresh_rollouts(now)
         gauge("weights_pending_seconds", self._compute_weights_pending_s(view, now))
 
+    def _dump_rollouts(self, now):
+        known = self.program.rollouts
+        return {} if known is None else known.dump(now)
+
+    def _refresh_rollouts(self, now):
+        gauge = self.program.metrics.gauge
+        for service, rollout in self._dump_rollouts(now).items():
+            gauge("rollout_fraction", rollout["fraction"], service=service)
+            gauge("rollout_requests", rollout["sent"], service=service, version="all")
+            gauge("rollout_requests", rollout["tried"], service=service, version="new")
+            for state in ("running", "completed", "rolled back"):
+                is_state = int(rollout["state"] == state)
+                gauge("rollout_state", is_state, service=service, state=state)
+
     def _compute_weights_pending_s(self, view, now):
         gate = _upstream_gate.UpstreamGate(self.program.views, self.program.table)
         engines = _engine_versions.list_engine_versions(
