--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -6,7 +6,6 @@
     _attempt_checks,
     _attempt_log,
     _attempt_work,
-    _chooser,
     _crash_watch,
     _dispatcher,
     _exchange,
@@ -348,19 +347,15 @@
 
     def _is_faster_elsewhere(self, upstream, waited_s):
         """Return whether another upstream would begin the request much sooner."""
-        excluded = self._excluded_boot_ids | {upstream.boot_id}
-        choice = self.gateway.chooser.choose(
+        wait_s = self.gateway.chooser.estimate_other_wait_s(
             self.gateway.views.get(),
-            self.route,
+            upstream,
             self.request,
-            excluded,
+            self.route,
+            self._excluded_boot_ids,
             self.gateway.read_clock(),
-            self.origin,
         )
-        if not isinstance(choice, _chooser.Choice) or choice.expected_wait_s is None:
-            return False
-        expected_s = choice.expected_wait_s + self._dispatcher.prefill_s
-        return expected_s < waited_s * FASTER_RATIO
+        return wait_s + self._dispatcher.prefill_s < waited_s * FASTER_RATIO
 
     def _watch_overdue(self, choice):
         is_stream = self.route.kind is _model.RouteKind.STREAM
