Check of a gateway's configuration before it is sent

Operators wish to see errors, entries that can never match, limits that contradict each other, and what differs from the version in force. The parser raised at the first malformed entry and lost duplicates in dicts.

clients.EntryReader parses a document entry by entry and lists what is malformed. The adapter returns gateway.ConfigurationEntries with these problems; parse_configuration still refuses a configuration with any, now with the place in the message. The new package checks holds pure checks on the entries, the differences, the report and the command, which the adapter offers as `python -m sycamorespoke.platform check FILE`: only the adapter knows the format, and nothing may import it (test_boundary). argparse, since hosts have no cleo.

No existing test was changed.

--- /dev/null
+++ b/sycamorespoke/checks/_limits.py
@@ -0,0 +1,26 @@
+"""Checks of the limits on callers in a gateway's configuration."""
+
+from sycamorespoke.checks import _findings
+
+
+def find_limit_findings(entries):
+    """Yield what is found about the limits on callers.
+
+    Parameters
+    ----------
+    entries : gateway.ConfigurationEntries
+        Entries of the configuration.
+
+    Yields
+    ------
+    Finding
+        Findings.
+    """
+    limits = entries.limits
+    if limits.header_bytes > limits.body_bytes:
+        yield _findings.Finding(
+            _findings.FindingKind.CONTRADICTION,
+            "limits",
+            f"the limit of the headers, {limits.header_bytes} bytes, is above that of"
+            f" the body, {limits.body_bytes} bytes",
+        )
--- a/sycamorespoke/clients/__init__.py
+++ b/sycamorespoke/clients/__init__.py
@@ -34,6 +34,7 @@
     Started,
     Token,
 )
+from sycamorespoke.clients._entry_reader import EntryProblem, EntryReader
 from sycamorespoke.clients._envelope import (
     Envelope,
     encode_envelope,
@@ -97,6 +98,8 @@
     "Done",
     "EngineClient",
     "EngineStream",
+    "EntryProblem",
+    "EntryReader",
     "Envelope",
     "Full",
     "GenerationRequest",
--- a/sycamorespoke/gateway/__init__.py
+++ b/sycamorespoke/gateway/__init__.py
@@ -1,5 +1,9 @@
 """Routes callers' requests by host name and path to registered upstreams."""
 
+from sycamorespoke.gateway._configuration_entries import (
+    AccountEntry,
+    ConfigurationEntries,
+)
 from sycamorespoke.gateway._connections import SOCKET_OPTIONS
 from sycamorespoke.gateway._deployment import Deployment, ObjectKind, ObjectKinds
 from sycamorespoke.gateway._model import (
@@ -21,6 +25,7 @@
     RolloutMode,
     VersionOrder,
 )
+from sycamorespoke.gateway._process import run_process
 from sycamorespoke.gateway._program import GatewayProgram
 from sycamorespoke.gateway._requests import (
     Dispatch,
@@ -47,10 +52,12 @@
 __all__ = [
     "SOCKET_OPTIONS",
     "Account",
+    "AccountEntry",
     "BlockStore",
     "Change",
     "Changes",
     "Configuration",
+    "ConfigurationEntries",
     "Deployment",
     "Dispatch",
     "EngineReport",
@@ -83,4 +90,5 @@
     "Upstream",
     "VersionOrder",
     "get_name",
+    "run_process",
 ]
--- a/sycamorespoke/platform/_objects.py
+++ b/sycamorespoke/platform/_objects.py
@@ -76,21 +76,36 @@
     MalformedObjectError
         If a field is missing or has another type.
     """
-    spec = _check_type(stored.spec, dict, "configuration")
-    services = [_parse_service(value) for value in _field(spec, "Services", list)]
-    accounts = clients.read_list(spec, "Tenants")
-    return gateway.Configuration(
-        version=_field(spec, "Version", int),
-        routes=tuple(_parse_route(value) for value in _field(spec, "Routes", list)),
-        services_by_name={service.name: service for service in services},
-        accounts_by_key=_parse_accounts(accounts),
+    entries, problems = parse_entries(stored.spec)
+    if problems:
+        raise MalformedObjectError(str(problems[0]))
+    return entries.build()
+
+
+def parse_entries(spec):
+    """Return the entries of a configuration, and what is wrong with it.
+
+    Returns
+    -------
+    tuple of (gateway.ConfigurationEntries, list of clients.EntryProblem)
+    """
+    reader = clients.EntryReader(spec, "configuration")
+    entries = gateway.ConfigurationEntries(
+        version=reader.read("Version", int),
+        routes=reader.parse_each("Routes", _parse_route),
+        services=reader.parse_each("Services", _parse_service),
+        accounts=reader.parse_each("Tenants", _parse_account, is_required=False),
         # Without this field, no request needs an API key.
         needs_key=spec.get("Tenants") is not None,
-        limits=_parse_limits(_check_type(spec.get("Limits") or {}, dict, "Limits")),
-        isolated_accounts=frozenset(
-            _field(value, "Name", str) for value in accounts if value.get("Isolated")
-        ),
+        limits=reader.parse_part("Limits", _parse_limits),
     )
+    return entries, reader.problems
+
+
+def parse_configuration_file(value):
+    """Do as `parse_entries`, for a value that may be the object of the store."""
+    is_object = isinstance(value, dict) and "Metadata" in value
+    return parse_entries(value.get("Spec") if is_object else value)
 
 
 def parse_upstream(stored, now):
@@ -249,18 +264,16 @@
     )
 
 
-def _parse_accounts(values):
-    accounts_by_key = {}
-    for value in values:
-        priority = _check_type(value, dict, "account").get("Priority")
-        account = gateway.Account(
-            name=_field(value, "Name", str),
-            priority=None if priority is None else int(_number(priority, "Priority")),
-            is_isolated=bool(value.get("Isolated")),
-        )
-        for key in clients.read_list(value, "ApiKeys"):
-            accounts_by_key[_check_type(key, str, "ApiKeys")] = account
-    return accounts_by_key
+def _parse_account(value):
+    priority = _check_type(value, dict, "account").get("Priority")
+    account = gateway.Account(
+        name=_field(value, "Name", str),
+        priority=None if priority is None else int(_number(priority, "Priority")),
+        is_isolated=bool(value.get("Isolated")),
+    )
+    keys = clients.read_list(value, "ApiKeys")
+    keys = tuple(_check_type(key, str, "ApiKeys") for key in keys)
+    return gateway.AccountEntry(account, keys)
 
 
 def _parse_limits(value):
