--- a/sycamorespoke/commands/_application.py
+++ b/sycamorespoke/commands/_application.py
@@ -7,6 +7,7 @@
 from cleo.io.inputs import definition
 
 from sycamorespoke.commands import (
+    _check,
     _context,
     _exit_codes,
     _rules,
@@ -17,6 +18,7 @@
 
 ExitCode = _exit_codes.ExitCode
 COMMANDS = (
+    _check.Check,
     _rules.RulesCheck,
     _rules.RulesDiff,
     _rules.RulesApply,
--- a/sycamorespoke/commands/_rules.py
+++ b/sycamorespoke/commands/_rules.py
@@ -5,7 +5,13 @@
 from cleo import helpers
 
 from sycamorespoke import clients, decisions, rules
-from sycamorespoke.commands import _base, _descriptions, _exit_codes, _publish
+from sycamorespoke.commands import (
+    _base,
+    _descriptions,
+    _exit_codes,
+    _publish,
+    _rules_file,
+)
 
 ExitCode = _exit_codes.ExitCode
 MAX_HISTORY_ENTRIES = 20
@@ -158,23 +164,14 @@
 
 def _read_valid_rules(command):
     """Return the text of the rules file, or None after printing its faults."""
-    path = command.argument("file")
-    try:
-        with open(path, encoding="utf-8", newline="") as file:
-            text = file.read()
-    except OSError as error:
-        command.refuse(
-            f"{path} cannot be read: {error.strerror}; give the path of a rules file"
-        )
-        return None
-    except ValueError:
-        command.refuse(f"{path} is not UTF-8 text; save it as UTF-8")
+    result = _rules_file.read(command.argument("file"))
+    if isinstance(result, _rules_file.Unreadable):
+        command.refuse(result.reason)
         return None
-    result = rules.parse(text, path)
     if isinstance(result, rules.Faults):
         _refuse_faults(command, result)
         return None
-    return text
+    return result.text
 
 
 def _refuse_faults(command, faults):
