Check of a configuration: misspelt fields

A field that is misspelt is left out by the parser without a word. The reader of entries records which members were asked for; one that nobody reads and that resembles one that is missing is a finding. What the platform has beside what the gateway reads (health path, protocol) is none.

--- a/sycamorespoke/checks/_command.py
+++ b/sycamorespoke/checks/_command.py
@@ -35,8 +35,8 @@
     arguments : sequence of str
         Arguments of the command, ``check`` first.
     parse : callable
-        Takes a JSON value; returns `gateway.ConfigurationEntries` and a list of
-        `clients.EntryProblem`, or raises `clients.MalformedFieldError`.
+        Takes a JSON value; returns `gateway.ConfigurationEntries` and the
+        `clients.EntryReader` that read them, or raises `clients.MalformedFieldError`.
     make_deployment : callable
         Takes a name and the address of a platform's store; returns the
         `gateway.Deployment` to read the configuration in force from.
@@ -55,12 +55,12 @@
     """
     options = _make_parser().parse_args(arguments)
     try:
-        entries, problems = _read_file(options.file, parse)
+        entries, reader = _read_file(options.file, parse)
         in_force = _read_in_force(options, parse, make_deployment)
     except UnreadableError as reason:
         print(reason, file=error or sys.stderr)
         return int(ExitStatus.UNREADABLE)
-    report = _report.make_report(entries, problems, in_force)
+    report = _report.make_report(entries, reader, in_force)
     is_json = options.format == "json"
     text = report.format_json() if is_json else report.format_text()
     print(text, file=output or sys.stdout)
@@ -102,14 +102,16 @@
     """Return the entries in force; ``None`` if nobody asked for them."""
     if options.against is not None:
         source = options.against
-        entries, problems = _read_file(source, parse)
+        entries, reader = _read_file(source, parse)
     elif options.store is not None:
         source = f"the store at {options.store}"
-        entries, problems = _read_store(options.store, parse, make_deployment)
+        entries, reader = _read_store(options.store, parse, make_deployment)
     else:
         return None
-    if problems:
-        raise UnreadableError(f"{source} holds no valid configuration: {problems[0]}")
+    if reader.problems:
+        raise UnreadableError(
+            f"{source} holds no valid configuration: {reader.problems[0]}"
+        )
     return entries
 
 
--- a/sycamorespoke/checks/_findings.py
+++ b/sycamorespoke/checks/_findings.py
@@ -10,6 +10,8 @@
 
     # The hosts refuse the whole configuration.
     MALFORMED = "malformed"
+    # A field that nobody reads has a name like that of one that is missing.
+    MISSPELT = "misspelt"
     # Something is named that is not defined.
     UNDEFINED = "undefined"
     # Two entries claim the same name or key.
--- a/sycamorespoke/checks/_report.py
+++ b/sycamorespoke/checks/_report.py
@@ -48,16 +48,16 @@
         return json.dumps(value, ensure_ascii=False, indent=2)
 
 
-def make_report(entries, problems, in_force=None):
+def make_report(entries, reader, in_force=None):
     """Check a gateway's configuration.
 
     Parameters
     ----------
     entries : gateway.ConfigurationEntries
         Entries that could be parsed.
-    problems : list of clients.EntryProblem
-        Why others could not. If there are any, nothing else is checked: what is said
-        of the rest may depend on them.
+    reader : clients.EntryReader
+        Reader of the entries. If it has problems, nothing else is checked: what is
+        said of the rest may depend on them.
     in_force : gateway.ConfigurationEntries or None, default=None
         Entries of the configuration in force, if it is known.
 
@@ -66,15 +66,18 @@
     Report
         Findings, and differences from the configuration in force.
     """
-    if problems:
+    misspelt = _list_problems(_findings.FindingKind.MISSPELT, reader.find_misspelt())
+    if reader.problems:
         kind = _findings.FindingKind.MALFORMED
-        return Report(
-            tuple(
-                _findings.Finding(kind, problem.path or "configuration", problem.cause)
-                for problem in problems
-            )
-        )
-    findings = tuple(_gateway.find_gateway_findings(entries, in_force))
+        return Report((*_list_problems(kind, reader.problems), *misspelt))
+    findings = (*misspelt, *_gateway.find_gateway_findings(entries, in_force))
     if in_force is None:
         return Report(findings)
     return Report(findings, tuple(_differences.list_differences(in_force, entries)))
+
+
+def _list_problems(kind, problems):
+    return [
+        _findings.Finding(kind, problem.path or "configuration", problem.cause)
+        for problem in problems
+    ]
--- a/sycamorespoke/clients/_entry_reader.py
+++ b/sycamorespoke/clients/_entry_reader.py
@@ -1,9 +1,14 @@
 """Reads a JSON document that holds lists of entries; names all that are malformed."""
 
+import difflib
+
 import attrs
 
 from sycamorespoke.clients import _json_fields
 
+# Similarity from which a name counts as another one that is misspelt, 0 to 1.
+MIN_SIMILARITY = 0.85
+
 
 @attrs.frozen
 class EntryProblem:
@@ -29,6 +34,26 @@
         return f"{self.path}: {self.cause}" if self.path else self.cause
 
 
+class _RecordedObject(dict):
+    """JSON object that records which of its members were asked for."""
+
+    def __init__(self, members):
+        super().__init__({key: _record(value) for key, value in members.items()})
+        self.asked = set()
+
+    def __contains__(self, key):
+        self.asked.add(key)
+        return super().__contains__(key)
+
+    def __getitem__(self, key):
+        self.asked.add(key)
+        return super().__getitem__(key)
+
+    def get(self, key, default=None):
+        self.asked.add(key)
+        return super().get(key, default)
+
+
 class EntryReader:
     """Reads the members of a document.
 
@@ -64,7 +89,8 @@
 
     def __init__(self, document, label):
         self.problems = []
-        self._document = _json_fields.check_type(document, dict, label)
+        _json_fields.check_type(document, dict, label)
+        self._document = _RecordedObject(document)
 
     def read(self, key, expected_type):
         """Return a member; ``None`` if it is missing or has another type."""
@@ -113,6 +139,24 @@
         """
         return self._try("", self._parse_object, key, parse)
 
+    def find_misspelt(self):
+        """Find members that nobody has read and that resemble one that is missing.
+
+        Returns
+        -------
+        list of EntryProblem
+            Problems that do not keep the document from being used.
+
+        Examples
+        --------
+        >>> reader = EntryReader({"limit": 3}, "document")
+        >>> reader.parse_each("limits", parse=str, is_required=False)
+        ()
+        >>> print(*reader.find_misspelt())
+        limit is not read; perhaps limits is meant
+        """
+        return list(_find_misspelt("", self._document))
+
     def _parse_object(self, key, parse):
         value = self._document.get(key) or {}
         return parse(_json_fields.check_type(value, dict, key))
@@ -123,3 +167,34 @@
         except _json_fields.MalformedFieldError as error:
             self.problems.append(EntryProblem(path, str(error)))
             return None
+
+
+def _record(value):
+    if isinstance(value, dict):
+        return _RecordedObject(value)
+    if isinstance(value, list):
+        return [_record(each) for each in value]
+    return value
+
+
+def _find_misspelt(path, value):
+    if isinstance(value, list):
+        for index, each in enumerate(value):
+            yield from _find_misspelt(f"{path}[{index}]", each)
+    if not isinstance(value, _RecordedObject):
+        return
+    missing_by_lower = {key.lower(): key for key in value.asked - value.keys()}
+    for key in value:
+        if key not in value.asked:
+            yield from _find_similar(path, key, missing_by_lower)
+    for key, member in value.items():
+        yield from _find_misspelt(f"{path}.{key}" if path else key, member)
+
+
+def _find_similar(path, key, missing_by_lower):
+    similar = difflib.get_close_matches(
+        key.lower(), missing_by_lower, n=1, cutoff=MIN_SIMILARITY
+    )
+    for lower in similar:
+        meant = missing_by_lower[lower]
+        yield EntryProblem(path, f"{key} is not read; perhaps {meant} is meant")
--- a/sycamorespoke/platform/_objects.py
+++ b/sycamorespoke/platform/_objects.py
@@ -76,18 +76,18 @@
     MalformedObjectError
         If a field is missing or has another type.
     """
-    entries, problems = parse_entries(stored.spec)
-    if problems:
-        raise MalformedObjectError(str(problems[0]))
+    entries, reader = parse_entries(stored.spec)
+    if reader.problems:
+        raise MalformedObjectError(str(reader.problems[0]))
     return entries.build()
 
 
 def parse_entries(spec):
-    """Return the entries of a configuration, and what is wrong with it.
+    """Return the entries of a configuration, and the reader that has its problems.
 
     Returns
     -------
-    tuple of (gateway.ConfigurationEntries, list of clients.EntryProblem)
+    tuple of (gateway.ConfigurationEntries, clients.EntryReader)
     """
     reader = clients.EntryReader(spec, "configuration")
     entries = gateway.ConfigurationEntries(
@@ -99,7 +99,7 @@
         needs_key=spec.get("Tenants") is not None,
         limits=reader.parse_part("Limits", _parse_limits),
     )
-    return entries, reader.problems
+    return entries, reader
 
 
 def parse_configuration_file(value):
--- a/tests/platform/test_check.py
+++ b/tests/platform/test_check.py
@@ -101,6 +101,30 @@
     assert "Routes[0]: malformed: the kind of a route is unknown" in output
 
 
+def test_a_misspelt_field_is_found(check):
+    route = {key: value for key, value in ROUTE.items() if key != "MaxAttempts"}
+    status, output, _ = check(
+        {
+            **CONFIGURATION,
+            "Routes": [{**route, "MaxAttempt": 2, "Colour": "red"}],
+            "Limits": {"maxheaderbytes": 999, "HeaderTimeoutMs": 5},
+        }
+    )
+    assert status == checks.ExitStatus.FINDINGS
+    assert output.splitlines() == [
+        "Routes[0]: misspelt: MaxAttempt is not read; perhaps MaxAttempts is meant",
+        "Limits: misspelt: maxheaderbytes is not read; perhaps MaxHeaderBytes is meant",
+        "findings: 2",
+    ]
+
+
+def test_fields_of_the_platform_that_the_gateway_does_not_read_are_no_findings(check):
+    service = {**SERVICE, "HealthPath": "/healthz", "Protocol": "http", "Tls": False}
+    limits = {"HeaderTimeoutMs": 5000}
+    sound = {**CONFIGURATION, "Services": [service], "Limits": limits}
+    assert check(sound)[0] == checks.ExitStatus.CLEAN
+
+
 @pytest.mark.parametrize(
     "data", [b"", b"{", b"[" * 5000, b"[]", b"7", b'{"Version": 1e400}', b"\xff"]
 )
