--- a/tests/platform/test_check.py
+++ b/tests/platform/test_check.py
@@ -2,6 +2,8 @@
 
 import io
 import json
+import subprocess
+import sys
 
 import pytest
 
@@ -183,3 +185,21 @@
     )
     assert status == checks.ExitStatus.FINDINGS
     assert "secret" not in output + error
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize(
+    ("value", "status"),
+    [
+        (CONFIGURATION, checks.ExitStatus.CLEAN),
+        (HIDDEN, checks.ExitStatus.FINDINGS),
+        (7, checks.ExitStatus.UNREADABLE),
+    ],
+)
+def test_the_exit_status_of_the_process_says_what_was_found(tmp_path, value, status):
+    path = tmp_path / "new.json"
+    path.write_text(json.dumps(value))
+    command = [sys.executable, "-m", "sycamorespoke.platform", "check", str(path)]
+    result = subprocess.run(command, capture_output=True, text=True, check=False)
+    assert result.returncode == status
+    assert ("findings:" in result.stdout) == (status != checks.ExitStatus.UNREADABLE)
