--- a/tests/checks/test_gateway.py
+++ b/tests/checks/test_gateway.py
@@ -200,6 +200,10 @@
     assert find(make_entries(limits=limits)) == [(Kind.CONTRADICTION, "limits")]
 
 
+def test_a_limit_that_is_not_stated_contradicts_none(make_entries):
+    assert find(make_entries(limits=serving.CallerLimits(body_bytes=100))) == []
+
+
 @pytest.mark.parametrize(("version", "is_found"), [(4, True), (5, True), (3, False)])
 def test_a_version_that_hosts_would_not_adopt_is_found(make_entries, version, is_found):
     in_force = make_entries(version=version)
