--- a/sycamorespoke/checks/_limits.py
+++ b/sycamorespoke/checks/_limits.py
@@ -24,3 +24,10 @@
             f"the limit of the headers, {limits.header_bytes} bytes, is above that of"
             f" the body, {limits.body_bytes} bytes",
         )
+    if limits.header_s > limits.idle_s:
+        yield _findings.Finding(
+            _findings.FindingKind.CONTRADICTION,
+            "limits",
+            f"the time for the headers, {limits.header_s:g} s, is above that for which"
+            f" an idle connection is kept, {limits.idle_s:g} s",
+        )
--- a/tests/checks/test_gateway.py
+++ b/tests/checks/test_gateway.py
@@ -200,6 +200,13 @@
     assert find(make_entries(limits=limits)) == [(Kind.CONTRADICTION, "limits")]
 
 
+def test_a_header_time_above_the_idle_time_is_found(make_entries):
+    limits = serving.CallerLimits(idle_s=10.0, header_s=10.5)
+    assert find(make_entries(limits=limits)) == [(Kind.CONTRADICTION, "limits")]
+    limits = serving.CallerLimits(idle_s=10.0, header_s=10.0)
+    assert find(make_entries(limits=limits)) == []
+
+
 @pytest.mark.parametrize(("version", "is_found"), [(4, True), (5, True), (3, False)])
 def test_a_version_that_hosts_would_not_adopt_is_found(make_entries, version, is_found):
     in_force = make_entries(version=version)
