--- a/sycamorespoke/checks/_limits.py
+++ b/sycamorespoke/checks/_limits.py
@@ -29,3 +29,11 @@
             f"the limit of the headers, {limits.header_bytes} bytes, is above that of"
             f" the body, {limits.body_bytes} bytes",
         )
+    is_stated = limits.header_s != defaults.header_s
+    if is_stated and limits.header_s > limits.idle_s:
+        yield _findings.Finding(
+            _findings.FindingKind.CONTRADICTION,
+            "limits",
+            f"the time for the headers, {limits.header_s:g} s, is above that for which"
+            f" an idle connection is kept, {limits.idle_s:g} s",
+        )
--- a/tests/checks/test_gateway.py
+++ b/tests/checks/test_gateway.py
@@ -200,6 +200,13 @@
     assert find(make_entries(limits=limits)) == [(Kind.CONTRADICTION, "limits")]
 
 
+def test_a_header_time_above_the_idle_time_is_found(make_entries):
+    limits = serving.CallerLimits(idle_s=10.0, header_s=10.5)
+    assert find(make_entries(limits=limits)) == [(Kind.CONTRADICTION, "limits")]
+    limits = serving.CallerLimits(idle_s=10.0, header_s=10.0)
+    assert find(make_entries(limits=limits)) == []
+
+
 def test_a_limit_that_is_not_stated_contradicts_none(make_entries):
     assert find(make_entries(limits=serving.CallerLimits(body_bytes=100))) == []
 
