--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -1,5 +1,7 @@
 """Sequential attempts of one request at different upstreams."""
 
+import threading
+
 from sycamorespoke import decisions, domain
 from sycamorespoke.gateway import (
     _attempt_budget,
@@ -49,6 +51,9 @@
         self.deadline_s = deadline_s
         self.cancelled = False
         self.has_ended = False
+        # Ends a wait for memory early.
+        self.hold_ended = threading.Event()
+        self.was_held = False
         self.exchange = None
         # Upstreams that may continue the stream, once it has begun.
         self.origin = None
@@ -90,6 +95,7 @@
     def cancel(self):
         """Stop because the caller has disconnected; safe to call from any thread."""
         self.cancelled = True
+        self.hold_ended.set()
         exchange = self.exchange
         if exchange is not None:
             exchange.cancel()
@@ -97,6 +103,7 @@
     def end_for_shutdown(self):
         """End the request, from any thread; return whether an attempt was running."""
         self.has_ended = True
+        self.hold_ended.set()
         exchange = self.exchange
         if exchange is None:
             return False
@@ -215,14 +222,17 @@
         self.finish()
 
     def _choose(self):
-        now = self.gateway.read_clock()
-        view = self.gateway.views.get()
-        refusal = _attempt_checks.find_refusal(self, view, now)
-        if refusal is not None:
-            return refusal
-        peer = self._forwarder.choose(self.origin, now)
-        if peer is not None:
-            return peer
+        while True:
+            now = self.gateway.read_clock()
+            view = self.gateway.views.get()
+            refusal = _attempt_checks.find_refusal(self, view, now)
+            if refusal is not None:
+                return refusal
+            peer = self._forwarder.choose(self.origin, now)
+            if peer is not None:
+                return peer
+            if not self.gateway.room_wait.wait(self, view, now):
+                break
         return self.gateway.chooser.choose(
             view, self.route, self.request, self._excluded_boot_ids, now, self.origin
         )
@@ -347,15 +357,21 @@
 
     def _is_faster_elsewhere(self, upstream, waited_s):
         """Return whether another upstream would begin the request much sooner."""
-        wait_s = self.gateway.chooser.estimate_other_wait_s(
-            self.gateway.views.get(),
-            upstream,
-            self.request,
-            self.route,
-            self._excluded_boot_ids,
-            self.gateway.read_clock(),
+        view = self.gateway.views.get()
+        others = [
+            each
+            for each in view.list_upstreams(upstream.service)
+            if each.software_version == upstream.software_version
+            and each.boot_id not in self._excluded_boot_ids | {upstream.boot_id}
+        ]
+        now = self.gateway.read_clock()
+        placed = self.gateway.chooser.preview(
+            view, others, self.request, self.route, now
         )
-        return wait_s + self._dispatcher.prefill_s < waited_s * FASTER_RATIO
+        if placed is None or placed.expected_wait_s is None:
+            return False
+        expected_s = placed.expected_wait_s + self._dispatcher.prefill_s
+        return expected_s < waited_s * FASTER_RATIO
 
     def _watch_overdue(self, choice):
         is_stream = self.route.kind is _model.RouteKind.STREAM
--- a/sycamorespoke/gateway/_chooser.py
+++ b/sycamorespoke/gateway/_chooser.py
@@ -166,53 +166,42 @@
             _version_plan.settle(self.known_rollouts, plan, None)
         return refusal or _candidates.make_refusal(reasons)
 
-    def estimate_other_wait_s(self, view, upstream, request, route, excluded, now):
-        """Estimate when another upstream of the service would begin a request.
-
-        Nothing is reserved for the request, as `choose` does.
+    def preview(self, view, upstreams, request, route, now):
+        """Place a request without reserving anything for it, as `choose` does.
 
         Parameters
         ----------
         view : View
             Current view of the deployment.
-        upstream : Upstream
-            Upstream that has the request.
+        upstreams : list of Upstream
+            Upstreams of one service that come into question.
         request : Request
             The request.
         route : Route
             Its route.
-        excluded : set of str
-            Boot IDs of other upstreams that are not considered.
         now : float
             Current time, seconds of the boot clock.
 
         Returns
         -------
-        float
-            Seconds; ``inf`` if there is no other, or if that is not estimated.
+        Placed or None
+            ``None`` if none of them may get requests.
         """
-        others = [
-            each
-            for each in view.list_upstreams(upstream.service)
-            if each.boot_id != upstream.boot_id
-            and each.boot_id not in excluded
-            and each.software_version == upstream.software_version
-        ]
-        states_by_boot = self.table.read(others)
-        availability_by_boot = _candidates.assess_all(view, others, states_by_boot, now)
-        others = [
+        states_by_boot = self.table.read(upstreams)
+        availability_by_boot = _candidates.assess_all(
+            view, upstreams, states_by_boot, now
+        )
+        upstreams = [
             each
-            for each in others
+            for each in upstreams
             if availability_by_boot[each.boot_id].find_bar() is None
         ]
-        others = _candidates.select_preferred(
-            others, states_by_boot, availability_by_boot, now
+        upstreams = _candidates.select_preferred(
+            upstreams, states_by_boot, availability_by_boot, now
         )
-        if not others:
-            return float("inf")
-        placed = self.placer.place(view, others, states_by_boot, request, route, now)
-        wait_s = placed.expected_wait_s
-        return float("inf") if wait_s is None else wait_s
+        if not upstreams:
+            return None
+        return self.placer.place(view, upstreams, states_by_boot, request, route, now)
 
     def find_opening_s(self, view, route, now):
         """Find when an upstream of a route may get requests.
--- a/sycamorespoke/gateway/_gateway.py
+++ b/sycamorespoke/gateway/_gateway.py
@@ -10,6 +10,7 @@
     _held_body,
     _model,
     _requests,
+    _room_wait,
     _stream_body,
     _views,
 )
@@ -64,6 +65,8 @@
         Returns the current time, seconds of the boot clock.
     rollouts : rollouts.Rollouts or None, default=None
         Rollouts of software versions, if they are followed.
+    room_wait : RoomWait
+        Holds less urgent requests while no engine has memory for them.
     """
 
     protocol: object
@@ -84,6 +87,7 @@
     shutdown: object
     read_clock: object
     rollouts: object = None
+    room_wait: object = attrs.field(factory=_room_wait.RoomWait)
 
     def __call__(self, environ, start_response):
         """Serve one request; this is the WSGI entry point."""
--- a/sycamorespoke/gateway/_model.py
+++ b/sycamorespoke/gateway/_model.py
@@ -194,6 +194,8 @@
     ----------
     exclusion : str
         Digest of the isolated accounts, see `decisions.compute_exclusion`.
+    highest_prompt_priority : int
+        Priority of the most urgent routes that carry prompts, the lowest number.
     """
 
     version: int
@@ -204,8 +206,15 @@
     limits: serving.CallerLimits = attrs.field(factory=serving.CallerLimits)
     isolated_accounts: frozenset[str] = frozenset()
     exclusion: str = attrs.field(init=False, eq=False)
+    highest_prompt_priority: int = attrs.field(init=False, eq=False)
     _routes_by_host: dict = attrs.field(init=False, repr=False, eq=False)
 
+    @highest_prompt_priority.default
+    def _find_highest_prompt_priority(self):
+        return min(
+            (route.priority for route in self.routes if route.carries_prompt), default=0
+        )
+
     @exclusion.default
     def _compute_exclusion(self):
         return decisions.compute_exclusion(self.isolated_accounts)
--- a/sycamorespoke/gateway/_placing.py
+++ b/sycamorespoke/gateway/_placing.py
@@ -32,11 +32,14 @@
         ``None`` if it is not estimated.
     work_ahead : float or None, default=None
         Estimated work of all hosts at the upstream, see `_prompt_work`.
+    memory_wait_s : float, default=0.0
+        Part of the expected wait that is for memory, seconds.
     """
 
     upstream: object
     expected_wait_s: float | None = None
     work_ahead: float | None = None
+    memory_wait_s: float = 0.0
 
 
 @attrs.frozen
@@ -225,7 +228,9 @@
             self.far_s,
         )
         work_ahead = work_by_boot[chosen.name]
-        return Placed(_find(upstreams, chosen.name), chosen.wait_s, work_ahead)
+        memory_wait_s = full_s_by_boot.get(chosen.name, 0.0)
+        upstream = _find(upstreams, chosen.name)
+        return Placed(upstream, chosen.wait_s, work_ahead, memory_wait_s)
 
     def _draw(self, upstreams, work_by_boot):
         candidates = [
--- a/sycamorespoke/gateway/_program_state.py
+++ b/sycamorespoke/gateway/_program_state.py
@@ -88,6 +88,8 @@
         for (service, state), count in counts.items():
             gauge("upstreams", count, service=service, state=state)
         self._refresh_links(view, now)
+        gauge("held_requests", program.gateway.room_wait.held)
+        gauge("holds_for_memory", program.gateway.room_wait.holds)
         placer = program.gateway.chooser.placer
         for service, load in placer.summarize(view, program.table, now).items():
             gauge("unread_mean_seconds", load.mean_wait_s, service=service)
--- a/sycamorespoke/placement/__init__.py
+++ b/sycamorespoke/placement/__init__.py
@@ -11,6 +11,7 @@
     estimate_memory_wait_s,
 )
 from sycamorespoke.placement._pace import Pace, PaceTable
+from sycamorespoke.placement._room import choose_hold_s
 from sycamorespoke.placement._services import ServiceCandidate, choose_by_draw
 
 __all__ = [
@@ -21,5 +22,6 @@
     "WaitLimits",
     "choose_by_draw",
     "choose_engine",
+    "choose_hold_s",
     "estimate_memory_wait_s",
 ]
