A response that its caller leaves unread is not a failure of the upstream that cuts it

Cause: an upstream cuts a response that remains unread for some seconds, which counted as a failure of the upstream, and the stream went on at another one.

Change: a stream whose caller has kept it waiting for two seconds in all ends when the upstream cuts it; neither the upstream nor the link to it is recorded as failed.

--- a/sycamorespoke/gateway/_attempt_log.py
+++ b/sycamorespoke/gateway/_attempt_log.py
@@ -92,6 +92,11 @@
             **self._describe(),
         )
 
+    def record_unread(self, upstream, unread_s):
+        """Record that an upstream cut a response that the caller did not read."""
+        self._count("unread", upstream)
+        self._log("response left unread", upstream, unread_ms=int(unread_s * MS_PER_S))
+
     def record_server_error(self, upstream, status):
         """Record that an upstream responded with a server error."""
         self._count("upstream_error", upstream)
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -193,6 +193,21 @@
             return self._refusal
         return None
 
+    def record_unread(self, unread_s):
+        """Record that the upstream cut the response because it remained unread.
+
+        Neither the upstream nor the link to it has failed.
+
+        Parameters
+        ----------
+        unread_s : float
+            Time for which the caller kept the response waiting, seconds.
+        """
+        framing = self.exchange.head.framing
+        self.gateway.request_metrics.record_response_end(framing, is_whole=False)
+        if self._forwarder.peer is None:
+            self.log.record_unread(self.exchange.upstream, unread_s)
+
     def _exclude_reached(self, upstream):
         """Exclude an upstream that received the request from further attempts."""
         self._reached_boot_ids.add(upstream.boot_id)
--- a/sycamorespoke/gateway/_stream_body.py
+++ b/sycamorespoke/gateway/_stream_body.py
@@ -5,6 +5,9 @@
 from sycamorespoke import domain, serving
 from sycamorespoke.gateway import _attempts, _continuations, _events, _requests
 
+# An upstream may cut a response that the caller has kept unread for this long in all.
+UNREAD_S = 2.0
+
 
 class StreamBody:
     """WSGI body of a stream, which may resume at another upstream.
@@ -24,6 +27,7 @@
         self._first_events = b""
         self._head = None
         self._ended = False
+        self._unread_s = 0.0
 
     def begin(self):
         """Send the request and wait for the first event.
@@ -53,17 +57,23 @@
 
     def __iter__(self):
         if self._first_events:
-            yield self._first_events
+            yield from self._hand_over(self._first_events)
         while not self._ended:
             chunk = self._read()
             if isinstance(chunk, _requests.Failure):
                 self._resume(chunk)
             elif chunk:
-                yield chunk
+                yield from self._hand_over(chunk)
         self.attempts.record_whole_response()
         self.attempts.finish()
         self.gateway.log_stream_end(self.attempts, self._head, "")
 
+    def _hand_over(self, events):
+        """Yield events, and count for how long the caller keeps them waiting."""
+        begun_s = self.gateway.read_clock()
+        yield events
+        self._unread_s += self.gateway.read_clock() - begun_s
+
     def close(self):
         """End the stream; cancel the request if it still runs."""
         if self._ended:
@@ -136,6 +146,9 @@
 
     def _resume(self, failure):
         """Resume the stream at another upstream, or raise `BrokenStreamError`."""
+        is_lost = failure.refusal.kind is domain.ErrorKind.UPSTREAM_LOST
+        if is_lost and self._unread_s >= UNREAD_S:
+            self._end_unread()
         refusal = self._handle_broken_response(failure)
         if refusal is None:
             refusal = self._open_next(failure)
@@ -146,6 +159,15 @@
         self.gateway.log_stream_end(self.attempts, self._head, refusal.reason)
         raise serving.BrokenStreamError(refusal.reason)
 
+    def _end_unread(self):
+        """End a stream that the upstream has cut because its caller did not read it."""
+        reason = "the caller did not read the stream"
+        self._ended = True
+        self.attempts.record_unread(self._unread_s)
+        self.attempts.abandon()
+        self.gateway.log_stream_end(self.attempts, self._head, reason)
+        raise serving.BrokenStreamError(reason)
+
     def _open_next(self, failure):
         """Send the request again; return a refusal if no upstream continues it."""
         is_stream = _continuations.find_bar(self._head) is None
