--- a/sycamorespoke/serving/_channel.py
+++ b/sycamorespoke/serving/_channel.py
@@ -202,7 +202,8 @@
         if data:
             self._wait_for_room(len(data))
         length = super().write_soon(data)
-        self.server.unread.update(self)
+        if self.total_outbufs_len != self.counted_bytes:
+            self.server.unread.update(self)
         return length
 
     def handle_close(self):
@@ -219,11 +220,13 @@
     def _flush_some(self, do_close=True):
         before_bytes = self.total_outbufs_len
         flushed = super()._flush_some(do_close=do_close)
-        self.server.unread.update(self)
-        now = _clock.read_clock()
-        if before_bytes and not self.total_outbufs_len:
-            self.still_since_s = now
-        self._note_progress(before_bytes - self.total_outbufs_len, now)
+        moved_bytes = before_bytes - self.total_outbufs_len
+        if moved_bytes:
+            self.server.unread.update(self)
+            now = _clock.read_clock()
+            if not self.total_outbufs_len:
+                self.still_since_s = now
+            self._note_progress(moved_bytes, now)
         return flushed
 
     def _find_stage(self):
@@ -273,7 +276,9 @@
 
     def _wait_for_room(self, size_bytes):
         """Wait while the budget is used up and the caller does not read."""
-        has_room = self.adj.byte_budget.count_room() >= size_bytes
+        if self.adj.byte_budget.count_room() >= size_bytes:
+            return
+        has_room = False
         until_s = _clock.read_clock() + WRITE_WAIT_S
         while not has_room and self.connected:
             self.server.ask_for_room(size_bytes)
