--- a/tests/fakes/software_fleet.py
+++ b/tests/fakes/software_fleet.py
@@ -92,6 +92,8 @@
 
     Attributes
     ----------
+    failing_share : float
+        Share of the requests that fail whatever the version is.
     requests, exposed : int
         Requests to the service since the order, and those to the new version.
     bad_s : list of float
@@ -108,6 +110,7 @@
     slack: float = 50.0
     upstream_count: int = 10
     seed: int = 1
+    failing_share: float = 0.0
     requests: int = 0
     exposed: int = 0
     bad_s: list = attrs.field(factory=list)
@@ -222,6 +225,8 @@
             badness = self.find_badness and self.find_badness(self, upstream, route)
         duration_s = DURATION_S_BY_ROUTE[route] * self.random.uniform(0.7, 1.4)
         outcome = rollouts.Outcome.WHOLE
+        if self.random.random() < self.failing_share:
+            outcome = rollouts.Outcome.FAILED
         if badness is not None and self.random.random() < BAD_SHARE:
             duration_s *= SLOW_FACTOR if badness == "slow" else 1.0
             if badness == "errors":
--- a/tests/rollouts/test_fleet.py
+++ b/tests/rollouts/test_fleet.py
@@ -147,6 +147,13 @@
     assert fleet.stored.state is COMPLETED
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_good_version_is_completed_while_requests_fail_at_both(seed):
+    fleet = start(host_count=30, seed=seed, failing_share=0.08)
+    fleet.run(fleet.duration_s - 0.3)
+    assert fleet.stored.state is COMPLETED
+
+
 def test_no_request_runs_at_the_old_version_when_it_ends():
     fleet = start(host_count=20)
     while fleet.stored.state is not COMPLETED:
