--- a/sycamorespoke/rollouts/_listed_versions.py
+++ b/sycamorespoke/rollouts/_listed_versions.py
@@ -18,6 +18,7 @@
         self._first_listed_s_by_key = {}
         self._listed_s_by_key = {}
         self._known_services = set()
+        self._began_s_by_service = {}
 
     def record(self, upstreams, now):
         """Record the upstreams that are listed at ``now``, seconds."""
@@ -30,6 +31,7 @@
             is_only = service not in self._known_services and len(versions) == 1
             first_s = float("-inf") if is_only else now
             self._known_services.add(service)
+            self._began_s_by_service.setdefault(service, first_s)
             for version in versions:
                 key = service, version
                 self._first_listed_s_by_key.setdefault(key, first_s)
@@ -49,6 +51,12 @@
         key = upstream.service, upstream.software_version
         return confirmed_s >= self._first_listed_s_by_key.get(key, float("inf"))
 
+    def was_listed_first(self, upstream):
+        """Return whether its version was on the first list with the service."""
+        began_s = self._began_s_by_service.get(upstream.service)
+        key = upstream.service, upstream.software_version
+        return began_s is not None and self._first_listed_s_by_key.get(key) == began_s
+
     def _forget(self, versions_by_service, now):
         for key, listed_s in list(self._listed_s_by_key.items()):
             service, version = key
--- a/sycamorespoke/rollouts/_plan.py
+++ b/sycamorespoke/rollouts/_plan.py
@@ -72,7 +72,8 @@
 def make_plan(rollout, request, upstreams, situation, now):
     """Make the plan of one request.
 
-    Without a judge, a version on trial gets no requests.
+    Without a judge, a version on trial gets no requests, also not for streams that it
+    began.
 
     Parameters
     ----------
@@ -100,7 +101,8 @@
         is_recent = now - rollout.ended_s <= COMPLETED_S
         return Plan((new, old) if is_recent else (upstreams,))
     if request.is_bound:
-        return Plan((upstreams,))
+        may_go_on = situation.is_judged and not rollout.has_stopped
+        return Plan((upstreams if may_go_on or rollout.is_moving else old,))
     if rollout.has_stopped or not new:
         return Plan((old,))
     if not situation.is_judged:
--- a/sycamorespoke/rollouts/_rollouts.py
+++ b/sycamorespoke/rollouts/_rollouts.py
@@ -121,16 +121,16 @@
             Groups of upstreams; each is used only if those before it cannot be.
         """
         with self._lock:
+            rollout = self._current_by_service.get(request.service)
             usable = [
                 upstream
                 for upstream in upstreams
                 if self._listed.may_use(upstream, confirmed_s)
+                or self._is_old(upstream, rollout)
             ]
-            rollout = self._current_by_service.get(request.service)
             if rollout is None:
                 return _plan.Plan((usable,))
-            barred = self._list_left_versions(rollout)
-            usable = [each for each in usable if each.software_version not in barred]
+            usable = self._leave_out_left(usable, rollout)
             patience_s = self.limits.compute_patience_s(len(hosts_by_name))
             situation = _plan.Situation(
                 is_judged=now - rollout.judged_s <= patience_s,
@@ -146,20 +146,49 @@
             )
             return _plan.make_plan(rollout, request, usable, situation, now)
 
-    def _list_left_versions(self, current):
-        """Return the versions that earlier orders of a service did not complete."""
-        ends_by_version = {
-            rollout.order.id.version: rollout.end
-            for rollout in sorted(
-                self._rollouts_by_id.values(), key=lambda each: each.order.id.created
+    def _is_old(self, upstream, rollout):
+        """Return whether a version was there beside the one that is brought in.
+
+        A host that starts during a rollout finds both on its first list.
+        """
+        if rollout is None or rollout.end is not None or rollout.is_trial(upstream):
+            return False
+        return self._listed.was_listed_first(upstream)
+
+    def _leave_out_left(self, upstreams, current):
+        """Leave out the versions that earlier orders of a service did not complete.
+
+        Of an order that was replaced, the end may not be known here. Its version was
+        completed if, besides the one that is brought in, no other is left.
+        """
+        ends_by_version = self._list_earlier_ends(current)
+        kept = [
+            each
+            for each in upstreams
+            if ends_by_version.get(each.software_version)
+            is not _orders.RolloutState.ROLLED_BACK
+        ]
+        completed = [
+            each
+            for each in kept
+            if ends_by_version.get(
+                each.software_version, _orders.RolloutState.COMPLETED
             )
-            if rollout.order.id.service == current.order.id.service
-        }
+            is _orders.RolloutState.COMPLETED
+        ]
+        has_old = any(not current.is_trial(each) for each in completed)
+        return completed if has_old else kept
+
+    def _list_earlier_ends(self, current):
+        """Return how the other orders of a service ended, by version."""
+        rollouts = sorted(
+            self._rollouts_by_id.values(), key=lambda each: each.order.id.created
+        )
         return {
-            version
-            for version, end in ends_by_version.items()
-            if end is not _orders.RolloutState.COMPLETED
-            and version != current.order.id.version
+            rollout.order.id.version: rollout.end
+            for rollout in rollouts
+            if rollout.order.id.service == current.order.id.service
+            and rollout.order.id.version != current.order.id.version
         }
 
     def cancel_reservation(self, plan):
--- a/tests/rollouts/test_rollouts.py
+++ b/tests/rollouts/test_rollouts.py
@@ -200,3 +200,33 @@
     report = known.make_reports(NOW)[0]
     assert report.old_in_flight == 0
     assert report.known_s == pytest.approx(1.0)
+
+
+def test_stream_of_the_version_on_trial_goes_on_only_while_it_is_judged():
+    known = make_known(ORDER)
+    assert plan(known, is_bound=True) == [["v1"]]
+    reply(known)
+    assert plan(known, is_bound=True) == [["v1", "v2"]]
+    assert plan(known, now=NOW + 60.0, is_bound=True) == [["v1"]]
+    reply(known, NOW + 60.0, end=ROLLED_BACK.value)
+    assert plan(known, now=NOW + 60.0, is_bound=True) == [["v1"]]
+
+
+def test_host_that_starts_while_the_store_is_away_uses_the_old_version():
+    known = rollouts.Rollouts("h1", rollouts.Limits(0.1, 50.0))
+    known.record_upstreams([OLD, NEW], NOW)
+    known.record_orders([ORDER], NOW)
+    assert plan(known, confirmed_s=NOW - 10.0) == [["v1"]]
+
+
+def test_version_whose_completion_this_host_missed_is_used_when_the_old_is_gone():
+    known = make_known(ORDER)
+    third = software_fleet.make_upstream(1, "v3")
+    known.record_upstreams([NEW, third], NOW)
+    later = rollouts.RolloutOrder("s", rollouts.RolloutId("s", "v3", 12), 16.0, 12)
+    known.record_orders([later], NOW)
+    request = rollouts.PlannedRequest("s", "r", "key")
+    result = known.plan(request, [NEW, third], HOSTS, NOW, NOW)
+    assert [[each.software_version for each in group] for group in result.groups] == [
+        ["v2"]
+    ]
