--- a/sycamorespoke/gateway/__init__.py
+++ b/sycamorespoke/gateway/__init__.py
@@ -1,7 +1,12 @@
 """Routes callers' requests by host name and path to registered upstreams."""
 
+from sycamorespoke.gateway._configuration_entries import (
+    AccountEntry,
+    ConfigurationEntries,
+)
 from sycamorespoke.gateway._connections import SOCKET_OPTIONS
 from sycamorespoke.gateway._deployment import Deployment, ObjectKind, ObjectKinds
+from sycamorespoke.gateway._lease_objects import LeaseStore
 from sycamorespoke.gateway._model import (
     Account,
     BlockStore,
@@ -21,6 +26,7 @@
     RolloutMode,
     VersionOrder,
 )
+from sycamorespoke.gateway._process import run_process
 from sycamorespoke.gateway._program import GatewayProgram
 from sycamorespoke.gateway._requests import (
     Dispatch,
@@ -32,6 +38,7 @@
     Response,
     ResponseHead,
 )
+from sycamorespoke.gateway._shared_objects import SharedObjects
 from sycamorespoke.gateway._source import (
     Change,
     Changes,
@@ -47,10 +54,12 @@
 __all__ = [
     "SOCKET_OPTIONS",
     "Account",
+    "AccountEntry",
     "BlockStore",
     "Change",
     "Changes",
     "Configuration",
+    "ConfigurationEntries",
     "Deployment",
     "Dispatch",
     "EngineReport",
@@ -60,6 +69,7 @@
     "GatewayProgram",
     "HistoryGone",
     "Host",
+    "LeaseStore",
     "LeaseUpdate",
     "Listing",
     "ObjectKind",
@@ -75,6 +85,7 @@
     "Route",
     "RouteKind",
     "Service",
+    "SharedObjects",
     "Statements",
     "StoreEvent",
     "StoreEvents",
@@ -83,4 +94,5 @@
     "Upstream",
     "VersionOrder",
     "get_name",
+    "run_process",
 ]
--- a/sycamorespoke/gateway/_attempts.py
+++ b/sycamorespoke/gateway/_attempts.py
@@ -1,23 +1,29 @@
 """Sequential attempts of one request at different upstreams."""
 
+import threading
+
 from sycamorespoke import decisions, domain
 from sycamorespoke.gateway import (
     _attempt_budget,
     _attempt_checks,
     _attempt_log,
+    _attempt_work,
     _crash_watch,
     _dispatcher,
     _exchange,
     _forwarding,
     _model,
-    _prompt_work,
     _requests,
+    _rollout_watch,
     _upstream_gate,
     _upstream_observer,
     _version_grace,
 )
 
 SERVER_ERROR_STATUS = 500
+# A request is taken back only if another upstream is expected to begin it within this
+# share of the time for which it has waited.
+FASTER_RATIO = 0.3
 
 
 class Attempts:
@@ -45,16 +51,14 @@
         self.deadline_s = deadline_s
         self.cancelled = False
         self.has_ended = False
+        # Ends a wait for memory early.
+        self.hold_ended = threading.Event()
+        self.was_held = False
         self.exchange = None
         # Upstreams that may continue the stream, once it has begun.
         self.origin = None
         self._excluded_boot_ids = set()
-        self._active_upstream = None
-        # Work of the current attempt that its upstream has not done yet, and tokens
-        # that it holds there.
-        self._active_work = 0.0
-        self._active_tokens = 0.0
-        self._choice = None
+        self._work = _attempt_work.AttemptWork(gateway, request)
         self._refusal = None
         self._budget = _attempt_budget.AttemptBudget(gateway, request, route)
         # Upstreams that received the request, whether or not they ran it.
@@ -85,11 +89,13 @@
             self._reached_boot_ids,
             self._dispatcher,
         )
+        self._rollout_watch = _rollout_watch.RolloutWatch(gateway, route)
         self._observer = _upstream_observer.UpstreamObserver(gateway, self.log)
 
     def cancel(self):
         """Stop because the caller has disconnected; safe to call from any thread."""
         self.cancelled = True
+        self.hold_ended.set()
         exchange = self.exchange
         if exchange is not None:
             exchange.cancel()
@@ -97,6 +103,7 @@
     def end_for_shutdown(self):
         """End the request, from any thread; return whether an attempt was running."""
         self.has_ended = True
+        self.hold_ended.set()
         exchange = self.exchange
         if exchange is None:
             return False
@@ -132,6 +139,7 @@
                     now = self.gateway.read_clock()
                     self.gateway.table.record_success(choice.upstream, now)
                     return head
+                self._rollout_watch.record_status(head.status)
                 self._observer.record_server_error(choice.upstream, head.status)
                 self._exclude_reached(choice.upstream)
                 if not self._may_repeat(choice.upstream.service):
@@ -149,6 +157,7 @@
         if self._forwarder.peer is not None:
             # The host that has sent the request relates it to its upstream.
             return
+        self._rollout_watch.record_status(head.status)
         self.crash_watch.record_whole(head, self.gateway.read_clock())
 
     def handle_broken_response(self, failure, last_event_id=None):
@@ -171,6 +180,7 @@
         if self._forwarder.peer is not None:
             return self._end_forwarded(failure)
         now = self.gateway.read_clock()
+        self._rollout_watch.record_failure(failure)
         kind = failure.refusal.kind
         self._observer.record_broken(upstream, kind)
         self.crash_watch.record_lost(upstream, kind, has_begun=True, now=now)
@@ -183,6 +193,21 @@
             return self._refusal
         return None
 
+    def record_unread(self, unread_s):
+        """Record that the upstream cut the response because it remained unread.
+
+        Neither the upstream nor the link to it has failed.
+
+        Parameters
+        ----------
+        unread_s : float
+            Time for which the caller kept the response waiting, seconds.
+        """
+        framing = self.exchange.head.framing
+        self.gateway.request_metrics.record_response_end(framing, is_whole=False)
+        if self._forwarder.peer is None:
+            self.log.record_unread(self.exchange.upstream, unread_s)
+
     def _exclude_reached(self, upstream):
         """Exclude an upstream that received the request from further attempts."""
         self._reached_boot_ids.add(upstream.boot_id)
@@ -197,12 +222,10 @@
     def finish(self):
         """Mark the current attempt, if any, as ended."""
         self.record_begun()
-        if self._active_upstream is not None:
-            self.gateway.table.discard_expected_event(self._active_upstream, self)
-            self.gateway.table.end_request(
-                self._active_upstream, self._active_work, self._active_tokens
-            )
-            self._active_upstream = None
+        self._rollout_watch.finish()
+        if self._work.upstream is not None:
+            self.gateway.table.discard_expected_event(self._work.upstream, self)
+        self._work.end()
         self._forwarder.finish()
         self.exchange = None
 
@@ -214,14 +237,17 @@
         self.finish()
 
     def _choose(self):
-        now = self.gateway.read_clock()
-        view = self.gateway.views.get()
-        refusal = _attempt_checks.find_refusal(self, view, now)
-        if refusal is not None:
-            return refusal
-        peer = self._forwarder.choose(self.origin, now)
-        if peer is not None:
-            return peer
+        while True:
+            now = self.gateway.read_clock()
+            view = self.gateway.views.get()
+            refusal = _attempt_checks.find_refusal(self, view, now)
+            if refusal is not None:
+                return refusal
+            peer = self._forwarder.choose(self.origin, now)
+            if peer is not None:
+                return peer
+            if not self.gateway.room_wait.wait(self, view, now):
+                break
         return self.gateway.chooser.choose(
             view, self.route, self.request, self._excluded_boot_ids, now, self.origin
         )
@@ -281,9 +307,8 @@
         if self.timing.sent_s is None:
             self.timing.sent_s = self.gateway.read_clock()
         self.log.record_sent(dispatch)
-        self._count_work(choice)
-        self._active_upstream = upstream
-        self._choice = choice
+        self._rollout_watch.begin(upstream)
+        self._work.begin(choice)
         self._grace_watch.begin(exchange)
         self._watch_overdue(choice)
         if self._dispatcher.has_full_priority:
@@ -297,6 +322,7 @@
         """Record that the upstream has begun the request, or that it has ended."""
         self._grace_watch.end()
         self.gateway.overdue.unwatch(self)
+        self._work.record_read()
 
     def record_first_event(self):
         """Record the time at which the first event of the stream arrived."""
@@ -308,7 +334,7 @@
         waited_s = now - self._dispatcher.sent_s
         self.log.record_first_event(self.exchange.dispatch, waited_s)
         self.gateway.table.record_first_event(upstream, self, now)
-        self._record_prompt_read(upstream, waited_s, now)
+        self._work.learn_pace(waited_s, now)
         self.origin = decisions.StreamOrigin(
             upstream.service, upstream.software_version
         )
@@ -317,34 +343,50 @@
                 self.request, self.origin, self.deadline_s, now
             )
 
-    def handle_overdue(self):
-        """Act on a first event that is overdue; called from another thread.
+    def may_take_back(self):
+        """Decide whether to take back the request, whose first event is overdue.
 
-        That the upstream is slow counts like a request without a response. The
-        request is taken back if it may be sent again.
+        Returns
+        -------
+        bool
+            Whether another upstream would begin it much sooner, and its kind and the
+            retry budget allow to send it again. That another one would counts against
+            this upstream like a missing response.
         """
-        upstream, exchange = self._active_upstream, self.exchange
-        if upstream is None or exchange is None:
-            return
+        upstream, waited_s = self._work.upstream, self._read_waited_s()
+        if upstream is None or not self._is_faster_elsewhere(upstream, waited_s):
+            return False
         self.log.record_overdue(upstream)
         self._observer.record_failure(upstream, domain.ErrorKind.DEADLINE_AFTER_SEND)
         reached = len(self._reached_boot_ids) + 1
-        if self.route.may_repeat and self._budget.reserve(upstream.service, reached):
+        return self.route.may_repeat and self._budget.reserve(upstream.service, reached)
+
+    def take_back(self):
+        """Take the request back from its upstream; called from another thread."""
+        exchange = self.exchange
+        if exchange is not None:
             exchange.withdraw()
 
-    def _count_work(self, choice):
-        """Count the work of an attempt that begins."""
-        prompt = self.request.prompt
-        self._active_work, self._active_tokens = 1.0, 0.0
-        if prompt is not None and choice.work_ahead is None:
-            self._active_work = _prompt_work.estimate_work(prompt)
-        elif prompt is not None:
-            # What an engine generates hardly delays the prompts that it reads.
-            self._active_work = _prompt_work.estimate_read_work(prompt.input_tokens)
-            self._active_tokens = _prompt_work.estimate_held_tokens(prompt)
-        self.gateway.table.begin_request(
-            choice.upstream, self._active_work, self._active_tokens
+    def _read_waited_s(self):
+        return self.gateway.read_clock() - self._dispatcher.sent_s
+
+    def _is_faster_elsewhere(self, upstream, waited_s):
+        """Return whether another upstream would begin the request much sooner."""
+        view = self.gateway.views.get()
+        others = [
+            each
+            for each in view.list_upstreams(upstream.service)
+            if each.software_version == upstream.software_version
+            and each.boot_id not in self._excluded_boot_ids | {upstream.boot_id}
+        ]
+        now = self.gateway.read_clock()
+        placed = self.gateway.chooser.preview(
+            view, others, self.request, self.route, now
         )
+        if placed is None or placed.expected_wait_s is None:
+            return False
+        expected_s = placed.expected_wait_s + self._dispatcher.prefill_s
+        return expected_s < waited_s * FASTER_RATIO
 
     def _watch_overdue(self, choice):
         is_stream = self.route.kind is _model.RouteKind.STREAM
@@ -353,24 +395,12 @@
         expected_s = choice.expected_wait_s + self._dispatcher.prefill_s
         self.gateway.overdue.watch(self, expected_s, self._dispatcher.sent_s)
 
-    def _record_prompt_read(self, upstream, waited_s, now):
-        """Count the prompt of the request as read, where hosts share their loads."""
-        if self.request.prompt is None or self._choice.work_ahead is None:
-            return
-        self.gateway.table.reduce_work(upstream, self._active_work)
-        self.gateway.chooser.placer.record_begun(
-            upstream.service,
-            self._choice.work_ahead + self._active_work,
-            waited_s,
-            now,
-        )
-        self._active_work = 0.0
-
     def _handle_failure(self, choice, failure):
         """Handle a failed attempt; return a refusal if no other attempt follows."""
         upstream = choice.upstream
         refusal = failure.refusal
         self.log.record_failed(upstream, refusal.reason)
+        self._rollout_watch.record_failure(failure)
         self.finish()
         self._add_refusal(refusal)
         if failure.head is not None:
--- a/sycamorespoke/gateway/_chooser.py
+++ b/sycamorespoke/gateway/_chooser.py
@@ -4,8 +4,14 @@
 
 import attrs
 
-from sycamorespoke import decisions, domain
-from sycamorespoke.gateway import _candidates, _placing, _prompt_work, _rate_limiter
+from sycamorespoke import decisions, domain, rollouts
+from sycamorespoke.gateway import (
+    _candidates,
+    _placing,
+    _prompt_work,
+    _rate_limiter,
+    _version_plan,
+)
 
 # Requests stop going to engines with older weights this long before the grace period
 # ends, or earlier by as much as requests wait there.
@@ -85,6 +91,8 @@
     shared_load_hosts : int, default=0
         Number of entry hosts from which on requests are placed by the expected wait;
         0 for never.
+    known_rollouts : rollouts.Rollouts or None, default=None
+        Rollouts of software versions, if they are followed.
 
     Attributes
     ----------
@@ -101,10 +109,12 @@
         loads,
         generator=None,
         shared_load_hosts=0,
+        known_rollouts=None,
     ):
         self.host = host
         self.table = table
         self.limits = limits
+        self.known_rollouts = known_rollouts
         self.rate_limiter = _rate_limiter.RateLimiter(host, limits)
         self.placer = _placing.Placer(
             data_centre, loads, shared_load_hosts, generator=generator
@@ -141,12 +151,58 @@
                 for upstream in view.list_upstreams(service)
                 if _candidates.is_candidate(upstream, excluded, origin, reasons)
             ]
-            result = self._choose_among(view, upstreams, request, route, now, reasons)
-            if isinstance(result, Choice):
-                return result
-            refusal = result or refusal
+            planned = rollouts.PlannedRequest(
+                service, route.name, request.id, bool(excluded), origin is not None
+            )
+            plan = _version_plan.make(
+                self.known_rollouts, planned, view, upstreams, reasons, now
+            )
+            for group in plan.groups:
+                result = self._choose_among(view, group, request, route, now, reasons)
+                if isinstance(result, Choice):
+                    _version_plan.settle(self.known_rollouts, plan, result.upstream)
+                    return result
+                refusal = result or refusal
+            _version_plan.settle(self.known_rollouts, plan, None)
         return refusal or _candidates.make_refusal(reasons)
 
+    def preview(self, view, upstreams, request, route, now):
+        """Place a request without reserving anything for it, as `choose` does.
+
+        Parameters
+        ----------
+        view : View
+            Current view of the deployment.
+        upstreams : list of Upstream
+            Upstreams of one service that come into question.
+        request : Request
+            The request.
+        route : Route
+            Its route.
+        now : float
+            Current time, seconds of the boot clock.
+
+        Returns
+        -------
+        Placed or None
+            ``None`` if none of them may get requests.
+        """
+        states_by_boot = self.table.read(upstreams)
+        availability_by_boot = _candidates.assess_all(
+            view, upstreams, states_by_boot, now
+        )
+        upstreams = [
+            each
+            for each in upstreams
+            if availability_by_boot[each.boot_id].find_bar() is None
+        ]
+        upstreams = _candidates.select_preferred(
+            upstreams, states_by_boot, availability_by_boot, now
+        )
+        if not upstreams:
+            return None
+        return self.placer.place(view, upstreams, states_by_boot, request, route, now)
+
     def find_opening_s(self, view, route, now):
         """Find when an upstream of a route may get requests.
 
--- a/sycamorespoke/gateway/_gateway.py
+++ b/sycamorespoke/gateway/_gateway.py
@@ -10,6 +10,7 @@
     _held_body,
     _model,
     _requests,
+    _room_wait,
     _stream_body,
     _views,
 )
@@ -62,6 +63,10 @@
         Planned end of the process.
     read_clock : callable
         Returns the current time, seconds of the boot clock.
+    rollouts : rollouts.Rollouts or None, default=None
+        Rollouts of software versions, if they are followed.
+    room_wait : RoomWait
+        Holds less urgent requests while no engine has memory for them.
     """
 
     protocol: object
@@ -81,6 +86,8 @@
     byte_budget: object
     shutdown: object
     read_clock: object
+    rollouts: object = None
+    room_wait: object = attrs.field(factory=_room_wait.RoomWait)
 
     def __call__(self, environ, start_response):
         """Serve one request; this is the WSGI entry point."""
--- a/sycamorespoke/gateway/_placing.py
+++ b/sycamorespoke/gateway/_placing.py
@@ -32,11 +32,14 @@
         ``None`` if it is not estimated.
     work_ahead : float or None, default=None
         Estimated work of all hosts at the upstream, see `_prompt_work`.
+    memory_wait_s : float, default=0.0
+        Part of the expected wait that is for memory, seconds.
     """
 
     upstream: object
     expected_wait_s: float | None = None
     work_ahead: float | None = None
+    memory_wait_s: float = 0.0
 
 
 @attrs.frozen
@@ -185,8 +188,8 @@
 
     def _estimate_full_s(self, view, upstreams, states_by_boot, request, now):
         """Estimate how long the request waits for memory at each engine, seconds."""
-        engine = view.configuration.services_by_name[upstreams[0].service].engine
-        if engine is None:
+        service = view.configuration.services_by_name.get(upstreams[0].service)
+        if service is None or service.engine is None:
             return {}
         others_by_boot = self.loads.tokens.estimate_others(len(view.hosts), now) or {}
         needed_tokens = _prompt_work.estimate_held_tokens(request.prompt)
@@ -195,7 +198,7 @@
                 states_by_boot[each.boot_id].tokens
                 + others_by_boot.get(each.boot_id, 0.0)
                 + needed_tokens,
-                engine.cache_tokens,
+                service.engine.cache_tokens,
             )
             for each in upstreams
         }
@@ -225,7 +228,9 @@
             self.far_s,
         )
         work_ahead = work_by_boot[chosen.name]
-        return Placed(_find(upstreams, chosen.name), chosen.wait_s, work_ahead)
+        memory_wait_s = full_s_by_boot.get(chosen.name, 0.0)
+        upstream = _find(upstreams, chosen.name)
+        return Placed(upstream, chosen.wait_s, work_ahead, memory_wait_s)
 
     def _draw(self, upstreams, work_by_boot):
         candidates = [
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -4,7 +4,7 @@
 
 import loguru
 
-from sycamorespoke import quarantine, serving, telemetry
+from sycamorespoke import quarantine, rollouts, serving, telemetry
 from sycamorespoke.gateway import (
     _blocks,
     _chooser,
@@ -26,6 +26,7 @@
     _readiness,
     _request_metrics,
     _retry_budgets,
+    _rollout_states,
     _shared_source,
     _shutdown,
     _software_versions,
@@ -67,6 +68,7 @@
     """
 
     def __init__(self, gateway_settings, deployment):
+        serving.limit_arenas()
         self.settings = gateway_settings
         self.deployment = deployment
         self.state = _program_state.ProgramState(self)
@@ -125,6 +127,16 @@
         )
         self._limits = serving.CallerLimits()
         self._usable_files = max(gateway_settings.files - RESERVED_FILES, 64)
+        self.rollout_limits = rollouts.Limits(
+            gateway_settings.canary_share,
+            gateway_settings.canary_slack,
+            gateway_settings.rollback_ms / MS_PER_S,
+        )
+        self.rollouts = None
+        if gateway_settings.canary_share > 0:
+            self.rollouts = rollouts.Rollouts(
+                gateway_settings.name, self.rollout_limits
+            )
         self.gateway = self._make_gateway()
         self.server = serving.CallerServer(
             gateway_settings.listen,
@@ -145,7 +157,12 @@
             self.byte_budget,
         )
         self.tasks = _host_tasks.HostTasks(
-            gateway_settings, deployment, self.views, self.table, self.block_planner
+            gateway_settings,
+            deployment,
+            self.views,
+            self.table,
+            self.block_planner,
+            self.rollouts,
         )
         self.peering = self._make_peering()
         self.view_updater = self._make_view_updater()
@@ -158,11 +175,15 @@
             self.state.get_in_force,
             self.stop_requested.set,
         )
-        telemetry.OperatorsServer(self.settings.operators_listen, operators_app).start()
+        telemetry.OperatorsServer(
+            self.settings.operators_listen, operators_app, self.byte_budget
+        ).start()
         readiness_app = _readiness.make_readiness_app(
             self.deployment.ready_path, self.is_ready
         )
-        telemetry.OperatorsServer(self.settings.ready_listen, readiness_app).start()
+        telemetry.OperatorsServer(
+            self.settings.ready_listen, readiness_app, self.byte_budget, "ready"
+        ).start()
         self.suspension.start()
         self.gateway.version_grace.start()
         self.gateway.overdue.start()
@@ -219,6 +240,9 @@
             self._limits = view.configuration.limits
             self.server.set_limits(self._limits)
             self.forwarded_server.set_limits(_forwarded.scale_limits(self._limits))
+        if view.configuration:
+            services = view.configuration.services_by_name
+            self.gateway.chooser.placer.paces.retain(services)
 
     def stop(self):
         """Shut down gracefully.
@@ -277,6 +301,7 @@
                 self._make_limits(),
                 self.loads,
                 shared_load_hosts=settings.shared_load_hosts,
+                known_rollouts=self.rollouts,
             ),
             table=self.table,
             pool=self.pool,
@@ -306,6 +331,7 @@
             byte_budget=self.byte_budget,
             shutdown=self.shutdown,
             read_clock=serving.read_clock,
+            rollouts=self.rollouts,
         )
 
     def _make_forwarding(self):
@@ -339,6 +365,18 @@
             self.forwarded,
             self.reachability,
             self.gateway.chooser.placer.is_load_shared,
+            self._make_rollout_exchange(),
+        )
+
+    def _make_rollout_exchange(self):
+        if self.rollouts is None:
+            return None
+        return rollouts.RolloutExchange(
+            self.settings.name,
+            self.rollouts,
+            rollouts.Judge(self.rollout_limits),
+            self.views,
+            self.tasks.leases_by_name[_rollout_states.LEASE_NAME],
         )
 
     def _make_view_updater(self):
@@ -351,4 +389,5 @@
             self.software_versions,
             self.peering.choose_timing,
             self.peering.update_plan,
+            self.rollouts,
         )
--- a/sycamorespoke/gateway/_program_state.py
+++ b/sycamorespoke/gateway/_program_state.py
@@ -55,8 +55,10 @@
                 kind.value: count
                 for kind, count in program.byte_budget.count_held().items()
             },
+            "closed_connections": program.server.count_closed(),
             "relayed_objects": program.source.count_objects(),
             "stores": program.block_planner.dump(now),
+            "rollouts": self._dump_rollouts(now),
         }
 
     def refresh_gauges(self):
@@ -66,6 +68,8 @@
         now = serving.read_clock()
         view = program.views.get()
         gauge("caller_connections", program.server.count_connections())
+        for reason, count in program.server.count_closed().items():
+            gauge("closed_connections", count, reason=reason)
         gauge("is_ready", int(program.is_ready()))
         for kind in decisions.ContentKind:
             count = view.crashes.count_quarantined(kind)
@@ -84,13 +88,30 @@
         for (service, state), count in counts.items():
             gauge("upstreams", count, service=service, state=state)
         self._refresh_links(view, now)
+        gauge("held_requests", program.gateway.room_wait.held)
+        gauge("holds_for_memory", program.gateway.room_wait.holds)
         placer = program.gateway.chooser.placer
         for service, load in placer.summarize(view, program.table, now).items():
             gauge("unread_mean_seconds", load.mean_wait_s, service=service)
             gauge("unread_max_seconds", load.max_wait_s, service=service)
             gauge("work_unit_seconds", load.s_per_unit, service=service)
+        self._refresh_rollouts(now)
         gauge("weights_pending_seconds", self._compute_weights_pending_s(view, now))
 
+    def _dump_rollouts(self, now):
+        known = self.program.rollouts
+        return {} if known is None else known.dump(now)
+
+    def _refresh_rollouts(self, now):
+        gauge = self.program.metrics.gauge
+        for service, rollout in self._dump_rollouts(now).items():
+            gauge("rollout_fraction", rollout["fraction"], service=service)
+            gauge("rollout_requests", rollout["sent"], service=service, version="all")
+            gauge("rollout_requests", rollout["tried"], service=service, version="new")
+            for state in ("running", "completed", "rolled back"):
+                is_state = int(rollout["state"] == state)
+                gauge("rollout_state", is_state, service=service, state=state)
+
     def _compute_weights_pending_s(self, view, now):
         gate = _upstream_gate.UpstreamGate(self.program.views, self.program.table)
         engines = _engine_versions.list_engine_versions(
--- a/sycamorespoke/platform/_objects.py
+++ b/sycamorespoke/platform/_objects.py
@@ -33,11 +33,17 @@
         Revision of the store at the last change of the object.
     spec : object
         JSON value that the writer stored.
+    created_revision : object, default=0
+        JSON value of the revision at which the object was created.
+    status : object, default=None
+        JSON value of its status.
     """
 
     name: str
     revision: int
     spec: object
+    created_revision: object = 0
+    status: object = None
 
 
 def parse_object(value):
@@ -53,6 +59,8 @@
         name=clients.check_name(_field(metadata, "Name", str), "Name"),
         revision=_field(metadata, "Revision", int),
         spec=value.get("Spec"),
+        created_revision=metadata.get("CreatedRev", 0),
+        status=value.get("Status"),
     )
 
 
@@ -76,21 +84,36 @@
     MalformedObjectError
         If a field is missing or has another type.
     """
-    spec = _check_type(stored.spec, dict, "configuration")
-    services = [_parse_service(value) for value in _field(spec, "Services", list)]
-    accounts = clients.read_list(spec, "Tenants")
-    return gateway.Configuration(
-        version=_field(spec, "Version", int),
-        routes=tuple(_parse_route(value) for value in _field(spec, "Routes", list)),
-        services_by_name={service.name: service for service in services},
-        accounts_by_key=_parse_accounts(accounts),
+    entries, reader = parse_entries(stored.spec)
+    if reader.problems:
+        raise MalformedObjectError(str(reader.problems[0]))
+    return entries.build()
+
+
+def parse_entries(spec):
+    """Return the entries of a configuration, and the reader that has its problems.
+
+    Returns
+    -------
+    tuple of (gateway.ConfigurationEntries, clients.EntryReader)
+    """
+    reader = clients.EntryReader(spec, "configuration")
+    entries = gateway.ConfigurationEntries(
+        version=reader.read("Version", int),
+        routes=reader.parse_each("Routes", _parse_route),
+        services=reader.parse_each("Services", _parse_service),
+        accounts=reader.parse_each("Tenants", _parse_account, is_required=False),
         # Without this field, no request needs an API key.
         needs_key=spec.get("Tenants") is not None,
-        limits=_parse_limits(_check_type(spec.get("Limits") or {}, dict, "Limits")),
-        isolated_accounts=frozenset(
-            _field(value, "Name", str) for value in accounts if value.get("Isolated")
-        ),
+        limits=reader.parse_part("Limits", _parse_limits),
     )
+    return entries, reader
+
+
+def parse_configuration_file(value):
+    """Do as `parse_entries`, for a value that may be the object of the store."""
+    is_object = isinstance(value, dict) and "Metadata" in value
+    return parse_entries(value.get("Spec") if is_object else value)
 
 
 def parse_upstream(stored, now):
@@ -249,30 +272,27 @@
     )
 
 
-def _parse_accounts(values):
-    accounts_by_key = {}
-    for value in values:
-        priority = _check_type(value, dict, "account").get("Priority")
-        account = gateway.Account(
-            name=_field(value, "Name", str),
-            priority=None if priority is None else int(_number(priority, "Priority")),
-            is_isolated=bool(value.get("Isolated")),
-        )
-        for key in clients.read_list(value, "ApiKeys"):
-            accounts_by_key[_check_type(key, str, "ApiKeys")] = account
-    return accounts_by_key
+def _parse_account(value):
+    priority = _check_type(value, dict, "account").get("Priority")
+    account = gateway.Account(
+        name=_field(value, "Name", str),
+        priority=None if priority is None else int(_number(priority, "Priority")),
+        is_isolated=bool(value.get("Isolated")),
+    )
+    keys = clients.read_list(value, "ApiKeys")
+    keys = tuple(_check_type(key, str, "ApiKeys") for key in keys)
+    return gateway.AccountEntry(account, keys)
 
 
 def _parse_limits(value):
-    defaults = serving.CallerLimits()
-    header_bytes = int(_number(value.get("MaxHeaderBytes", 0), "MaxHeaderBytes"))
-    body_bytes = int(_number(value.get("MaxBodyBytes", 0), "MaxBodyBytes"))
-    return serving.CallerLimits(
-        header_bytes=header_bytes or defaults.header_bytes,
-        body_bytes=body_bytes or defaults.body_bytes,
-        idle_s=_duration_s(value.get("IdleTimeoutMs", 0), "IdleTimeoutMs")
-        or defaults.idle_s,
-    )
+    limits = {
+        "header_bytes": int(_number(value.get("MaxHeaderBytes", 0), "MaxHeaderBytes")),
+        "body_bytes": int(_number(value.get("MaxBodyBytes", 0), "MaxBodyBytes")),
+        "idle_s": _duration_s(value.get("IdleTimeoutMs", 0), "IdleTimeoutMs"),
+        "header_s": _duration_s(value.get("HeaderTimeoutMs", 0), "HeaderTimeoutMs"),
+    }
+    stated = {name: limit for name, limit in limits.items() if limit}
+    return serving.CallerLimits(**stated)
 
 
 def _duration_s(value_ms, key):
