Tests: the buffer of an unread response is read from the byte budget

count_buffered_bytes went when all that is held for callers came into one budget; the test of the branch on decisions under load still asked for it. The bound is the same.

--- a/tests/gateway/test_unread_streams.py
+++ b/tests/gateway/test_unread_streams.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from sycamorespoke import serving
 from sycamorespoke.gateway import _stream_body
 from tests.fakes import in_process_gateway, scripted_upstream
 
@@ -77,6 +78,7 @@
     held = []
     for _ in range(150):
         time.sleep(0.02)
-        held.append(gateway.server.count_buffered_bytes())
+        held_by_kind = gateway.byte_budget.count_held()
+        held.append(held_by_kind[serving.ByteKind.CALLER_BUFFERS])
     connection.close()
     assert 0 < max(held) <= 4 * CHUNK_BYTES
