Shared objects of the platform: a package of their own, out of gateway/

Change: seven modules and their tests move to sycamorespoke/objects/ and tests/objects/; gateway/ uses the package's public names. No logic changes.

--- a/sycamorespoke/checks/_command.py
+++ b/sycamorespoke/checks/_command.py
@@ -9,7 +9,7 @@
 import pathlib
 import sys
 
-from sycamorespoke import clients, gateway
+from sycamorespoke import clients, objects
 from sycamorespoke.checks import _report
 
 CLIENT_NAME = "check"
@@ -120,7 +120,7 @@
         clients.check_address(address, "--store")
         deployment = make_deployment(CLIENT_NAME, address)
         listing = deployment.source.list(deployment.kinds.configuration.name)
-        if isinstance(listing, gateway.Unavailable):
+        if isinstance(listing, objects.Unavailable):
             raise UnreadableError(f"{address} cannot be read: {listing.reason}")
         if len(listing.values) != 1:
             raise UnreadableError(
--- a/sycamorespoke/gateway/__init__.py
+++ b/sycamorespoke/gateway/__init__.py
@@ -38,15 +38,6 @@
     Response,
     ResponseHead,
 )
-from sycamorespoke.gateway._shared_objects import SharedObjects
-from sycamorespoke.gateway._source import (
-    Change,
-    Changes,
-    HistoryGone,
-    Listing,
-    Unavailable,
-    get_name,
-)
 from sycamorespoke.gateway._statements import Statements
 from sycamorespoke.gateway._store_index import StoreEvent, StoreEvents
 from sycamorespoke.gateway._target_versions import TargetVersion
@@ -56,8 +47,6 @@
     "Account",
     "AccountEntry",
     "BlockStore",
-    "Change",
-    "Changes",
     "Configuration",
     "ConfigurationEntries",
     "Deployment",
@@ -67,11 +56,9 @@
     "Failure",
     "Framing",
     "GatewayProgram",
-    "HistoryGone",
     "Host",
     "LeaseStore",
     "LeaseUpdate",
-    "Listing",
     "ObjectKind",
     "ObjectKinds",
     "OrderOutcome",
@@ -85,14 +72,11 @@
     "Route",
     "RouteKind",
     "Service",
-    "SharedObjects",
     "Statements",
     "StoreEvent",
     "StoreEvents",
     "TargetVersion",
-    "Unavailable",
     "Upstream",
     "VersionOrder",
-    "get_name",
     "run_process",
 ]
--- a/sycamorespoke/gateway/_lease_objects.py
+++ b/sycamorespoke/gateway/_lease_objects.py
@@ -1,7 +1,6 @@
 """Leases as objects of the store."""
 
-from sycamorespoke import clients
-from sycamorespoke.gateway import _shared_objects, _source
+from sycamorespoke import clients, objects
 
 
 class LeaseStore:
@@ -35,7 +34,7 @@
         stored = self.store.read(self.kind, _object_name(name))
         if stored is None:
             return clients.Missing()
-        if isinstance(stored, _source.Unavailable):
+        if isinstance(stored, objects.Unavailable):
             return clients.Unavailable(stored.reason)
         return clients.StoredObject(stored.spec, stored.revision)
 
@@ -85,8 +84,8 @@
         bool
             Whether the store confirmed the write.
         """
-        objects = _shared_objects.SharedObjects(self.store, self.kind)
-        return objects.write(name, value)
+        shared_objects = objects.SharedObjects(self.store, self.kind)
+        return shared_objects.write(name, value)
 
 
 def _object_name(name):
--- a/sycamorespoke/gateway/_listed_versions.py
+++ b/sycamorespoke/gateway/_listed_versions.py
@@ -4,7 +4,7 @@
 
 import loguru
 
-from sycamorespoke.gateway import _source
+from sycamorespoke import objects
 
 
 class ListedVersions:
@@ -59,7 +59,7 @@
     def _request(self):
         requested_s = self.read_clock()
         response = self.source.list(self.kind.name)
-        if isinstance(response, _source.Unavailable):
+        if isinstance(response, objects.Unavailable):
             loguru.logger.bind(reason=response.reason).info("versions not listed")
             return False
         self._upstreams = tuple(self._parse(response, requested_s))
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -4,12 +4,11 @@
 
 import loguru
 
-from sycamorespoke import quarantine, retries, rollouts, serving, telemetry
+from sycamorespoke import objects, quarantine, retries, rollouts, serving, telemetry
 from sycamorespoke.gateway import (
     _blocks,
     _chooser,
     _connections,
-    _direct_reads,
     _forwarded,
     _forwarding,
     _gateway,
@@ -25,7 +24,6 @@
     _readiness,
     _request_metrics,
     _rollout_states,
-    _shared_source,
     _shutdown,
     _software_versions,
     _stored_origins,
@@ -81,8 +79,8 @@
         self.pool = _connections.ConnectionPool()
         self.block_planner = _blocks.BlockPlanner(deployment.block_stores)
         self.suspension = _suspension.SuspensionMonitor(serving.read_clock)
-        self.source = _shared_source.SharedSource(
-            _direct_reads.DirectReads(
+        self.source = objects.SharedSource(
+            objects.DirectReads(
                 deployment.source, serving.read_clock, self.suspension.find_arrival_s
             ),
             frozenset({deployment.kinds.configuration.name}),
--- a/sycamorespoke/gateway/_retirement.py
+++ b/sycamorespoke/gateway/_retirement.py
@@ -3,8 +3,8 @@
 import loguru
 import pykka
 
-from sycamorespoke import decisions, serving
-from sycamorespoke.gateway import _orders, _source, _task_messages
+from sycamorespoke import decisions, objects, serving
+from sycamorespoke.gateway import _orders, _task_messages
 
 LEASE_NAME = "stores"
 BLOCKS_PER_REQUEST = 200
@@ -119,7 +119,7 @@
             )
             address = index.store.address
             result = self.client.free(address, keys, index.epoch, until_ms)
-            is_done = not isinstance(result, _source.Unavailable)
+            is_done = not isinstance(result, objects.Unavailable)
             loguru.logger.bind(store=address, parts=len(keys), done=is_done).info(
                 "old blocks freed"
             )
--- a/sycamorespoke/gateway/_store_follower.py
+++ b/sycamorespoke/gateway/_store_follower.py
@@ -4,8 +4,7 @@
 
 import loguru
 
-from sycamorespoke import serving
-from sycamorespoke.gateway import _source
+from sycamorespoke import objects, serving
 
 POLL_S = 0.5
 RETRY_S = 0.3
@@ -46,7 +45,7 @@
             return backoff_s
         address = self.index.store.address
         page = self.client.read_events(address, self.index.next_number, POLL_S)
-        if isinstance(page, _source.Unavailable):
+        if isinstance(page, objects.Unavailable):
             self.index.invalidate()
             self.index.record_unavailable(page, serving.read_clock())
             if not self._was_unavailable:
--- a/sycamorespoke/gateway/_view_updater.py
+++ b/sycamorespoke/gateway/_view_updater.py
@@ -5,9 +5,8 @@
 
 import loguru
 
-from sycamorespoke import decisions, quarantine, serving
+from sycamorespoke import decisions, objects, quarantine, serving
 from sycamorespoke.gateway import (
-    _follower,
     _orders,
     _rollout_states,
     _target_versions,
@@ -133,7 +132,7 @@
                 self._make_subscription(_views.ROLLOUTS, self._handle_rollouts)
             )
         return [
-            _follower.Follower(
+            objects.Follower(
                 self.source,
                 subscription,
                 serving.read_clock,
@@ -147,7 +146,7 @@
 
     def _make_subscription(self, section, publish, retains_missing=None):
         kind = getattr(self.kinds, section)
-        return _follower.Subscription(
+        return objects.Subscription(
             section, kind.name, kind.parse, publish, retains_missing
         )
 
--- a/sycamorespoke/gateway/_weight_load.py
+++ b/sycamorespoke/gateway/_weight_load.py
@@ -4,8 +4,8 @@
 
 import loguru
 
-from sycamorespoke import decisions, serving
-from sycamorespoke.gateway import _orders, _source
+from sycamorespoke import decisions, objects, serving
+from sycamorespoke.gateway import _orders
 
 POLL_S = 0.15
 LOAD_TIMEOUT_S = 5.0
@@ -67,7 +67,7 @@
                 return False
             report = self.rollout.engines.read_report(self.upstream)
             self._record_statements(report.statements)
-            if isinstance(report, _source.Unavailable):
+            if isinstance(report, objects.Unavailable):
                 self._log("engine does not report", reason=report.reason)
                 return False
             if report.statements.is_leaving:
--- /dev/null
+++ b/sycamorespoke/objects/__init__.py
@@ -0,0 +1,53 @@
+"""Shared objects of the platform: reads, relays and follows them, writes them."""
+
+from sycamorespoke.objects._direct_reads import (
+    DirectReads,
+)
+from sycamorespoke.objects._follower import (
+    Follower,
+    Subscription,
+)
+from sycamorespoke.objects._object_history import (
+    ObjectHistory,
+)
+from sycamorespoke.objects._revision_log import (
+    RevisionLog,
+)
+from sycamorespoke.objects._shared_objects import (
+    SharedObjects,
+)
+from sycamorespoke.objects._shared_source import (
+    RelayedPage,
+    SharedSource,
+)
+from sycamorespoke.objects._source import (
+    Change,
+    Changes,
+    HistoryGone,
+    Listing,
+    Unavailable,
+    get_confirmed_s,
+    get_metadata,
+    get_name,
+    make_removed,
+)
+
+__all__ = [
+    "Change",
+    "Changes",
+    "DirectReads",
+    "Follower",
+    "HistoryGone",
+    "Listing",
+    "ObjectHistory",
+    "RelayedPage",
+    "RevisionLog",
+    "SharedObjects",
+    "SharedSource",
+    "Subscription",
+    "Unavailable",
+    "get_confirmed_s",
+    "get_metadata",
+    "get_name",
+    "make_removed",
+]
--- a/sycamorespoke/gateway/_direct_reads.py
+++ b/sycamorespoke/objects/_direct_reads.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from sycamorespoke.gateway import _revision_log, _source
+from sycamorespoke.objects import _revision_log, _source
 
 # A watch without changes lasts so long, since other reads confirm meanwhile that
 # nothing has changed.
--- a/sycamorespoke/gateway/_follower.py
+++ b/sycamorespoke/objects/_follower.py
@@ -5,7 +5,7 @@
 import attrs
 import loguru
 
-from sycamorespoke.gateway import _source
+from sycamorespoke.objects import _source
 
 # Timeout of a watch while missing items are retained, so that they expire on time.
 MISSING_WATCH_S = 0.5
--- a/sycamorespoke/gateway/_object_history.py
+++ b/sycamorespoke/objects/_object_history.py
@@ -5,7 +5,7 @@
 import threading
 
 from sycamorespoke import messages
-from sycamorespoke.gateway import _source
+from sycamorespoke.objects import _source
 
 # A host that is further behind than this many changed objects gets all of them.
 MAX_LOGGED_CHANGES = 1000
--- a/sycamorespoke/gateway/_revision_log.py
+++ b/sycamorespoke/objects/_revision_log.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from sycamorespoke.gateway import _source
+from sycamorespoke.objects import _source
 
 # Of more changes at once, none is told apart.
 MAX_KNOWN_CHANGES = 2000
--- a/sycamorespoke/gateway/_shared_objects.py
+++ b/sycamorespoke/objects/_shared_objects.py
@@ -1,7 +1,7 @@
 """Objects of one kind in the store that hosts write for each other."""
 
 from sycamorespoke import clients
-from sycamorespoke.gateway import _source
+from sycamorespoke.objects import _source
 
 
 class SharedObjects:
--- a/sycamorespoke/gateway/_shared_source.py
+++ b/sycamorespoke/objects/_shared_source.py
@@ -5,7 +5,7 @@
 import attrs
 
 from sycamorespoke import messages
-from sycamorespoke.gateway import _object_history, _source
+from sycamorespoke.objects import _object_history, _source
 
 # Relayed state expires this long after the source confirmed it. Even if this
 # host then has to request a change from another host, the change arrives within the
--- a/sycamorespoke/gateway/_source.py
+++ b/sycamorespoke/objects/_source.py
@@ -2,8 +2,6 @@
 
 import attrs
 
-from sycamorespoke.gateway import _statements
-
 
 @attrs.frozen
 class Listing:
@@ -85,7 +83,7 @@
     reason: str
     status: int | None = None
     content: object = None
-    statements: _statements.Statements | None = None
+    statements: object = None
 
 
 def get_confirmed_s(response, now):
--- a/sycamorespoke/platform/_block_stores.py
+++ b/sycamorespoke/platform/_block_stores.py
@@ -2,7 +2,7 @@
 
 import urllib3
 
-from sycamorespoke import clients, gateway
+from sycamorespoke import clients, gateway, objects
 from sycamorespoke.platform import _names, _protocol
 
 CONNECT_TIMEOUT_S = 0.3
@@ -43,13 +43,13 @@
 
         Returns
         -------
-        gateway.StoreEvents or gateway.Unavailable
+        gateway.StoreEvents or objects.Unavailable
             `gateway.StoreEvents` has no events if none occurred within ``wait_s``.
         """
         path = f"{_names.KV_EVENTS_PATH}?Since={since}"
         headers = {"Wait-Ms": str(int(wait_s * 1000))}
         content = self._send("GET", address, path, None, headers, wait_s + WAIT_SLACK_S)
-        if isinstance(content, gateway.Unavailable):
+        if isinstance(content, objects.Unavailable):
             return content
         try:
             return gateway.StoreEvents(
@@ -65,7 +65,7 @@
                 clock_ms=clients.check_number(content["clock_ms"], "clock_ms"),
             )
         except (KeyError, clients.MalformedFieldError) as error:
-            return gateway.Unavailable(f"malformed events: {error!r}")
+            return objects.Unavailable(f"malformed events: {error!r}")
 
     def free(self, address, keys, epoch, until_ms):
         """Free blocks of a store.
@@ -84,14 +84,14 @@
 
         Returns
         -------
-        gateway.Unavailable or None
+        objects.Unavailable or None
             ``None`` if the store confirmed that the blocks are freed.
         """
         request = {"parts": keys, "Epoch": epoch, "until_ms": until_ms}
         content = self._send(
             "POST", address, _names.KV_FREE_PATH, request, None, READ_TIMEOUT_S
         )
-        return content if isinstance(content, gateway.Unavailable) else None
+        return content if isinstance(content, objects.Unavailable) else None
 
     def _send(self, method, address, path, content, headers, timeout_s):
         url = f"http://{address}{path}"
@@ -102,16 +102,16 @@
             )
             if response.status >= 300:
                 statements = _protocol.parse_statements(response)
-                return gateway.Unavailable(
+                return objects.Unavailable(
                     f"status {response.status}", response.status, statements=statements
                 )
             if not response.data:
                 return {}
             return clients.salvage_document(response.data, DIVISIBLE_KEYS)
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            return gateway.Unavailable(f"no response: {type(error).__name__}")
+            return objects.Unavailable(f"no response: {type(error).__name__}")
         except clients.MalformedDocumentError:
-            return gateway.Unavailable("the response is not JSON")
+            return objects.Unavailable("the response is not JSON")
 
 
 def _is_event(event):
--- a/sycamorespoke/platform/_deployment.py
+++ b/sycamorespoke/platform/_deployment.py
@@ -1,6 +1,6 @@
 """Implementation of `gateway.Deployment` for the platform."""
 
-from sycamorespoke import clients, gateway, quarantine
+from sycamorespoke import clients, gateway, objects, quarantine
 from sycamorespoke.platform import (
     _block_stores,
     _engines,
@@ -58,13 +58,13 @@
         if result.outcome is clients.WriteOutcome.APPLIED:
             return proposed
         stored = result.stored or self.store.read(*key_object)
-        if stored is None or isinstance(stored, gateway.Unavailable):
+        if stored is None or isinstance(stored, objects.Unavailable):
             return None
         return stored.spec if isinstance(stored.spec, str) else None
 
     def unregister(self, name):
         """Remove the entry of a host; return whether it is gone."""
-        return gateway.SharedObjects(self.store, _names.KIND_HOSTS).delete(name)
+        return objects.SharedObjects(self.store, _names.KIND_HOSTS).delete(name)
 
 
 def make_deployment(host, address):
@@ -104,8 +104,8 @@
         leases=gateway.LeaseStore(store, _names.KIND_LEASES),
         engines=_engines.EngineClient(host),
         block_stores=_block_stores.BlockStoreClient(),
-        crash_records=gateway.SharedObjects(store, _names.KIND_CRASHES),
-        stream_records=gateway.SharedObjects(store, _names.KIND_STREAMS),
+        crash_records=objects.SharedObjects(store, _names.KIND_CRASHES),
+        stream_records=objects.SharedObjects(store, _names.KIND_STREAMS),
         ready_path=_names.READY_PATH,
         rollout_states=_rollouts.RolloutStates(store),
     )
--- a/sycamorespoke/platform/_engines.py
+++ b/sycamorespoke/platform/_engines.py
@@ -2,7 +2,7 @@
 
 import urllib3
 
-from sycamorespoke import clients, gateway
+from sycamorespoke import clients, gateway, objects
 from sycamorespoke.platform import _names, _objects, _protocol
 
 CONNECT_TIMEOUT_S = 0.3
@@ -48,16 +48,16 @@
 
         Returns
         -------
-        gateway.EngineReport or gateway.Unavailable
+        gateway.EngineReport or objects.Unavailable
             Accepted orders, whether weights are being loaded, and weight versions.
         """
         url = f"http://{upstream.address}{_names.REPORT_PATH}"
         response = _send(self._pools, "GET", url, READ_TIMEOUT_S)
-        if isinstance(response, gateway.Unavailable):
+        if isinstance(response, objects.Unavailable):
             return response
         statements = _protocol.parse_statements(response)
         if response.status != 200:
-            return gateway.Unavailable(
+            return objects.Unavailable(
                 f"status {response.status}", response.status, statements=statements
             )
         try:
@@ -73,7 +73,7 @@
                 statements=statements,
             )
         except (clients.MalformedDocumentError, clients.MalformedFieldError) as error:
-            return gateway.Unavailable(f"malformed report: {error}")
+            return objects.Unavailable(f"malformed report: {error}")
 
     def order_version(self, upstream, order):
         """Order an engine to load a weight version of a model.
@@ -108,7 +108,7 @@
             response = _send(
                 pool, "POST", _names.ORDER_PATH, ORDER_TIMEOUT_S, content, headers
             )
-        if isinstance(response, gateway.Unavailable):
+        if isinstance(response, objects.Unavailable):
             return gateway.OrderResult(gateway.OrderOutcome.UNKNOWN)
         return gateway.OrderResult(
             OUTCOME_BY_STATUS.get(response.status, gateway.OrderOutcome.REFUSED),
@@ -121,4 +121,4 @@
     try:
         return clients.send_json(pool, method, url, timeout, content, headers)
     except (urllib3.exceptions.HTTPError, OSError) as error:
-        return gateway.Unavailable(f"no response: {type(error).__name__}")
+        return objects.Unavailable(f"no response: {type(error).__name__}")
--- a/sycamorespoke/platform/_store.py
+++ b/sycamorespoke/platform/_store.py
@@ -6,7 +6,7 @@
 import msgspec
 import urllib3
 
-from sycamorespoke import clients, gateway
+from sycamorespoke import clients, gateway, objects
 from sycamorespoke.platform import _names, _objects
 
 CONNECT_TIMEOUT_S = 0.5
@@ -49,14 +49,14 @@
 
         Returns
         -------
-        gateway.Listing or gateway.Unavailable
+        objects.Listing or objects.Unavailable
             Objects as JSON values, and the revision from which to watch for changes.
         """
         values = []
         after = revision = None
         while True:
             page = self._send("GET", kind, query=after and {"after": after})
-            if isinstance(page, gateway.Unavailable):
+            if isinstance(page, objects.Unavailable):
                 return page
             try:
                 # Objects may change between pages. A watch from the revision of the
@@ -65,12 +65,12 @@
                     revision = clients.read_field(page, "StoreRevision", int)
                 values.extend(clients.read_field(page, "items", list))
             except clients.MalformedFieldError as error:
-                return gateway.Unavailable(f"malformed list: {error}")
+                return objects.Unavailable(f"malformed list: {error}")
             if not page.get("HasMore"):
-                return gateway.Listing(tuple(values), revision)
-            names = [name for name in map(gateway.get_name, page["items"]) if name]
+                return objects.Listing(tuple(values), revision)
+            names = [name for name in map(objects.get_name, page["items"]) if name]
             if not names or names[-1] == after:
-                return gateway.Unavailable("malformed list: a page without names")
+                return objects.Unavailable("malformed list: a page without names")
             after = names[-1]
 
     def watch(self, kind, revision, wait_s):
@@ -87,28 +87,28 @@
 
         Returns
         -------
-        gateway.Changes, gateway.HistoryGone or gateway.Unavailable
-            `gateway.Changes` is empty if nothing changed within ``wait_s``.
-            `gateway.HistoryGone` if the store has discarded changes after
+        objects.Changes, objects.HistoryGone or objects.Unavailable
+            `objects.Changes` is empty if nothing changed within ``wait_s``.
+            `objects.HistoryGone` if the store has discarded changes after
             ``revision``; the caller must list again.
         """
         query = {"Watch": str(revision), "WaitMs": str(int(wait_s * 1000))}
         response = self._send(
             "GET", kind, query=query, timeout_s=wait_s + WATCH_SLACK_S
         )
-        if isinstance(response, gateway.Unavailable):
-            return gateway.HistoryGone() if response.status == 410 else response
+        if isinstance(response, objects.Unavailable):
+            return objects.HistoryGone() if response.status == 410 else response
         try:
             changes = tuple(
-                gateway.Change(event["Object"], bool(event.get("Deleted")))
+                objects.Change(event["Object"], bool(event.get("Deleted")))
                 for event in clients.read_field(response, "Events", list)
                 # Of a change that cannot be read, nothing is known.
                 if isinstance(event, dict) and event.get("Object") is not None
             )
             revision = clients.read_field(response, "StoreRevision", int)
-            return gateway.Changes(changes, revision)
+            return objects.Changes(changes, revision)
         except clients.MalformedFieldError as error:
-            return gateway.Unavailable(f"malformed changes: {error}")
+            return objects.Unavailable(f"malformed changes: {error}")
 
     def read(self, kind, name):
         """Read one object.
@@ -120,11 +120,11 @@
 
         Returns
         -------
-        StoredObject, None or gateway.Unavailable
+        StoredObject, None or objects.Unavailable
             ``None`` if there is no such object.
         """
         response = self._send("GET", kind, name)
-        if isinstance(response, gateway.Unavailable):
+        if isinstance(response, objects.Unavailable):
             return None if response.status == 404 else response
         return self._parse_object(response)
 
@@ -190,7 +190,7 @@
     def _write(self, method, kind, name, value):
         body = None if value is None else msgspec.json.encode(value)
         response = self._send(method, kind, name, body=body)
-        if not isinstance(response, gateway.Unavailable):
+        if not isinstance(response, objects.Unavailable):
             return clients.WriteResult(
                 clients.WriteOutcome.APPLIED, self._parse_object_or_none(response)
             )
@@ -210,13 +210,13 @@
 
     def _parse_object_or_none(self, value):
         stored = self._parse_object(value)
-        return None if isinstance(stored, gateway.Unavailable) else stored
+        return None if isinstance(stored, objects.Unavailable) else stored
 
     def _parse_object(self, value):
         try:
             return _objects.parse_object(value)
         except _objects.MalformedObjectError as error:
-            return gateway.Unavailable(f"malformed object: {error}")
+            return objects.Unavailable(f"malformed object: {error}")
 
     def _send(self, method, kind, name="", body=None, query=None, timeout_s=None):
         path = _names.OBJECTS_PATH + kind + (f"/{name}" if name else "")
@@ -230,7 +230,7 @@
                 method, path, body=body, headers=JSON_HEADERS, timeout=timeout
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            return gateway.Unavailable(f"no response: {type(error).__name__}")
+            return objects.Unavailable(f"no response: {type(error).__name__}")
         return _decode_response(response)
 
 
@@ -241,7 +241,7 @@
             content = clients.salvage_document(response.data, DIVISIBLE_KEYS)
     if response.status >= 300:
         reason = f"status {response.status}"
-        return gateway.Unavailable(reason, status=response.status, content=content)
+        return objects.Unavailable(reason, status=response.status, content=content)
     if content is None and response.status != 204:
-        return gateway.Unavailable("the response is not JSON")
+        return objects.Unavailable("the response is not JSON")
     return content
--- a/tests/fakes/in_process_gateway.py
+++ b/tests/fakes/in_process_gateway.py
@@ -3,7 +3,7 @@
 import contextlib
 import http.client
 
-from sycamorespoke import quarantine, retries, serving, telemetry
+from sycamorespoke import objects, quarantine, retries, serving, telemetry
 from sycamorespoke.gateway import (
     _blocks,
     _chooser,
@@ -20,7 +20,6 @@
     _request_metrics,
     _shutdown,
     _software_versions,
-    _source,
     _stream_versions,
     _table,
     _version_grace,
@@ -73,9 +72,9 @@
 
     def list(self, kind):
         if self.is_away:
-            return _source.Unavailable("no response")
+            return objects.Unavailable("no response")
         known = (self.views.get().upstreams_by_id or {}).values()
-        return _source.Listing((*known, *self.joined), 1)
+        return objects.Listing((*known, *self.joined), 1)
 
 
 class InProcessGateway:
--- a/tests/fakes/rollout_fleet.py
+++ b/tests/fakes/rollout_fleet.py
@@ -8,11 +8,10 @@
 import attrs
 import pykka
 
-from sycamorespoke import clients, serving
+from sycamorespoke import clients, objects, serving
 from sycamorespoke.gateway import (
     _model,
     _orders,
-    _source,
     _statements,
     _table,
     _target_versions,
@@ -95,7 +94,7 @@
         with self._lock:
             if self._generator.random() < self.faults.rest_ratio:
                 statements = _statements.Statements(backoff_s=self.faults.rest_s)
-                return _source.Unavailable("status 503", 503, statements=statements)
+                return objects.Unavailable("status 503", 503, statements=statements)
             now = serving.read_clock() - self.report_lag_s
             self._apply_late(upstream.id, serving.read_clock())
             accepted = [
@@ -219,7 +218,7 @@
 
     def read_report(self, upstream):
         if not self._wait_alive():
-            return _source.Unavailable("host is gone")
+            return objects.Unavailable("host is gone")
         return self.fleet.engines.read_report(upstream)
 
     def order_version(self, upstream, order):
--- a/tests/gateway/test_backoff.py
+++ b/tests/gateway/test_backoff.py
@@ -6,11 +6,10 @@
 import attrs
 import pytest
 
-from sycamorespoke import serving
+from sycamorespoke import objects, serving
 from sycamorespoke.gateway import (
     _connections,
     _model,
-    _source,
     _statements,
     _store_follower,
     _store_index,
@@ -235,7 +234,7 @@
     def _refuse(self):
         self.calls += 1
         statements = _statements.Statements(backoff_s=self.backoff_s)
-        return _source.Unavailable("status 503", 503, statements=statements)
+        return objects.Unavailable("status 503", 503, statements=statements)
 
     def read_events(self, address, since, wait_s):
         return self._refuse()
--- a/tests/gateway/test_blocks.py
+++ b/tests/gateway/test_blocks.py
@@ -2,14 +2,13 @@
 
 import attrs
 
-from sycamorespoke import decisions, messages, serving
+from sycamorespoke import decisions, messages, objects, serving
 from sycamorespoke.gateway import (
     _blocks,
     _model,
     _peer_loads,
     _relay,
     _requests,
-    _shared_source,
     _store_index,
     _table,
 )
@@ -70,7 +69,7 @@
         {requester.store.address: (requester.epoch or 0, requester.next_number)}
     )
     now = serving.read_clock()
-    source = _shared_source.SharedSource(None, frozenset(), serving.read_clock)
+    source = objects.SharedSource(None, frozenset(), serving.read_clock)
     reply = _relay.make_reply(
         [reader],
         source,
--- a/tests/gateway/test_facts_at_start.py
+++ b/tests/gateway/test_facts_at_start.py
@@ -1,7 +1,6 @@
 """What a host that has only just started, or regained its source, takes for granted."""
 
-from sycamorespoke import decisions, retries
-from sycamorespoke.gateway import _follower, _source
+from sycamorespoke import decisions, objects, retries
 from tests.gateway import test_stored_origins
 
 
@@ -43,14 +42,14 @@
     # Entries are removed after 3.6 s of silence, so no outage of 0.3 s removes one.
     now = 100.0
     source = ScriptedSource(
-        _source.Listing(({"Metadata": {"Name": "i1", "Revision": 1}},), 1),
-        _source.Unavailable("the watch was cut off"),
-        _source.Listing((), 2),
+        objects.Listing(({"Metadata": {"Name": "i1", "Revision": 1}},), 1),
+        objects.Unavailable("the watch was cut off"),
+        objects.Listing((), 2),
     )
-    subscription = _follower.Subscription(
+    subscription = objects.Subscription(
         "upstreams", "servers", lambda value, now: value, lambda *_: None, bool
     )
-    follower = _follower.Follower(
+    follower = objects.Follower(
         source,
         subscription,
         lambda: now,
--- a/tests/gateway/test_retirement.py
+++ b/tests/gateway/test_retirement.py
@@ -2,12 +2,11 @@
 
 import pytest
 
-from sycamorespoke import serving
+from sycamorespoke import objects, serving
 from sycamorespoke.gateway import (
     _blocks,
     _model,
     _retirement,
-    _source,
     _statements,
     _store_index,
     _target_versions,
@@ -123,7 +122,7 @@
     index = make_index(("v1 m", "old"))
     client = StoreClient()
     statements = _statements.Statements(backoff_s=600.0)
-    overloaded = _source.Unavailable("status 503", 503, statements=statements)
+    overloaded = objects.Unavailable("status 503", 503, statements=statements)
     index.record_unavailable(overloaded, serving.read_clock())
     step(start(index, client))
     assert client.freed == []
--- a/tests/gateway/test_target_age.py
+++ b/tests/gateway/test_target_age.py
@@ -5,7 +5,7 @@
 import attrs
 import pytest
 
-from sycamorespoke import decisions, domain, serving
+from sycamorespoke import decisions, domain, objects, serving
 from sycamorespoke.gateway import (
     _chooser,
     _deployment,
@@ -13,7 +13,6 @@
     _peer_loads,
     _requests,
     _software_versions,
-    _source,
     _table,
     _target_versions,
     _view_updater,
@@ -135,15 +134,15 @@
 
 
 def list_target(version, revision):
-    return _source.Listing((make_target(version, revision),), revision)
+    return objects.Listing((make_target(version, revision),), revision)
 
 
 def change_target(version, revision):
-    change = _source.Change(make_target(version, revision), False)
-    return _source.Changes((change,), revision)
+    change = objects.Change(make_target(version, revision), False)
+    return objects.Changes((change,), revision)
 
 
-NO_CHANGES = _source.Changes((), 7)
+NO_CHANGES = objects.Changes((), 7)
 
 
 @pytest.fixture
@@ -171,7 +170,7 @@
     host = FollowingHost(clock, {"i1": 1, "i2": 2})
     host.step(list_target(1, 7))
     clock.now += 0.5
-    host.step(_source.Unavailable("no response"))
+    host.step(objects.Unavailable("no response"))
     clock.now += 5.0
     host.step(list_target(2, 8))
     assert host.choose_versions() == {2}
@@ -202,7 +201,7 @@
     host = FollowingHost(clock, {"i1": 1, "i2": 1})
     host.step(list_target(1, 7))
     clock.now += 0.2
-    host.step(_source.Unavailable("no response"))
+    host.step(objects.Unavailable("no response"))
     clock.now += 0.8
     host.step(list_target(2, 8))
     clock.now += 1.0
@@ -215,7 +214,7 @@
     clock.now += 0.3
     host.step(change_target(2, 8))
     clock.now += 3.0
-    host.step(_source.Changes((), 8))
+    host.step(objects.Changes((), 8))
     host.step(change_target(3, 9))
     clock.now += 1.2
     assert host.choose_versions() == {2}
@@ -241,8 +240,8 @@
     host.step(list_target(1, 7))
     see_named(host, clock, 2, 8)
     clock.now += 3.5
-    deleted = _source.Change(make_target(2, 9), True)
-    host.step(_source.Changes((deleted,), 9))
+    deleted = objects.Change(make_target(2, 9), True)
+    host.step(objects.Changes((deleted,), 9))
     clock.now += 0.2
     host.step(change_target(2, 10))
     clock.now += 1.3
@@ -256,7 +255,7 @@
     clock.now += 3.5
     malformed = make_target(2, 9)
     del malformed["Spec"]
-    host.step(_source.Changes((_source.Change(malformed, False),), 9))
+    host.step(objects.Changes((objects.Change(malformed, False),), 9))
     assert host.views.get().targets_by_model[MODEL].version == 2
     clock.now += 0.2
     host.step(change_target(2, 10))
--- a/tests/gateway/test_time.py
+++ b/tests/gateway/test_time.py
@@ -7,7 +7,7 @@
 import pytest
 
 import sycamorespoke
-from sycamorespoke import gateway, serving
+from sycamorespoke import objects, serving
 from sycamorespoke.platform import _store
 from tests.fakes import object_store, scripted_upstream
 from tests.soak import proxy
@@ -76,7 +76,7 @@
         loopback.set_mode(mode)
         fake_store.put("k", "a", 2)
         response = store.watch("k", revision, 0.1)
-        assert isinstance(response, gateway.Unavailable)
+        assert isinstance(response, objects.Unavailable)
         loopback.set_mode(proxy.Mode.PASS)
         listing = store.list("k")
         assert [value["Spec"] for value in listing.values] == [2]
--- a/tests/gateway/test_view_updater.py
+++ b/tests/gateway/test_view_updater.py
@@ -3,15 +3,13 @@
 import attrs
 import pytest
 
-from sycamorespoke import decisions, rollouts
+from sycamorespoke import decisions, objects, rollouts
 from sycamorespoke.gateway import (
     _deployment,
-    _follower,
     _model,
     _orders,
     _rollout_states,
     _software_versions,
-    _source,
     _table,
     _view_updater,
     _views as views_module,
@@ -74,7 +72,7 @@
             {"Metadata": {"Name": name, "Revision": self.revision}, "Spec": item}
             for name, item in items_by_name.items()
         )
-        return _source.Listing(values, self.revision)
+        return objects.Listing(values, self.revision)
 
     def list_all_kinds(self):
         self.revision += 1
@@ -137,7 +135,7 @@
     harness.announce(7)
     with pytest.raises(ValueError, match="not a load announcement"):
         harness.list_all_kinds()
-    assert isinstance(follower, _follower.Follower)
+    assert isinstance(follower, objects.Follower)
     announcement = _orders.LoadAnnouncement([], {UPSTREAM.boot_id: {"m": 2}})
     harness.announce(announcement.to_value())
     harness.list_all_kinds()
--- a/tests/gateway/test_weight_rollout.py
+++ b/tests/gateway/test_weight_rollout.py
@@ -5,11 +5,10 @@
 import attrs
 import pytest
 
-from sycamorespoke import serving
+from sycamorespoke import objects, serving
 from sycamorespoke.gateway import (
     _model,
     _orders,
-    _source,
     _statements,
     _table,
     _target_versions,
@@ -53,9 +52,9 @@
         if engine.report_backoff_s is not None:
             statements = _statements.Statements(backoff_s=engine.report_backoff_s)
             engine.report_backoff_s = None
-            return _source.Unavailable("status 503", 503, statements=statements)
+            return objects.Unavailable("status 503", 503, statements=statements)
         if engine.is_unreachable:
-            return _source.Unavailable("unreachable")
+            return objects.Unavailable("unreachable")
         versions_by_model = {MODEL: engine.version}
         statements = _statements.Statements(is_leaving=engine.is_leaving)
         return _orders.EngineReport(engine.orders, False, versions_by_model, statements)
--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -17,11 +17,11 @@
     _forwarding,
     _listed_versions,
     _origin_directory,
-    _revision_log,
     _stored_origins,
     _stream_body,
     _table,
 )
+from sycamorespoke.objects import _revision_log
 from sycamorespoke.quarantine import _quarantine
 from sycamorespoke.rollouts import (
     _listed_versions as _rollout_versions,
--- a/tests/gateway/test_direct_reads.py
+++ b/tests/objects/test_direct_reads.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from sycamorespoke.gateway import _direct_reads, _source, _suspension
+from sycamorespoke.gateway import _suspension
+from sycamorespoke.objects import _direct_reads, _source
 
 KINDS = ("config", "servers", "evacuations", "versions", "hosts", "leases", "crashes")
 WAIT_S = 0.3
--- a/tests/gateway/test_follower.py
+++ b/tests/objects/test_follower.py
@@ -4,7 +4,7 @@
 import pytest
 
 from sycamorespoke import decisions
-from sycamorespoke.gateway import _follower, _source
+from sycamorespoke.objects import _follower, _source
 
 
 def make_value(name, revision, number):
--- a/tests/gateway/test_object_history.py
+++ b/tests/objects/test_object_history.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from sycamorespoke.gateway import _shared_source, _source
+from sycamorespoke.objects import _shared_source, _source
 
 LARGE = "large"
 SMALL = "small"
--- a/tests/gateway/test_shared_source.py
+++ b/tests/objects/test_shared_source.py
@@ -6,15 +6,10 @@
 import pytest
 
 from sycamorespoke import messages
-from sycamorespoke.gateway import (
-    _object_history,
-    _peer_loads,
-    _relay,
-    _shared_source,
-    _source,
-    _table,
-)
-from tests.gateway import test_follower, test_table
+from sycamorespoke.gateway import _peer_loads, _relay, _table
+from sycamorespoke.objects import _object_history, _shared_source, _source
+from tests.gateway import test_table
+from tests.objects import test_follower
 
 KIND = "things"
 LARGE = "large"
--- a/tests/platform/test_cut_heads.py
+++ b/tests/platform/test_cut_heads.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sycamorespoke import clients, gateway
+from sycamorespoke import clients, gateway, objects
 from sycamorespoke.platform import _block_stores, _engines, _store
 from tests.fakes import cut_heads, scripted_upstream
 
@@ -39,7 +39,7 @@
             script.sent = 0
             for _ in range(script.count):
                 result = read()
-                assert isinstance(result, gateway.Unavailable)
+                assert isinstance(result, objects.Unavailable)
                 assert result.status is None
 
 
@@ -71,7 +71,7 @@
     with serve(serve_pages) as address:
         store = _store.ObjectStoreClient(address)
         for _ in range(cut.count):
-            assert isinstance(store.list("k"), gateway.Unavailable)
+            assert isinstance(store.list("k"), objects.Unavailable)
     assert cut.sent == cut.count
 
 
@@ -81,7 +81,7 @@
         upstream = gateway.Upstream("i-1", 1, "s", address, "dc-1")
         for _ in range(script.count):
             report = engine.read_report(upstream)
-            assert isinstance(report, gateway.Unavailable)
+            assert isinstance(report, objects.Unavailable)
             assert report.status is None
         script.sent = 0
         for _ in range(script.count):
@@ -94,10 +94,10 @@
         client = _block_stores.BlockStoreClient()
         for _ in range(script.count):
             events = client.read_events(address, 0, 0.0)
-            assert isinstance(events, gateway.Unavailable)
+            assert isinstance(events, objects.Unavailable)
             assert events.status is None
         script.sent = 0
         for _ in range(script.count):
             result = client.free(address, [("s", "b")], 1, 0)
-            assert isinstance(result, gateway.Unavailable)
+            assert isinstance(result, objects.Unavailable)
             assert result.status is None
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -7,8 +7,7 @@
 import pytest
 from hypothesis import strategies
 
-from sycamorespoke import decisions, gateway, messages
-from sycamorespoke.gateway import _follower, _shared_source
+from sycamorespoke import decisions, messages, objects
 from sycamorespoke.platform import _engines, _objects, _store
 
 KIND = "servers"
@@ -61,12 +60,12 @@
 
     def __init__(self, fake_store):
         self.published = {}
-        self.source = _shared_source.SharedSource(
+        self.source = objects.SharedSource(
             _store.ObjectStoreClient(fake_store.address), frozenset(), lambda: 100.0
         )
-        self.follower = _follower.Follower(
+        self.follower = objects.Follower(
             self.source,
-            _follower.Subscription(KIND, KIND, self._parse, self._publish),
+            objects.Subscription(KIND, KIND, self._parse, self._publish),
             lambda: 100.0,
             lambda section, now: None,
             lambda: decisions.WatchTiming(0.0, 0.0),
@@ -222,7 +221,7 @@
 def test_an_envelope_of_any_form_is_parsed_or_refused(envelope):
     with pytest.raises(ValueError, match=r"."):
         _objects.parse_object(envelope)
-    assert gateway.get_name(envelope) == ""
+    assert objects.get_name(envelope) == ""
 
 
 class ScriptedPool:
@@ -254,4 +253,4 @@
         {"Metadata": {"Name": "x", "Revision": 7}, "Spec": UPSTREAM}
     )
     upstream = _objects.parse_upstream(stored, 0.0)
-    assert isinstance(client.read_report(upstream), gateway.Unavailable)
+    assert isinstance(client.read_report(upstream), objects.Unavailable)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,6 +1,6 @@
 """Tests of the client of the object store, and of leases in the store."""
 
-from sycamorespoke import clients, decisions, gateway, membership
+from sycamorespoke import clients, decisions, gateway, membership, objects
 from sycamorespoke.platform import _store
 
 
@@ -25,11 +25,11 @@
     store = _store.ObjectStoreClient(fake_store.address)
     fake_store.put("k", "a", 1)
     fake_store.discard_history()
-    assert store.watch("k", 1, 0.0) == gateway.HistoryGone()
+    assert store.watch("k", 1, 0.0) == objects.HistoryGone()
     fake_store.is_unavailable = True
-    assert isinstance(store.watch("k", 1, 0.0), gateway.Unavailable)
-    assert isinstance(store.list("k"), gateway.Unavailable)
-    assert isinstance(store.read("k", "a"), gateway.Unavailable)
+    assert isinstance(store.watch("k", 1, 0.0), objects.Unavailable)
+    assert isinstance(store.list("k"), objects.Unavailable)
+    assert isinstance(store.read("k", "a"), objects.Unavailable)
 
 
 def test_changes_too_large_to_hold_are_given_up_and_a_list_follows(fake_store):
@@ -37,7 +37,7 @@
     store = _store.ObjectStoreClient(fake_store.address)
     for number in range(12):
         fake_store.put("k", "main", {"n": number, "text": "x" * 900_000})
-    assert isinstance(store.watch("k", 1, 0.0), gateway.Unavailable)
+    assert isinstance(store.watch("k", 1, 0.0), objects.Unavailable)
     (value,) = store.list("k").values
     assert value["Spec"]["n"] == 11
 
