Era of the store, its revision and lost histories in logs and metrics

Change: the adapter reads Store-Era; a rise, a revision that falls within an era and a 410 are logged and counted (store_era, store_era_changes, store_histories_gone); a lease that is acquired or lost is logged with its revision; a message that a library repeats is written once in 5 s, with a count. No decision changes.

--- a/sycamorespoke/domain/__init__.py
+++ b/sycamorespoke/domain/__init__.py
@@ -31,11 +31,18 @@
 )
 from sycamorespoke.domain._host import Host, HostList, HostRole, HostState
 from sycamorespoke.domain._link import Link, link_key
+from sycamorespoke.domain._revision import (
+    MAX_ERA,
+    get_era,
+    get_number,
+    make_revision,
+)
 from sycamorespoke.domain._upstream import LoadReport
 
 __all__ = [
     "BLOCK_TOKENS",
     "ERROR_RESPONSE_BY_KIND",
+    "MAX_ERA",
     "Block",
     "BlockChain",
     "ClientAccount",
@@ -61,7 +68,10 @@
     "UpstreamKind",
     "chain_block_keys",
     "count_tokens",
+    "get_era",
+    "get_number",
     "hash_api_key",
     "link_key",
+    "make_revision",
     "split_prompt",
 ]
--- a/sycamorespoke/gateway/_deployment.py
+++ b/sycamorespoke/gateway/_deployment.py
@@ -12,7 +12,8 @@
     protocol : object
         Parses and builds HTTP requests and responses, see `Gateway`.
     source : object
-        Source of shared objects, see `Follower`.
+        Source of shared objects, see `objects.Follower`; its ``history`` is an
+        `objects.StoreHistory`.
     kinds : ObjectKinds
         Names and parsers of the kinds of shared objects.
     registry : object
--- a/sycamorespoke/gateway/_program_state.py
+++ b/sycamorespoke/gateway/_program_state.py
@@ -38,6 +38,10 @@
                 section: round(now - confirmed_s, 3)
                 for section, confirmed_s in view.confirmed_s_by_section.items()
             },
+            "store": {
+                "era": program.deployment.source.history.era,
+                "revision": program.deployment.source.history.revision,
+            },
             "hosts": sorted(view.hosts),
             "data_centres_out": sorted(view.data_centres_out or ()),
             "versions": {
@@ -88,6 +92,7 @@
         counts = _upstream_counts.count_states(program.table, view, now)
         for (service, state), count in counts.items():
             gauge("upstreams", count, service=service, state=state)
+        self._refresh_store()
         self._refresh_links(view, now)
         gauge("silent_upstreams", program.gateway.contacts.count_silent(now))
         gauge("held_requests", program.gateway.room_wait.held)
@@ -100,6 +105,13 @@
         self._refresh_rollouts(now)
         gauge("weights_pending_seconds", self._compute_weights_pending_s(view, now))
 
+    def _refresh_store(self):
+        history = self.program.deployment.source.history
+        gauge = self.program.metrics.gauge
+        gauge("store_era", history.era)
+        gauge("store_era_changes", history.era_changes)
+        gauge("store_histories_gone", history.gone_count)
+
     def _dump_rollouts(self, now):
         known = self.program.rollouts
         return {} if known is None else known.dump(now)
--- a/sycamorespoke/gateway/_task_lease.py
+++ b/sycamorespoke/gateway/_task_lease.py
@@ -2,7 +2,7 @@
 
 import loguru
 
-from sycamorespoke import decisions, membership
+from sycamorespoke import decisions, domain, membership
 
 # A holder that has not renewed the lease for this fraction of its duration is late.
 LATE_RATIO = 0.5
@@ -182,7 +182,11 @@
             self._was_held = is_held
             event = "lease acquired" if is_held else "lease lost"
             loguru.logger.bind(
-                lease=self.name, fencing_number=self.fencing_number
+                lease=self.name,
+                fencing_number=self.fencing_number,
+                era=domain.get_era(self.keeper.seen_version),
+                number=domain.get_number(self.keeper.seen_version),
+                last_holder=self.keeper.last_holder,
             ).info(event)
 
     def _log_waiting(self, now):
--- a/sycamorespoke/gateway/_view_updater.py
+++ b/sycamorespoke/gateway/_view_updater.py
@@ -152,6 +152,11 @@
 
     def _handle_configuration(self, items_by_name, now):
         for configuration in items_by_name.values():
+            current = self.views.get().configuration
+            if current is not None and configuration.version < current.version:
+                loguru.logger.bind(
+                    version=configuration.version, in_force=current.version
+                ).warning("older configuration not taken")
             if self.views.set_configuration(configuration):
                 self.on_configuration(self.views.get())
                 loguru.logger.bind(
--- a/sycamorespoke/membership/_lease_keeper.py
+++ b/sycamorespoke/membership/_lease_keeper.py
@@ -71,6 +71,12 @@
         seen = self._state.seen
         return seen.record.holder if seen is not None and seen.record else ""
 
+    @property
+    def seen_version(self):
+        """Newest known version of the lease object; 0 if none is known."""
+        seen = self._state.seen
+        return seen.version if seen is not None else 0
+
     @property
     def released(self):
         """The `decisions.SeenLease` of a release, ``None`` if there is a holder."""
--- a/sycamorespoke/objects/__init__.py
+++ b/sycamorespoke/objects/__init__.py
@@ -31,6 +31,7 @@
     get_name,
     make_removed,
 )
+from sycamorespoke.objects._store_history import StoreHistory
 
 __all__ = [
     "Change",
@@ -44,6 +45,7 @@
     "RevisionLog",
     "SharedObjects",
     "SharedSource",
+    "StoreHistory",
     "Subscription",
     "Unavailable",
     "get_confirmed_s",
--- /dev/null
+++ b/sycamorespoke/objects/_store_history.py
@@ -0,0 +1,78 @@
+"""What the responses of a store show of its history: its era, and its revision."""
+
+import threading
+
+import loguru
+
+from sycamorespoke import domain
+
+
+class StoreHistory:
+    """Follows the era of a store by its responses; thread-safe.
+
+    Attributes
+    ----------
+    era : int
+        Newest era that a response stated; 0 before any.
+    revision : int
+        Newest revision of the store.
+    era_changes : int
+        How often the era has risen since the first response.
+    gone_count : int
+        How often the store did not have the changes that a watch asked for.
+    """
+
+    def __init__(self):
+        self.era = 0
+        self.revision = 0
+        self.era_changes = 0
+        self.gone_count = 0
+        self._has_era = False
+        self._lock = threading.Lock()
+
+    def record_era(self, era):
+        """Record the era that a response states."""
+        with self._lock:
+            if era <= self.era and self._has_era:
+                return
+            is_change = self._has_era
+            before, self.era, self._has_era = self.era, era, True
+            if not is_change:
+                return
+            self.era_changes += 1
+            number = domain.get_number(self.revision)
+        loguru.logger.bind(era=era, era_before=before, number_before=number).warning(
+            "store is back from an older copy"
+        )
+
+    def record_revision(self, revision, revision_before):
+        """Record the revision of the store that a response states.
+
+        Parameters
+        ----------
+        revision : int
+            The revision.
+        revision_before : int
+            What `revision` was before the request was sent. Within an era, a response
+            that is not stale states none below it.
+        """
+        with self._lock:
+            self.revision = max(self.revision, revision)
+        is_same_era = domain.get_era(revision) == domain.get_era(revision_before)
+        if is_same_era and revision < revision_before:
+            loguru.logger.bind(
+                era=domain.get_era(revision),
+                number=domain.get_number(revision),
+                number_before=domain.get_number(revision_before),
+            ).warning("store went back within an era")
+
+    def record_gone(self, kind, revision):
+        """Record that the store lacks the changes of a kind since a revision."""
+        with self._lock:
+            self.gone_count += 1
+        loguru.logger.bind(
+            kind=kind,
+            era=domain.get_era(revision),
+            number=domain.get_number(revision),
+            store_era=self.era,
+        ).info("store lacks the changes since a revision")
--- a/sycamorespoke/platform/_names.py
+++ b/sycamorespoke/platform/_names.py
@@ -44,6 +44,8 @@
 SERVER_LIMIT = "Server-Limit"
 # "1" in all responses of an upstream that is about to stop.
 SERVER_LEAVING = "Server-Leaving"
+# In responses of the store; rises when it comes back from an older copy.
+STORE_ERA = "Store-Era"
 
 # Set only by the system or consumed by it; never forwarded from a caller.
 SYSTEM_HEADERS = frozenset(
--- a/sycamorespoke/platform/_store.py
+++ b/sycamorespoke/platform/_store.py
@@ -27,9 +27,15 @@
     ----------
     address : str
         IP address and port of the store.
+
+    Attributes
+    ----------
+    history : objects.StoreHistory
+        What the responses show of the history of the store.
     """
 
     def __init__(self, address):
+        self.history = objects.StoreHistory()
         host, _, port = address.rpartition(":")
         self._pool = clients.ReplyPool(
             host,
@@ -54,6 +60,7 @@
         """
         values = []
         after = revision = None
+        revision_before = self.history.revision
         while True:
             page = self._send("GET", kind, query=after and {"after": after})
             if isinstance(page, objects.Unavailable):
@@ -63,6 +70,7 @@
                 # first page sees all these changes.
                 if revision is None:
                     revision = clients.read_field(page, "StoreRevision", int)
+                    self.history.record_revision(revision, revision_before)
                 values.extend(clients.read_field(page, "items", list))
             except clients.MalformedFieldError as error:
                 return objects.Unavailable(f"malformed list: {error}")
@@ -93,11 +101,15 @@
             ``revision``; the caller must list again.
         """
         query = {"Watch": str(revision), "WaitMs": str(int(wait_s * 1000))}
+        revision_before = self.history.revision
         response = self._send(
             "GET", kind, query=query, timeout_s=wait_s + WATCH_SLACK_S
         )
         if isinstance(response, objects.Unavailable):
-            return objects.HistoryGone() if response.status == 410 else response
+            if response.status != 410:
+                return response
+            self.history.record_gone(kind, revision)
+            return objects.HistoryGone()
         try:
             changes = tuple(
                 objects.Change(event["Object"], bool(event.get("Deleted")))
@@ -106,6 +118,7 @@
                 if isinstance(event, dict) and event.get("Object") is not None
             )
             revision = clients.read_field(response, "StoreRevision", int)
+            self.history.record_revision(revision, revision_before)
             return objects.Changes(changes, revision)
         except clients.MalformedFieldError as error:
             return objects.Unavailable(f"malformed changes: {error}")
@@ -231,9 +244,14 @@
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return objects.Unavailable(f"no response: {type(error).__name__}")
+        self.history.record_era(_parse_era(response))
         return _decode_response(response)
 
 
+def _parse_era(response):
+    return clients.parse_integer(response.headers.get(_names.STORE_ERA)) or 0
+
+
 def _decode_response(response):
     content = None
     with contextlib.suppress(clients.MalformedDocumentError):
--- a/sycamorespoke/telemetry/_logs.py
+++ b/sycamorespoke/telemetry/_logs.py
@@ -10,6 +10,9 @@
 from sycamorespoke.telemetry import _rate_limit, _sink
 
 SUPPRESSED_REPORT_INTERVAL_S = 1.0
+# A message that a library repeats, whatever its arguments, is written this often.
+REPEATED_INTERVAL_S = 5.0
+MAX_REPEATED_MESSAGES = 100
 
 
 def configure_logging(host, level="INFO", stream=None):
@@ -82,13 +85,39 @@
 
 
 class _LoguruHandler(logging.Handler):
-    """Forwards records of the standard ``logging`` module to loguru."""
+    """Forwards records of the standard ``logging`` module to loguru.
+
+    Records that a library repeats in large numbers are counted, so that they do not
+    take the place of the lines that tell what happens.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self._repeated_by_message = {}
 
     def emit(self, record):
+        left_out = self._count_left_out(record)
+        if left_out is None:
+            return
         exception = record.exc_info[1] if record.exc_info else None
         logger = loguru.logger.bind(library=record.name)
+        if left_out:
+            logger = logger.bind(left_out=left_out)
         logger.opt(exception=exception).log(record.levelname, record.getMessage())
 
+    def _count_left_out(self, record):
+        """Return how many equal records were left out; ``None`` if this one is, too."""
+        message = record.name, record.msg
+        written_s, left_out = self._repeated_by_message.get(message, (None, 0))
+        now = record.created
+        if written_s is not None and 0 <= now - written_s < REPEATED_INTERVAL_S:
+            self._repeated_by_message[message] = (written_s, left_out + 1)
+            return None
+        if len(self._repeated_by_message) >= MAX_REPEATED_MESSAGES:
+            self._repeated_by_message.clear()
+        self._repeated_by_message[message] = (now, 0)
+        return left_out
+
 
 def format_record(host, record):
     """Format a log record as a JSON line.
