--- a/tests/fakes/object_store.py
+++ b/tests/fakes/object_store.py
@@ -6,11 +6,22 @@
 import time
 import urllib.parse
 
+import attrs
+
 OBJECTS_PATH = "/sycamorespoke/objects/"
 # Stands for a value in the JSON of a response, before its own bytes take its place.
 ENCODED_MARK = "encoded value "
 
 
+@attrs.frozen
+class StoreCopy:
+    """Objects of a store at one revision, and the changes until then."""
+
+    revision: int
+    objects: dict
+    events: list
+
+
 class FakeObjectStore:
     """Stores objects by kind and name.
 
@@ -21,13 +32,17 @@
     drops_responses : bool
         Whether the connection is closed, instead of a response, after a request is
         handled.
+    era : int or None
+        Era that all responses state; ``None`` for none.
     """
 
-    def __init__(self):
+    def __init__(self, era=None):
+        self.era = era
         self.revision = 1
         self.objects = {}
         self.events = []
         self._encoded_values = []
+        self._restores = 0
         self.oldest_revision = 0
         self.is_unavailable = False
         self.drops_responses = False
@@ -47,6 +62,8 @@
                     return
                 data = fake_store.encode(content)
                 self.send_response(status)
+                if fake_store.era is not None:
+                    self.send_header("Store-Era", str(fake_store.era))
                 self.send_header("Content-Length", str(len(data)))
                 self.end_headers()
                 self.wfile.write(data)
@@ -104,6 +121,27 @@
             self.oldest_revision = self.revision
             self.changed.notify_all()
 
+    def copy(self):
+        """Return a copy of all objects and their revisions, to be restored."""
+        with self.changed:
+            return StoreCopy(self.revision, dict(self.objects), list(self.events))
+
+    def restore(self, store_copy):
+        """Come back from an older copy: what was written since is gone.
+
+        Watches that wait end, and the next change gets a revision that had been given
+        out before.
+        """
+        with self.changed:
+            self.revision = store_copy.revision
+            self.objects = dict(store_copy.objects)
+            self.events = list(store_copy.events)
+            self.oldest_revision = min(self.oldest_revision, self.revision)
+            if self.era is not None:
+                self.era += 1
+            self._restores += 1
+            self.changed.notify_all()
+
     def handle(self, method, path, body):
         """Handle a request; return the status and the JSON value of the response."""
         self.requests.append((method, path))
@@ -135,9 +173,12 @@
 
     def _watch(self, kind, revision, wait_ms):
         deadline_s = time.monotonic() + wait_ms / 1000
+        restores = self._restores
         while True:
-            if revision < self.oldest_revision or self.is_unavailable:
-                return (503, {}) if self.is_unavailable else (410, {})
+            if self.is_unavailable or restores != self._restores:
+                return 503, {}
+            if not self.oldest_revision <= revision <= self.revision:
+                return 410, {}
             events = [e for r, k, e in self.events if r > revision and k == kind]
             time_left_s = deadline_s - time.monotonic()
             if events or time_left_s <= 0:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -114,3 +114,32 @@
     assert isinstance(leases.get("leases/x"), clients.Unavailable)
     assert not leases.announce("loading", ["i-2@1"])
     assert record.renewal == 0
+
+
+def test_lease_lost_by_an_older_copy_is_not_held_by_two_hosts_with_one_number(
+    fake_store,
+):
+    fake_store.era = 1
+    now = [0.0]
+    keepers_by_name = {
+        name: make_keeper(fake_store, name, lambda: now[0]) for name in "abc"
+    }
+    store_copies = []
+    holders_by_number = {}
+    for tenths in range(300):
+        now[0] = tenths / 10
+        if tenths == 45:
+            # The lease has changed hands since the copy was made.
+            fake_store.restore(store_copies[20])
+        for name, keeper in keepers_by_name.items():
+            # The first holder stands still and knows nothing of the second one.
+            if name != "a" or not 10 <= tenths < 46:
+                keeper.step()
+        store_copies.append(fake_store.copy())
+        held = [each for each in keepers_by_name.values() if each.is_held(now[0])]
+        assert len(held) <= 1
+        for keeper in held:
+            holders = holders_by_number.setdefault(keeper.held.fencing_number, set())
+            holders.add(keeper.holder)
+    assert [len(holders) for holders in holders_by_number.values()] == [1, 1, 1]
+    assert list(holders_by_number) == sorted(holders_by_number)
