Revisions include the era of the store that gave them out

What callers saw: 404 on a route that was added and confirmed. Cause: the store came back from an older copy and gave the revision of a known configuration to the next one; a host that lists an object at a revision that it knows keeps the value that it has. Class: an identifier that stays the same while what it stands for changes. Change: the adapter puts the era into every revision that it returns (upper bits, as in a pair that orders) and takes it out of those that it sends; a watch, a list or a conditional write across two eras fails as a lost history does. A pending watch is not used across eras, and none confirms another's state.

--- a/sycamorespoke/clients/__init__.py
+++ b/sycamorespoke/clients/__init__.py
@@ -79,6 +79,7 @@
 from sycamorespoke.clients._store import (
     StoreClient,
 )
+from sycamorespoke.clients._store_history import StoreHistory
 from sycamorespoke.clients._store_results import (
     Full,
     Invalid,
@@ -120,6 +121,7 @@
     "Stale",
     "Started",
     "StoreClient",
+    "StoreHistory",
     "StoreUsage",
     "StoredObject",
     "Token",
--- a/sycamorespoke/clients/_platform.py
+++ b/sycamorespoke/clients/_platform.py
@@ -33,9 +33,18 @@
 
 @attrs.frozen
 class Missing:
-    """Sentinel: the object does not exist."""
+    """Sentinel: the object does not exist.
+
+    Parameters
+    ----------
+    reason : str
+        Why it was not read.
+    version : int, default=0
+        Version that stands for its absence; 0 without eras.
+    """
 
     reason: str = "no such object"
+    version: int = 0
 
 
 @attrs.frozen
--- a/sycamorespoke/objects/_store_history.py
+++ b/sycamorespoke/clients/_store_history.py
@@ -16,6 +16,8 @@
         Newest era that a response stated; 0 before any.
     revision : int
         Newest revision of the store.
+    era_seen_s : float
+        When a response first stated it, seconds of the clock of the caller.
     era_changes : int
         How often the era has risen since the first response.
     gone_count : int
@@ -24,19 +26,29 @@
 
     def __init__(self):
         self.era = 0
+        self.era_seen_s = float("-inf")
         self.revision = 0
         self.era_changes = 0
         self.gone_count = 0
         self._has_era = False
         self._lock = threading.Lock()
 
-    def record_era(self, era):
-        """Record the era that a response states."""
+    def record_era(self, era, now):
+        """Record the era that a response states.
+
+        Parameters
+        ----------
+        era : int
+            The era; one below the newest is that of a late response.
+        now : float
+            When the response was received, seconds.
+        """
         with self._lock:
             if era <= self.era and self._has_era:
                 return
             is_change = self._has_era
             before, self.era, self._has_era = self.era, era, True
+            self.era_seen_s = now
             if not is_change:
                 return
             self.era_changes += 1
--- a/sycamorespoke/gateway/__init__.py
+++ b/sycamorespoke/gateway/__init__.py
@@ -6,6 +6,7 @@
 )
 from sycamorespoke.gateway._connections import SOCKET_OPTIONS
 from sycamorespoke.gateway._deployment import Deployment, ObjectKind, ObjectKinds
+from sycamorespoke.gateway._host_registry import HostRegistry
 from sycamorespoke.gateway._lease_objects import LeaseStore
 from sycamorespoke.gateway._model import (
     Account,
@@ -57,6 +58,7 @@
     "Framing",
     "GatewayProgram",
     "Host",
+    "HostRegistry",
     "LeaseStore",
     "LeaseUpdate",
     "ObjectKind",
--- a/sycamorespoke/gateway/_deployment.py
+++ b/sycamorespoke/gateway/_deployment.py
@@ -13,7 +13,7 @@
         Parses and builds HTTP requests and responses, see `Gateway`.
     source : object
         Source of shared objects, see `objects.Follower`; its ``history`` is an
-        `objects.StoreHistory`.
+        `clients.StoreHistory`.
     kinds : ObjectKinds
         Names and parsers of the kinds of shared objects.
     registry : object
--- a/sycamorespoke/gateway/_lease_objects.py
+++ b/sycamorespoke/gateway/_lease_objects.py
@@ -1,6 +1,6 @@
 """Leases as objects of the store."""
 
-from sycamorespoke import clients, objects
+from sycamorespoke import clients, domain, objects
 
 
 class LeaseStore:
@@ -32,8 +32,8 @@
             Value and version, if there is such an object.
         """
         stored = self.store.read(self.kind, _object_name(name))
-        if stored is None:
-            return clients.Missing()
+        if isinstance(stored, objects.Missing):
+            return clients.Missing(version=stored.revision)
         if isinstance(stored, objects.Unavailable):
             return clients.Unavailable(stored.reason)
         return clients.StoredObject(stored.spec, stored.revision)
@@ -48,7 +48,8 @@
         value : object
             JSON value.
         version : int
-            Version that the object must have; 0 if it must not exist.
+            Version that the object must have, as last read. That of a missing object
+            states that it must not exist.
 
         Returns
         -------
@@ -57,7 +58,10 @@
             `clients.StoredObject` has the new version and no value.
             `clients.Uncertain` if the write may have been applied.
         """
-        if version == 0:
+        if domain.get_era(version) != self.store.history.era:
+            # The store has been back from an older copy since the version was read.
+            return clients.Conflict()
+        if domain.get_number(version) == 0:
             result = self.store.create(self.kind, _object_name(name), value)
         else:
             result = self.store.replace(self.kind, _object_name(name), value, version)
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -85,6 +85,7 @@
             ),
             frozenset({deployment.kinds.configuration.name}),
             serving.read_clock,
+            deployment.source.history,
         )
         self.reachability = _reachability.Reachability(self.views)
         self.crash_monitor = quarantine.CrashMonitor(
--- a/sycamorespoke/objects/__init__.py
+++ b/sycamorespoke/objects/__init__.py
@@ -25,13 +25,14 @@
     Changes,
     HistoryGone,
     Listing,
+    Missing,
     Unavailable,
     get_confirmed_s,
     get_metadata,
     get_name,
     make_removed,
+    qualify_revisions,
 )
-from sycamorespoke.objects._store_history import StoreHistory
 
 __all__ = [
     "Change",
@@ -40,16 +41,17 @@
     "Follower",
     "HistoryGone",
     "Listing",
+    "Missing",
     "ObjectHistory",
     "RelayedPage",
     "RevisionLog",
     "SharedObjects",
     "SharedSource",
-    "StoreHistory",
     "Subscription",
     "Unavailable",
     "get_confirmed_s",
     "get_metadata",
     "get_name",
     "make_removed",
+    "qualify_revisions",
 ]
--- a/sycamorespoke/objects/_direct_reads.py
+++ b/sycamorespoke/objects/_direct_reads.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from sycamorespoke import domain
 from sycamorespoke.objects import _revision_log, _source
 
 # A watch without changes lasts so long, since other reads confirm meanwhile that
@@ -116,7 +117,13 @@
 
     def _get_pending(self, kind, revision):
         pending = self._pending_by_kind.get(kind)
-        if pending is None or pending.revision > revision:
+        # One of an earlier era would bring back what the store no longer holds.
+        is_usable = (
+            pending is not None
+            and pending.revision <= revision
+            and domain.get_era(pending.revision) == domain.get_era(revision)
+        )
+        if not is_usable:
             pending = _PendingWatch(revision)
             self._pending_by_kind[kind] = pending
             threading.Thread(
--- a/sycamorespoke/objects/_revision_log.py
+++ b/sycamorespoke/objects/_revision_log.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from sycamorespoke import domain
 from sycamorespoke.objects import _source
 
 # Of more changes at once, none is told apart.
@@ -87,6 +88,8 @@
         >>> log.is_unchanged("hosts", 7), log.is_unchanged("hosts", 6)
         (True, False)
         """
+        if domain.get_era(revision) != domain.get_era(self.revision):
+            return False
         if self.revision - revision > MAX_KNOWN_CHANGES:
             return False
         return all(
--- a/sycamorespoke/objects/_shared_objects.py
+++ b/sycamorespoke/objects/_shared_objects.py
@@ -30,7 +30,7 @@
         stored = self.store.read(self.kind, name)
         if isinstance(stored, _source.Unavailable):
             raise LookupError(stored.reason)
-        return None if stored is None else stored.spec
+        return None if isinstance(stored, _source.Missing) else stored.spec
 
     def write(self, name, value):
         """Write the JSON value of an object; return whether the store confirmed it."""
@@ -39,6 +39,16 @@
             result = self.store.create(self.kind, name, value)
         return result.outcome is clients.WriteOutcome.APPLIED
 
+    def create(self, name, value):
+        """Create an object.
+
+        Returns
+        -------
+        clients.WriteResult
+            A conflict if there is such an object.
+        """
+        return self.store.create(self.kind, name, value)
+
     def delete(self, name):
         """Delete an object; return whether it is gone, also if there was none."""
         result = self.store.delete(self.kind, name)
--- a/sycamorespoke/objects/_shared_source.py
+++ b/sycamorespoke/objects/_shared_source.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from sycamorespoke import messages
+from sycamorespoke import clients, domain, messages
 from sycamorespoke.objects import _object_history, _source
 
 # Relayed state expires this long after the source confirmed it. Even if this
@@ -46,6 +46,8 @@
         each host reads them from the source itself.
     read_clock : callable
         Returns seconds of the boot clock.
+    history : clients.StoreHistory or None, default=None
+        Learns the era of the source from relayed pages, too.
 
     Notes
     -----
@@ -54,10 +56,11 @@
     state never reverts.
     """
 
-    def __init__(self, source, large_kinds, read_clock):
+    def __init__(self, source, large_kinds, read_clock, history=None):
         self.source = source
         self.large_kinds = large_kinds
         self.read_clock = read_clock
+        self.history = history or clients.StoreHistory()
         self._is_relayed = False
         self._confirmed_s = float("-inf")
         self._requested_revisions_by_kind = {}
@@ -220,6 +223,7 @@
 
     def _read_relayed(self, kind, relayed):
         page = relayed.page
+        self.history.record_era(domain.get_era(page.revision), self.read_clock())
         self._known_revisions_by_kind[kind] = page.revision
         if page.is_whole:
             values = tuple(value for value, _ in page.changes)
--- a/sycamorespoke/objects/_source.py
+++ b/sycamorespoke/objects/_source.py
@@ -2,6 +2,10 @@
 
 import attrs
 
+from sycamorespoke import domain
+
+REVISION_KEYS = frozenset({"Revision", "CreatedRev"})
+
 
 @attrs.frozen
 class Listing:
@@ -64,6 +68,19 @@
     """Sentinel: the source no longer has the changes since a revision."""
 
 
+@attrs.frozen
+class Missing:
+    """Sentinel: the source has no such object.
+
+    Parameters
+    ----------
+    revision : int
+        Revision that stands for its absence in the era of the source.
+    """
+
+    revision: int
+
+
 @attrs.frozen
 class Unavailable:
     """Sentinel: there was no usable response.
@@ -86,6 +103,36 @@
     statements: object = None
 
 
+def qualify_revisions(value, era):
+    """Put an era into the revisions of an object, in its JSON value.
+
+    A revision that is no number, or out of range, is replaced by ``None``, so that only
+    this object counts as malformed.
+
+    Parameters
+    ----------
+    value : object
+        JSON value of the object; changed in place.
+    era : int
+        Era of the source, see `domain.make_revision`.
+
+    Examples
+    --------
+    >>> value = {"Metadata": {"Name": "a", "Revision": 8}}
+    >>> qualify_revisions(value, 2)
+    >>> domain.get_era(get_metadata(value, "Revision"))
+    2
+    """
+    metadata = value.get("Metadata") if isinstance(value, dict) else None
+    if not isinstance(metadata, dict):
+        return
+    for key in REVISION_KEYS & metadata.keys():
+        try:
+            metadata[key] = domain.make_revision(era, metadata[key])
+        except (TypeError, ValueError):
+            metadata[key] = None
+
+
 def get_confirmed_s(response, now):
     """Return for which time a `Listing` or `Changes` shows the state of the source.
 
--- a/sycamorespoke/platform/_names.py
+++ b/sycamorespoke/platform/_names.py
@@ -109,8 +109,6 @@
 KIND_ROLLOUTS = "rollouts"
 KIND_HOSTS = "syk-hosts"
 KIND_PEER_KEYS = "syk-keys"
-# Name of the only object of that kind.
-PEER_KEY_NAME = "peers"
 KIND_LEASES = "syk-leases"
 # Reports on upstreams that ended, and contents of requests in quarantine.
 KIND_CRASHES = "syk-crashes"
--- a/sycamorespoke/platform/_store.py
+++ b/sycamorespoke/platform/_store.py
@@ -3,10 +3,11 @@
 import contextlib
 import urllib.parse
 
+import attrs
 import msgspec
 import urllib3
 
-from sycamorespoke import clients, gateway, objects
+from sycamorespoke import clients, domain, gateway, objects, serving
 from sycamorespoke.platform import _names, _objects
 
 CONNECT_TIMEOUT_S = 0.5
@@ -20,6 +21,21 @@
 DIVISIBLE_KEYS = frozenset({"items", "Events", "Object"})
 
 
+@attrs.frozen
+class _Reply:
+    """JSON value of a response and the era that it states."""
+
+    content: object
+    era: int
+
+
+@attrs.frozen
+class _Failure(objects.Unavailable):
+    """A response with an error status, and the era that it states."""
+
+    era: int = 0
+
+
 class ObjectStoreClient:
     """Lists, watches and changes objects; safe to share among threads.
 
@@ -30,12 +46,12 @@
 
     Attributes
     ----------
-    history : objects.StoreHistory
+    history : clients.StoreHistory
         What the responses show of the history of the store.
     """
 
     def __init__(self, address):
-        self.history = objects.StoreHistory()
+        self.history = clients.StoreHistory()
         host, _, port = address.rpartition(":")
         self._pool = clients.ReplyPool(
             host,
@@ -62,15 +78,18 @@
         after = revision = None
         revision_before = self.history.revision
         while True:
-            page = self._send("GET", kind, query=after and {"after": after})
-            if isinstance(page, objects.Unavailable):
-                return page
+            reply = self._send("GET", kind, query=after and {"after": after})
+            if isinstance(reply, objects.Unavailable):
+                return reply
+            page = reply.content
             try:
                 # Objects may change between pages. A watch from the revision of the
                 # first page sees all these changes.
                 if revision is None:
-                    revision = clients.read_field(page, "StoreRevision", int)
+                    revision = _read_revision(reply)
                     self.history.record_revision(revision, revision_before)
+                if domain.get_era(revision) != reply.era:
+                    return objects.Unavailable("the pages of a list are of two eras")
                 values.extend(clients.read_field(page, "items", list))
             except clients.MalformedFieldError as error:
                 return objects.Unavailable(f"malformed list: {error}")
@@ -100,24 +119,26 @@
             `objects.HistoryGone` if the store has discarded changes after
             ``revision``; the caller must list again.
         """
-        query = {"Watch": str(revision), "WaitMs": str(int(wait_s * 1000))}
+        era = domain.get_era(revision)
+        if era != self.history.era:
+            return self._find_gone(kind, revision)
+        number = domain.get_number(revision)
+        query = {"Watch": str(number), "WaitMs": str(int(wait_s * 1000))}
         revision_before = self.history.revision
-        response = self._send(
-            "GET", kind, query=query, timeout_s=wait_s + WATCH_SLACK_S
-        )
-        if isinstance(response, objects.Unavailable):
-            if response.status != 410:
-                return response
-            self.history.record_gone(kind, revision)
-            return objects.HistoryGone()
+        reply = self._send("GET", kind, query=query, timeout_s=wait_s + WATCH_SLACK_S)
+        if isinstance(reply, objects.Unavailable):
+            return self._find_gone(kind, revision) if reply.status == 410 else reply
+        if reply.era != era:
+            # These are changes since another revision with the same number.
+            return self._find_gone(kind, revision)
         try:
             changes = tuple(
                 objects.Change(event["Object"], bool(event.get("Deleted")))
-                for event in clients.read_field(response, "Events", list)
+                for event in clients.read_field(reply.content, "Events", list)
                 # Of a change that cannot be read, nothing is known.
                 if isinstance(event, dict) and event.get("Object") is not None
             )
-            revision = clients.read_field(response, "StoreRevision", int)
+            revision = _read_revision(reply)
             self.history.record_revision(revision, revision_before)
             return objects.Changes(changes, revision)
         except clients.MalformedFieldError as error:
@@ -133,13 +154,15 @@
 
         Returns
         -------
-        StoredObject, None or objects.Unavailable
-            ``None`` if there is no such object.
+        StoredObject, objects.Missing or objects.Unavailable
+            The object, with revisions that include the era.
         """
-        response = self._send("GET", kind, name)
-        if isinstance(response, objects.Unavailable):
-            return None if response.status == 404 else response
-        return self._parse_object(response)
+        reply = self._send("GET", kind, name)
+        if isinstance(reply, _Failure) and reply.status == 404:
+            return objects.Missing(domain.make_revision(reply.era, 0))
+        if isinstance(reply, objects.Unavailable):
+            return reply
+        return self._parse_object(reply.content)
 
     def create(self, kind, name, spec):
         """Create an object.
@@ -174,16 +197,17 @@
         -------
         WriteResult
             A conflict if the object has another revision; rejected if there is none.
+            If the store has another era than the revision by the time of the write,
+            it may have replaced another object; ``stored`` shows that.
         """
         meta = {"Name": name, "Finalizers": []}
-        if revision is not None:
-            meta["Revision"] = revision
-        return self._write("PUT", kind, name, {"Metadata": meta, "Spec": spec})
+        value = {"Metadata": meta, "Spec": spec}
+        return self._write("PUT", kind, name, value, revision)
 
     def replace_status(self, kind, name, status, revision):
         """Replace the status of an object of a given revision, as `replace` does."""
-        value = {"Metadata": {"Name": name, "Revision": revision}, "Status": status}
-        return self._write("PUT", kind, f"{name}/status", value)
+        value = {"Metadata": {"Name": name}, "Status": status}
+        return self._write("PUT", kind, f"{name}/status", value, revision)
 
     def delete(self, kind, name):
         """Delete an object.
@@ -200,12 +224,23 @@
         """
         return self._write("DELETE", kind, name, None)
 
-    def _write(self, method, kind, name, value):
+    def _find_gone(self, kind, revision):
+        self.history.record_gone(kind, revision)
+        return objects.HistoryGone()
+
+    def _write(self, method, kind, name, value, revision=None):
+        if revision is not None:
+            if domain.get_era(revision) != self.history.era:
+                return clients.WriteResult(
+                    clients.WriteOutcome.CONFLICT, reason="the store has another era"
+                )
+            value["Metadata"]["Revision"] = domain.get_number(revision)
         body = None if value is None else msgspec.json.encode(value)
         response = self._send(method, kind, name, body=body)
         if not isinstance(response, objects.Unavailable):
             return clients.WriteResult(
-                clients.WriteOutcome.APPLIED, self._parse_object_or_none(response)
+                clients.WriteOutcome.APPLIED,
+                self._parse_object_or_none(response.content),
             )
         if response.status == 409:
             return clients.WriteResult(
@@ -244,22 +279,62 @@
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return objects.Unavailable(f"no response: {type(error).__name__}")
-        self.history.record_era(_parse_era(response))
-        return _decode_response(response)
-
-
-def _parse_era(response):
-    return clients.parse_integer(response.headers.get(_names.STORE_ERA)) or 0
-
-
-def _decode_response(response):
+        try:
+            era = self._record_era(response)
+        except ValueError as error:
+            return objects.Unavailable(str(error))
+        if era < self.history.era:
+            return objects.Unavailable("the response is of an earlier era")
+        return _decode_response(response, era)
+
+    def _record_era(self, response):
+        """Return the era of a response; one that states none has the newest era."""
+        text = response.headers.get(_names.STORE_ERA)
+        if text is None:
+            return self.history.era
+        era = clients.parse_integer(text)
+        if era is None or era > domain.MAX_ERA:
+            raise ValueError("the era of the store cannot be read")
+        self.history.record_era(era, serving.read_clock())
+        return era
+
+
+def _decode_response(response, era):
     content = None
     with contextlib.suppress(clients.MalformedDocumentError):
         if response.data:
             content = clients.salvage_document(response.data, DIVISIBLE_KEYS)
+    _qualify_revisions(content, era)
     if response.status >= 300:
         reason = f"status {response.status}"
-        return objects.Unavailable(reason, status=response.status, content=content)
+        return _Failure(reason, status=response.status, content=content, era=era)
     if content is None and response.status != 204:
         return objects.Unavailable("the response is not JSON")
-    return content
+    return _Reply(content, era)
+
+
+def _read_revision(reply):
+    """Return the revision of the store, which a response states.
+
+    Raises
+    ------
+    clients.MalformedFieldError
+        If it states none, or one out of range.
+    """
+    number = clients.read_field(reply.content, "StoreRevision", int)
+    try:
+        return domain.make_revision(reply.era, number)
+    except ValueError as error:
+        raise clients.MalformedFieldError(str(error)) from error
+
+
+def _qualify_revisions(content, era):
+    """Put the era into the revisions of all objects that a response contains."""
+    if not isinstance(content, dict):
+        return
+    items, events = content.get("items"), content.get("Events")
+    listed = items if isinstance(items, list) else []
+    changed = events if isinstance(events, list) else []
+    changed = [each.get("Object") for each in changed if isinstance(each, dict)]
+    for value in (content, *listed, *changed):
+        objects.qualify_revisions(value, era)
--- a/tests/objects/test_store_history.py
+++ b/tests/clients/test_store_history.py
@@ -3,7 +3,7 @@
 import loguru
 import pytest
 
-from sycamorespoke import domain, objects
+from sycamorespoke import clients, domain
 
 
 @pytest.fixture
@@ -19,17 +19,17 @@
 
 
 def test_first_era_is_no_change_of_it(events):
-    history = objects.StoreHistory()
-    history.record_era(4)
-    history.record_era(4)
+    history = clients.StoreHistory()
+    history.record_era(4, 10.0)
+    history.record_era(4, 10.0)
     assert (history.era, history.era_changes) == (4, 0)
     assert list_messages(events) == []
 
 
 def test_rise_of_the_era_is_logged_and_an_older_response_is_not(events):
-    history = objects.StoreHistory()
+    history = clients.StoreHistory()
     for era in (4, 5, 4):
-        history.record_era(era)
+        history.record_era(era, 10.0)
     assert (history.era, history.era_changes) == (5, 1)
     (record,) = events
     assert record["message"] == "store is back from an older copy"
@@ -37,7 +37,7 @@
 
 
 def test_lower_revision_within_an_era_is_logged(events):
-    history = objects.StoreHistory()
+    history = clients.StoreHistory()
     history.record_revision(domain.make_revision(1, 90), history.revision)
     before = history.revision
     history.record_revision(domain.make_revision(1, 80), before)
@@ -47,7 +47,16 @@
 
 
 def test_history_that_the_store_lacks_is_counted(events):
-    history = objects.StoreHistory()
+    history = clients.StoreHistory()
     history.record_gone("servers", 12)
     assert history.gone_count == 1
     assert list_messages(events) == ["store lacks the changes since a revision"]
+
+
+def test_era_is_seen_when_a_response_first_states_it():
+    history = clients.StoreHistory()
+    history.record_era(4, 10.0)
+    history.record_era(4, 20.0)
+    assert history.era_seen_s == 10.0
+    history.record_era(5, 30.0)
+    assert history.era_seen_s == 30.0
