Leases: nothing that was known of one counts in a later era of the store

What was seen: orders with one fence from two hosts. Cause: a lease that an older copy lacks, or holds as it was, gave its number to the next holder, and the last holder took the copy for a late read and went on for up to 0.9 of the duration. Change: a host that knows of a new era, from any response or relayed page, holds no lease until it has one from it; a record says in which era it was written, and one of an earlier era frees nothing: the next holder waits a full duration from when it knew the era. Numbers of an era are above those of all earlier ones, of which no record may be left.

--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -112,6 +112,7 @@
     may_acquire,
 )
 from sycamorespoke.decisions._leases import (
+    enter_era,
     handle_lease_read,
     handle_lease_write,
     handle_lease_write_conflict,
@@ -374,6 +375,7 @@
     "decide_permit",
     "discard_contents",
     "end_transfer",
+    "enter_era",
     "estimate_transfer_s",
     "estimate_wait_s",
     "find_fatal_content",
--- a/sycamorespoke/decisions/_lease_state.py
+++ b/sycamorespoke/decisions/_lease_state.py
@@ -5,6 +5,8 @@
 import attrs
 
 LEASE_DURATION_S = 6.0
+# Fencing numbers of an era; those of the next one are above all of them.
+NUMBERS_PER_ERA = 1_000_000
 # Fraction of its duration after which a lease is renewed.
 RENEW_RATIO = 1 / 3
 RENEW_INTERVAL_S = LEASE_DURATION_S * RENEW_RATIO
@@ -29,6 +31,9 @@
     renewal : int, default=0
         Increases with each renewal, since a platform may ignore a write that
         changes nothing and not report it to watches.
+    era : int, default=0
+        Era of the store in which the holder wrote it. In a later one, the record is
+        that of an older copy.
     barred_s_by_name : dict of str to float
         Objects that the next holder must not act on for the given number of seconds
         after a release, since the last holder acted on them shortly before.
@@ -39,6 +44,7 @@
     duration_s: float = LEASE_DURATION_S
     renewal: int = 0
     barred_s_by_name: dict[str, float] = attrs.field(factory=dict, hash=False)
+    era: int = 0
 
 
 @attrs.frozen
@@ -117,6 +123,10 @@
     is_watched : bool, default=False
         Whether new versions are received from a watch, so that the lease is read only
         if none has been received or the result of a write is unknown.
+    era : int, default=0
+        Newest known era of the store. What is known of the lease is of this era.
+    era_seen_s : float, default=-inf
+        Time at which this process first knew the era, in monotonic seconds.
     """
 
     holder: str
@@ -128,6 +138,8 @@
     must_read: bool = False
     duration_s: float = LEASE_DURATION_S
     is_watched: bool = False
+    era: int = 0
+    era_seen_s: float = float("-inf")
 
     @property
     def renew_interval_s(self):
@@ -181,3 +193,32 @@
     if seen.record is None or not seen.record.holder:
         return True
     return now - seen.first_seen_s >= seen.record.duration_s
+
+
+def may_take_over(state, now):
+    """Return whether a process may acquire a lease.
+
+    What an older copy of the store holds of a lease does not show who held it last, nor
+    whether that holder still acts on it. If it does, its lease expires within the full
+    duration after the era has begun.
+
+    Parameters
+    ----------
+    state : LeaseState
+        Current state, with a version received.
+    now : float
+        Current monotonic time, in seconds.
+
+    Returns
+    -------
+    bool
+        Whether no other process can hold the lease.
+    """
+    seen = state.seen
+    is_of_era = seen.record is not None and seen.record.era == state.era
+    if is_of_era or state.era == 0:
+        return may_acquire(seen, now)
+    if seen.record is None:
+        return now - state.era_seen_s >= state.duration_s
+    duration_s = max(seen.record.duration_s, state.duration_s)
+    return now - max(seen.first_seen_s, state.era_seen_s) >= duration_s
--- a/sycamorespoke/decisions/_leases.py
+++ b/sycamorespoke/decisions/_leases.py
@@ -4,10 +4,16 @@
 Another host measures it from the time at which it received the current version,
 which is later, so that two hosts never hold the lease at the same time, however
 slowly the platform responds.
+
+A store that comes back from an older copy begins a new era. Nothing that was known of a
+lease counts in it: its holder no longer holds it, and the next one waits until that
+holder's lease has expired, whatever the copy says. Fencing numbers of an era are above
+those of all earlier ones, of which no record may be left.
 """
 
 import attrs
 
+from sycamorespoke import domain
 from sycamorespoke.decisions import _lease_state
 
 
@@ -33,7 +39,7 @@
         return (
             _lease_state.LeaseAction.WRITE if is_due else _lease_state.LeaseAction.WAIT
         )
-    if _lease_state.may_acquire(state.seen, now):
+    if _lease_state.may_take_over(state, now):
         return _lease_state.LeaseAction.WRITE
     # A version that a watch fails to bring leads to a write that conflicts.
     is_due = (
@@ -61,9 +67,42 @@
         number = state.held.fencing_number
         renewal = previous.renewal + 1 if previous else 0
     else:
-        number = previous.fencing_number + 1 if previous else 1
+        last_number = previous.fencing_number if previous else 0
+        number = 1 + max(last_number, state.era * _lease_state.NUMBERS_PER_ERA)
         renewal = 0
-    return _lease_state.LeaseRecord(state.holder, number, state.duration_s, renewal)
+    return _lease_state.LeaseRecord(
+        state.holder, number, state.duration_s, renewal, era=state.era
+    )
+
+
+def enter_era(state, era, seen_s):
+    """Return the state once an era of the store is known.
+
+    Parameters
+    ----------
+    state : LeaseState
+        Current state.
+    era : int
+        Era of the store; nothing changes unless it is newer than the known one.
+    seen_s : float
+        Time at which this process first knew it, in monotonic seconds.
+
+    Returns
+    -------
+    LeaseState
+        In a new era no lease is held, and none is known.
+    """
+    if era <= state.era:
+        return state
+    return attrs.evolve(
+        state,
+        era=era,
+        era_seen_s=seen_s,
+        seen=None,
+        held=None,
+        unresolved_write_s=None,
+        must_read=False,
+    )
 
 
 def handle_lease_read(state, record, version, requested_s, now):
@@ -76,7 +115,7 @@
     record : LeaseRecord or None
         Record that was read, ``None`` if the object does not exist.
     version : int
-        Version of the object, 0 if it does not exist.
+        Version of the object, with the number 0 if it does not exist.
     requested_s, now : float
         Times at which the read was sent and its response received, in monotonic
         seconds.
@@ -86,9 +125,13 @@
     LeaseState
         Updated state.
     """
+    era = domain.get_era(version)
+    if era < state.era:
+        return attrs.evolve(state, last_read_s=requested_s)
+    state = enter_era(state, era, now)
     state = attrs.evolve(state, last_read_s=requested_s, must_read=False)
     if state.seen is not None and version <= state.seen.version:
-        if record is None and state.seen.version > 0:
+        if record is None and domain.get_number(state.seen.version) > 0:
             return _handle_missing_lease(state, now)
         # The version is unchanged, or the read is stale. A write whose result is
         # unknown may still take effect.
@@ -99,7 +142,8 @@
         # that was received, so it does not show that a later write took effect.
         return attrs.evolve(state, seen=seen, held=None)
     held = None
-    if record is not None and record.holder == state.holder:
+    is_own = record is not None and record.holder == state.holder
+    if is_own and record.era == state.era:
         held = _make_held_lease(state, record, now)
     return attrs.evolve(
         state, seen=seen, held=held, newest_version=version, unresolved_write_s=None
@@ -126,8 +170,12 @@
     LeaseState
         Updated state.
     """
+    era = domain.get_era(version)
+    if era < state.era:
+        return attrs.evolve(state, must_read=True)
+    state = enter_era(state, era, now)
     held = None
-    if record.holder == state.holder:
+    if record.holder == state.holder and record.era == era:
         acquired_s = _compute_acquired_s(state, sent_s, now)
         held = _lease_state.HeldLease(
             record.fencing_number, sent_s, acquired_s, record.duration_s
@@ -185,7 +233,8 @@
     # The object was deleted, or the read is stale. The last holder may still act on
     # its lease, so its record stays in force. It does not show that a write whose
     # result is unknown took effect, and this process no longer acts on its own lease.
-    seen = _lease_state.SeenLease(state.seen.record, 0, now)
+    version = domain.make_revision(state.era, 0)
+    seen = _lease_state.SeenLease(state.seen.record, version, now)
     return attrs.evolve(state, seen=seen, held=None)
 
 
--- a/sycamorespoke/gateway/_host_tasks.py
+++ b/sycamorespoke/gateway/_host_tasks.py
@@ -60,6 +60,7 @@
                 deployment.leases,
                 serving.read_clock,
                 gateway_settings.lease_ms / MS_PER_S,
+                deployment.source.history,
             )
 
         self.leases_by_name = {
--- a/sycamorespoke/gateway/_task_lease.py
+++ b/sycamorespoke/gateway/_task_lease.py
@@ -27,15 +27,23 @@
         Returns seconds of the boot clock.
     lease_s : float
         Time after which a lease that is not renewed expires, seconds.
+    history : clients.StoreHistory or None, default=None
+        What all responses of the store show of its era.
     """
 
-    def __init__(self, name, host, views, leases, read_clock, lease_s):
+    def __init__(self, name, host, views, leases, read_clock, lease_s, history=None):
         self.name = name
         self.host = host
         self.views = views
         self.read_clock = read_clock
         self.keeper = membership.LeaseKeeper(
-            name, host, leases, read_clock, lease_s, is_watched=True
+            name,
+            host,
+            leases,
+            read_clock,
+            lease_s,
+            is_watched=True,
+            history=history,
         )
         self._work_since_s = None
         self._was_held = False
--- a/sycamorespoke/membership/_lease_keeper.py
+++ b/sycamorespoke/membership/_lease_keeper.py
@@ -2,6 +2,7 @@
 
 import time
 
+import attrs
 import msgspec
 from loguru import logger
 
@@ -26,6 +27,9 @@
         Duration of the lease after each renewal, in seconds.
     is_watched : bool, default=False
         Whether `observe` receives the versions of the lease.
+    history : clients.StoreHistory or None, default=None
+        What all responses of the platform show of its era; ``None`` if only the lease
+        itself shows it.
     """
 
     def __init__(
@@ -36,6 +40,7 @@
         clock=time.monotonic,
         duration_s=decisions.LEASE_DURATION_S,
         is_watched=False,
+        history=None,
     ):
         self.shard = shard
         self.holder = holder
@@ -43,7 +48,8 @@
         self.clock = clock
         self.duration_s = duration_s
         self.is_watched = is_watched
-        self.discard()
+        self.history = history or clients.StoreHistory()
+        self._state = self._make_state()
 
     @property
     def held(self):
@@ -63,7 +69,8 @@
         bool
             Whether the lease is held at that time.
         """
-        return decisions.is_held(self._state.held, now)
+        state = self._state
+        return self.history.era <= state.era and decisions.is_held(state.held, now)
 
     @property
     def last_holder(self):
@@ -83,7 +90,8 @@
         seen = self._state.seen
         if seen is None or seen.record is None or seen.record.holder:
             return None
-        return seen
+        # In an older copy, a release may be one before the last holder.
+        return seen if seen.record.era == self._state.era else None
 
     @property
     def unchanged_since_s(self):
@@ -113,6 +121,9 @@
 
     def step(self):
         """Read or write the lease once, if that is due."""
+        self._state = decisions.enter_era(
+            self._state, self.history.era, self.history.era_seen_s
+        )
         action = decisions.plan_lease_step(self._state, self.clock())
         if action is decisions.LeaseAction.READ:
             self._read()
@@ -121,8 +132,8 @@
 
     def discard(self):
         """Discard the lease, because another process was found to hold it."""
-        self._state = decisions.LeaseState(
-            self.holder, duration_s=self.duration_s, is_watched=self.is_watched
+        self._state = attrs.evolve(
+            self._make_state(), era=self._state.era, era_seen_s=self._state.era_seen_s
         )
 
     def release(self, barred_s_by_name=None):
@@ -146,19 +157,27 @@
             return False
         self._write(
             decisions.LeaseRecord(
-                "", held.fencing_number, barred_s_by_name=barred_s_by_name or {}
+                "",
+                held.fencing_number,
+                barred_s_by_name=barred_s_by_name or {},
+                era=self._state.era,
             )
         )
         return self.released is not None
 
+    def _make_state(self):
+        return decisions.LeaseState(
+            self.holder, duration_s=self.duration_s, is_watched=self.is_watched
+        )
+
     def _read(self):
         requested_s = self.clock()
         response = self.platform.get(self._object_name())
         if isinstance(response, clients.Unavailable):
             return
-        record, version = None, 0
+        record, version = None, response.version
         if isinstance(response, clients.StoredObject):
-            record, version = _parse_record(response.value), response.version
+            record = _parse_record(response.value)
             if record is None:
                 logger.error("the lease of {} is malformed", self.shard)
                 return
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -128,12 +128,12 @@
     holders_by_number = {}
     for tenths in range(300):
         now[0] = tenths / 10
-        if tenths == 45:
+        if tenths == 75:
             # The lease has changed hands since the copy was made.
-            fake_store.restore(store_copies[20])
+            fake_store.restore(store_copies[50])
         for name, keeper in keepers_by_name.items():
             # The first holder stands still and knows nothing of the second one.
-            if name != "a" or not 10 <= tenths < 46:
+            if name != "a" or not 40 <= tenths < 76:
                 keeper.step()
         store_copies.append(fake_store.copy())
         held = [each for each in keepers_by_name.values() if each.is_held(now[0])]
