What hosts know outlives an older copy of the store until it is written again

What callers would see: requests at an upstream that had left, or in a data centre that is out, for as long as it takes until their entries are written again; each host with the whole retry budget while the list of hosts is short. Cause: the first list of a new era was taken for the present. Change: in a new era, upstreams, data centres out, hosts and crash records that the copy lacks are retained for 2 s, as upstreams are after an outage; those that had been removed and are back are held back until they are written again, for 2 s, and for 15 s if they are upstreams. One that has started anew counts at once.

--- a/sycamorespoke/gateway/_view_updater.py
+++ b/sycamorespoke/gateway/_view_updater.py
@@ -26,6 +26,10 @@
     "crashes": decisions.Freshness.URGENT,
     _views.ROLLOUTS: decisions.Freshness.URGENT,
 }
+# Time that an operator or a host has to remove what an older copy brought back.
+HELD_BACK_S = 2.0
+# Upstreams that no longer run are removed after some reports that they fail to send.
+HELD_BACK_UPSTREAM_S = 15.0
 # Sections that every host reads itself when it starts.
 FIRST_SECTIONS = frozenset({_views.CONFIGURATION, "hosts"})
 
@@ -120,12 +124,25 @@
     def _make_followers(self):
         subscriptions = [
             self._make_subscription(_views.CONFIGURATION, self._handle_configuration),
-            self._make_subscription("upstreams", self._handle_upstreams, _may_retain),
-            self._make_subscription("data_centres_out", self._handle_data_centres_out),
+            self._make_subscription(
+                "upstreams",
+                self._handle_upstreams,
+                _may_retain,
+                objects.RemovedItems(_get_boot_id, HELD_BACK_UPSTREAM_S),
+            ),
+            self._make_subscription(
+                "data_centres_out",
+                self._handle_data_centres_out,
+                removed=_make_removed_items(),
+            ),
             self._make_subscription(_views.VERSIONS, self._handle_versions),
-            self._make_subscription("hosts", self._handle_hosts),
+            self._make_subscription(
+                "hosts", self._handle_hosts, removed=_make_removed_items()
+            ),
             self._make_subscription("leases", self._handle_leases),
-            self._make_subscription("crashes", self._handle_crashes),
+            self._make_subscription(
+                "crashes", self._handle_crashes, removed=_make_removed_items()
+            ),
         ]
         if self.rollouts is not None:
             subscriptions.append(
@@ -144,10 +161,15 @@
             for subscription in subscriptions
         ]
 
-    def _make_subscription(self, section, publish, retains_missing=None):
+    def _make_subscription(self, section, publish, retains_missing=None, removed=None):
         kind = getattr(self.kinds, section)
         return objects.Subscription(
-            section, kind.name, kind.parse, publish, retains_missing
+            section,
+            kind.name,
+            kind.parse,
+            publish,
+            retains_missing,
+            removed or objects.NoRemovedItems(),
         )
 
     def _handle_configuration(self, items_by_name, now):
@@ -255,5 +277,14 @@
     ).info("upstream changed")
 
 
+def _make_removed_items():
+    """Make the memory of a kind whose items are alike if their names are."""
+    return objects.RemovedItems(lambda item: None, HELD_BACK_S)
+
+
+def _get_boot_id(upstream):
+    return upstream.boot_id
+
+
 def _may_retain(upstream):
     return not upstream.is_draining
--- a/sycamorespoke/objects/__init__.py
+++ b/sycamorespoke/objects/__init__.py
@@ -10,6 +10,7 @@
 from sycamorespoke.objects._object_history import (
     ObjectHistory,
 )
+from sycamorespoke.objects._removed_items import NoRemovedItems, RemovedItems
 from sycamorespoke.objects._revision_log import (
     RevisionLog,
 )
@@ -42,8 +43,10 @@
     "HistoryGone",
     "Listing",
     "Missing",
+    "NoRemovedItems",
     "ObjectHistory",
     "RelayedPage",
+    "RemovedItems",
     "RevisionLog",
     "SharedObjects",
     "SharedSource",
--- a/sycamorespoke/objects/_follower.py
+++ b/sycamorespoke/objects/_follower.py
@@ -5,7 +5,8 @@
 import attrs
 import loguru
 
-from sycamorespoke.objects import _source
+from sycamorespoke import domain
+from sycamorespoke.objects import _removed_items, _source
 
 # Timeout of a watch while missing items are retained, so that they expire on time.
 MISSING_WATCH_S = 0.5
@@ -36,6 +37,10 @@
     retains_missing : callable or None, default=None
         Takes an item and returns whether it is retained for `RETAIN_MISSING_S`
         when it goes missing around an outage of the source.
+    removed : RemovedItems or NoRemovedItems
+        Remembers removed items. With `RemovedItems`, what is known outlives an older
+        copy of the source: items that the copy lacks are retained for
+        `RETAIN_MISSING_S`, and those that it brings back are held back.
     """
 
     section: str
@@ -43,6 +48,7 @@
     parse: object
     publish: object
     retains_missing: object = None
+    removed: object = attrs.field(factory=_removed_items.NoRemovedItems)
 
 
 class Follower:
@@ -77,6 +83,9 @@
         self._missing_until_s_by_name = {}
         self._unavailable_since_s = None
         self._available_since_s = float("-inf")
+        self._removed = subscription.removed
+        self._era = None
+        self._era_since_s = float("-inf")
         self._retry_s = RETRY_S
         self._published = False
         self._stopped = threading.Event()
@@ -113,8 +122,10 @@
             self._log("history gone", revision=self.revision)
             self.revision = None
             return 0.0
+        self._handle_era(domain.get_era(response.revision), now)
         changed = self._apply(response, now)
         changed = self._remove_expired(now) or changed
+        changed = self._release_held_back(now) or changed
         if changed or not self._published:
             self._published = True
             self.subscription.publish(dict(self.items_by_name), now)
@@ -150,6 +161,13 @@
         self._unavailable_since_s = None
         self._available_since_s = now
 
+    def _handle_era(self, era, now):
+        if self._era is not None and era > self._era:
+            self._log("following a new era", era=era)
+            self._available_since_s = self._era_since_s = now
+            self._removed.begin_era(now)
+        self._era = era
+
     def _apply(self, response, now):
         if isinstance(response, _source.Listing):
             changed = self._apply_listing(response, now)
@@ -166,7 +184,7 @@
         self._malformed_names &= listed_names
         for value in listing.values:
             name, item = self._parse(value, now)
-            if item is not None:
+            if item is not None and not self._is_held_back(name, item, now):
                 items_by_name[name] = item
         missing = [name for name in self.items_by_name if name not in items_by_name]
         retained = {
@@ -176,6 +194,10 @@
         }
         for name in items_by_name:
             self._missing_until_s_by_name.pop(name, None)
+        self._removed.retain(listed_names)
+        for name in missing:
+            if name not in retained:
+                self._removed.record(name, self.items_by_name[name], now)
         items_by_name.update(retained)
         changed = items_by_name != self.items_by_name
         self.items_by_name = items_by_name
@@ -188,10 +210,12 @@
             self._malformed_names.discard(name)
             if name in self.items_by_name and self._retain_missing(name, now):
                 return False
-            is_removed = self.items_by_name.pop(name, None) is not None
+            self._removed.forget(name)
+            is_removed = self._remove(name, now)
             self._forget_revisions([name])
             return is_removed
         name, item = self._parse(change.value, now)
+        self._removed.forget(name)
         self._missing_until_s_by_name.pop(name, None)
         if item is None:
             return self.items_by_name.pop(name, None) is not None
@@ -199,18 +223,44 @@
         return True
 
     def _retain_missing(self, name, now):
-        retains = self.subscription.retains_missing
-        if retains is None or not retains(self.items_by_name[name]):
+        since_s = self._find_retained_since_s(self.items_by_name[name])
+        if since_s is None:
             return False
         until_s = self._missing_until_s_by_name.get(name)
         if until_s is None:
-            until_s = self._available_since_s + RETAIN_MISSING_S
+            until_s = since_s + RETAIN_MISSING_S
             if now >= until_s:
                 return False
             self._missing_until_s_by_name[name] = until_s
             self._log("missing object retained", name=name)
         return now < until_s
 
+    def _find_retained_since_s(self, item):
+        """Return since when a missing item would be retained; ``None`` if it is not."""
+        retains = self.subscription.retains_missing
+        if retains is not None:
+            return self._available_since_s if retains(item) else None
+        return self._era_since_s if self._removed.outlives_copies else None
+
+    def _is_held_back(self, name, item, now):
+        if name in self.items_by_name:
+            return False
+        return self._removed.hold_back(name, item, self._revisions_by_name[name], now)
+
+    def _remove(self, name, now):
+        """Remove an item; return whether there was one."""
+        item = self.items_by_name.pop(name, None)
+        if item is not None:
+            self._removed.record(name, item, now)
+        return item is not None
+
+    def _release_held_back(self, now):
+        released = self._removed.release(now)
+        self.items_by_name.update(released)
+        for name in released:
+            self._log("removed object is back", name=name)
+        return bool(released)
+
     def _remove_expired(self, now):
         expired = [
             name
@@ -219,7 +269,7 @@
         ]
         for name in expired:
             del self._missing_until_s_by_name[name]
-            self.items_by_name.pop(name, None)
+            self._remove(name, now)
             self._forget_revisions([name])
             self._log("taken as gone", name=name)
         return bool(expired)
