--- a/sycamorespoke/objects/_follower.py
+++ b/sycamorespoke/objects/_follower.py
@@ -119,7 +119,11 @@
             return self._handle_unavailable(response, now)
         self._handle_available(now)
         if isinstance(response, _source.HistoryGone):
-            self._log("history gone", revision=self.revision)
+            self._log(
+                "history gone",
+                era=domain.get_era(self.revision),
+                revision=domain.get_number(self.revision),
+            )
             self.revision = None
             return 0.0
         self._handle_era(domain.get_era(response.revision), now)
--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -22,6 +22,7 @@
     _table,
 )
 from sycamorespoke.objects import _revision_log
+from sycamorespoke.platform import _names
 from sycamorespoke.quarantine import _quarantine
 from sycamorespoke.rollouts import (
     _listed_versions as _rollout_versions,
@@ -174,6 +175,10 @@
     _revision_log.RevisionLog.is_unchanged = lambda *_: True
 
 
+def _ignore_the_era_of_the_store():
+    _names.STORE_ERA = "No-Such-Header"
+
+
 def _learn_nothing_of_other_hosts():
     _table.UpstreamTable.set_pooled_ejections = lambda *_: None
 
@@ -213,6 +218,7 @@
     "stream-records": _ask_no_host,
     "listed-versions": _trust_the_known_versions,
     "lost-watches": _trust_pending_watches,
+    "store-eras": _ignore_the_era_of_the_store,
     "pooled-outcomes": _learn_nothing_of_other_hosts,
     "salvage": _decode_documents_whole,
     "stored-origins": _read_no_stored_origins,
