Reads of a store that went back: no requests without end; fencing numbers never fall

What was seen: after the return from an older copy each host asked the store some 20 times a second until its revision had passed the old one (the log of revisions kept its maximum, so that nothing was ever confirmed). With eras a new one is above; a store that states none left it so. Change: a response to a request that was sent after a higher revision had been received shows that the store went back: the log and the revisions that a follower remembers begin anew, and a watch needs a list. A fencing number is above each that the process has seen, also where no record is left. Evidence: the new test fails on the code before the fix with and without an era, and passes now in both; a revision given out again that no host saw fall stays unknown without an era.

--- a/sycamorespoke/clients/_store_history.py
+++ b/sycamorespoke/clients/_store_history.py
@@ -67,16 +67,24 @@
         revision_before : int
             What `revision` was before the request was sent. Within an era, a response
             that is not stale states none below it.
+
+        Returns
+        -------
+        bool
+            Whether the store went back within an era, as one does that states none.
         """
-        with self._lock:
-            self.revision = max(self.revision, revision)
         is_same_era = domain.get_era(revision) == domain.get_era(revision_before)
-        if is_same_era and revision < revision_before:
+        went_back = is_same_era and revision < revision_before
+        with self._lock:
+            is_known = went_back and revision >= self.revision
+            self.revision = revision if went_back else max(self.revision, revision)
+        if went_back and not is_known:
             loguru.logger.bind(
                 era=domain.get_era(revision),
                 number=domain.get_number(revision),
                 number_before=domain.get_number(revision_before),
             ).warning("store went back within an era")
+        return went_back
 
     def record_gone(self, kind, revision):
         """Record that the store lacks the changes of a kind since a revision."""
--- a/sycamorespoke/decisions/_lease_state.py
+++ b/sycamorespoke/decisions/_lease_state.py
@@ -123,6 +123,9 @@
     is_watched : bool, default=False
         Whether new versions are received from a watch, so that the lease is read only
         if none has been received or the result of a write is unknown.
+    highest_number : int, default=0
+        Highest fencing number of any record received. The next one is above it, also
+        if no record is left.
     era : int, default=0
         Newest known era of the store. What is known of the lease is of this era.
     era_seen_s : float, default=-inf
@@ -138,6 +141,7 @@
     must_read: bool = False
     duration_s: float = LEASE_DURATION_S
     is_watched: bool = False
+    highest_number: int = 0
     era: int = 0
     era_seen_s: float = float("-inf")
 
--- a/sycamorespoke/decisions/_leases.py
+++ b/sycamorespoke/decisions/_leases.py
@@ -67,8 +67,8 @@
         number = state.held.fencing_number
         renewal = previous.renewal + 1 if previous else 0
     else:
-        last_number = previous.fencing_number if previous else 0
-        number = 1 + max(last_number, state.era * _lease_state.NUMBERS_PER_ERA)
+        first_number = state.era * _lease_state.NUMBERS_PER_ERA
+        number = 1 + max(state.highest_number, first_number)
         renewal = 0
     return _lease_state.LeaseRecord(
         state.holder, number, state.duration_s, renewal, era=state.era
@@ -125,6 +125,7 @@
     LeaseState
         Updated state.
     """
+    state = _record_number(state, record)
     era = domain.get_era(version)
     if era < state.era:
         return attrs.evolve(state, last_read_s=requested_s)
@@ -170,6 +171,7 @@
     LeaseState
         Updated state.
     """
+    state = _record_number(state, record)
     era = domain.get_era(version)
     if era < state.era:
         return attrs.evolve(state, must_read=True)
@@ -229,6 +231,11 @@
     return attrs.evolve(state, must_read=True, unresolved_write_s=earliest_s)
 
 
+def _record_number(state, record):
+    number = record.fencing_number if record is not None else 0
+    return attrs.evolve(state, highest_number=max(state.highest_number, number))
+
+
 def _handle_missing_lease(state, now):
     # The object was deleted, or the read is stale. The last holder may still act on
     # its lease, so its record stays in force. It does not show that a write whose
--- a/sycamorespoke/membership/_lease_keeper.py
+++ b/sycamorespoke/membership/_lease_keeper.py
@@ -133,7 +133,10 @@
     def discard(self):
         """Discard the lease, because another process was found to hold it."""
         self._state = attrs.evolve(
-            self._make_state(), era=self._state.era, era_seen_s=self._state.era_seen_s
+            self._make_state(),
+            era=self._state.era,
+            era_seen_s=self._state.era_seen_s,
+            highest_number=self._state.highest_number,
         )
 
     def release(self, barred_s_by_name=None):
--- a/sycamorespoke/objects/_follower.py
+++ b/sycamorespoke/objects/_follower.py
@@ -84,6 +84,7 @@
         self._unavailable_since_s = None
         self._available_since_s = float("-inf")
         self._removed = subscription.removed
+        self._listed_revision = 0
         self._era = None
         self._era_since_s = float("-inf")
         self._retry_s = RETRY_S
@@ -186,6 +187,10 @@
         items_by_name = {}
         listed_names = {_source.get_name(each) for each in listing.values}
         self._malformed_names &= listed_names
+        if listing.revision < self._listed_revision:
+            # The source gives revisions out again.
+            self._revisions_by_name.clear()
+        self._listed_revision = listing.revision
         for value in listing.values:
             name, item = self._parse(value, now)
             if item is not None and not self._is_held_back(name, item, now):
--- a/sycamorespoke/objects/_revision_log.py
+++ b/sycamorespoke/objects/_revision_log.py
@@ -57,7 +57,11 @@
                 self._kinds_by_revision[revision] = kind
             while len(self._kinds_by_revision) > MAX_KNOWN_CHANGES:
                 self._kinds_by_revision.popitem(last=False)
-        if response.revision > self.revision:
+        went_back = response.revision < self.revision and requested_s >= self.raised_s
+        if went_back:
+            # A store that states no era is back from an older copy.
+            self._kinds_by_revision.clear()
+        if response.revision > self.revision or went_back:
             self.revision = response.revision
             self.raised_s = now
             self.confirmed_s = requested_s
--- a/sycamorespoke/platform/_store.py
+++ b/sycamorespoke/platform/_store.py
@@ -138,9 +138,10 @@
                 # Of a change that cannot be read, nothing is known.
                 if isinstance(event, dict) and event.get("Object") is not None
             )
-            revision = _read_revision(reply)
-            self.history.record_revision(revision, revision_before)
-            return objects.Changes(changes, revision)
+            store_revision = _read_revision(reply)
+            if self.history.record_revision(store_revision, revision_before):
+                return self._find_gone(kind, revision)
+            return objects.Changes(changes, store_revision)
         except clients.MalformedFieldError as error:
             return objects.Unavailable(f"malformed changes: {error}")
 
--- a/tests/clients/test_store_history.py
+++ b/tests/clients/test_store_history.py
@@ -40,8 +40,9 @@
     history = clients.StoreHistory()
     history.record_revision(domain.make_revision(1, 90), history.revision)
     before = history.revision
-    history.record_revision(domain.make_revision(1, 80), before)
-    history.record_revision(domain.make_revision(2, 70), before)
+    assert history.record_revision(domain.make_revision(1, 80), before)
+    assert history.record_revision(domain.make_revision(1, 81), before)
+    assert not history.record_revision(domain.make_revision(2, 70), before)
     assert list_messages(events) == ["store went back within an era"]
     assert history.revision == domain.make_revision(2, 70)
 
--- a/tests/platform/test_store_from_older_copy.py
+++ b/tests/platform/test_store_from_older_copy.py
@@ -16,6 +16,9 @@
 AWAY_S = 0.4
 # Time in which a change of the configuration must be in force.
 IN_FORCE_S = 2.5
+WATCHED_S = 4.0
+# A host confirms what it knows with one request in less than a second at most.
+MAX_REQUESTS_PER_S = 3
 # No upstream is listed, so that a request on a route that is there is refused.
 STATUS_WITHOUT_UPSTREAM = 503
 
@@ -128,6 +131,24 @@
         time.sleep(0.05)
 
 
+@pytest.mark.parametrize("era", [1, None], ids=["era", "no era"])
+def test_hosts_do_not_ask_without_end_after_an_older_copy(store, start_host, era):
+    store.era = era
+    store.put("config", "main", make_configuration(1, "first"))
+    gateways = [start_host(f"h{number}") for number in range(2)]
+    assert all(gateway.wait_ready() for gateway in gateways)
+    time.sleep(1.0)
+    store_copy = store.copy()
+    for version in range(2, 12):
+        store.put("config", "main", make_configuration(version, "first", "second"))
+    assert not wait_for_status(gateways, "second", STATUS_WITHOUT_UPSTREAM, 5.0)
+    restore(store, store_copy, lambda: None)
+    time.sleep(2.0)
+    count = len(store.requests)
+    time.sleep(WATCHED_S)
+    assert len(store.requests) - count <= MAX_REQUESTS_PER_S * WATCHED_S * len(gateways)
+
+
 def list_holders_by_fence(engines):
     holders_by_fence = collections.defaultdict(set)
     for order in test_task_handover.list_orders(engines):
