Shares of the retry budget outlast a list of hosts that is lost

What upstreams saw: more retries than the budget of all hosts allows, while the store was back from an older copy that lacks the hosts. Cause: the slack is divided by the hosts that are listed now; a host that counts itself alone takes all of it, and one that ended left its share to the others while its own retries were still in the window. Change: the share is that of the largest number of hosts known within a window and the 2 s in which a silent upstream may still read; it shrinks at once and grows after that. Why it works: each retry that an earlier share allowed has left every window before a larger share is used. A list that stays lost for longer raises the shares again: hosts have to register again by then.

--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -231,6 +231,7 @@
         self.table.retain(boot_ids, now)
         self.gateway.contacts.retain(boot_ids)
         self.gateway.contacts.log_changes(now)
+        self.gateway.budgets.record_hosts(max(len(view.hosts), 1), now)
         self.gateway.chooser.rate_limiter.retain(boot_ids)
         self.peering.update_plan(view)
         self.directory.retain()
--- a/sycamorespoke/retries/_attempt_budget.py
+++ b/sycamorespoke/retries/_attempt_budget.py
@@ -77,7 +77,7 @@
         reached : int
             Number of upstreams that have received the request.
         hosts : int
-            Number of entry hosts that share the slack, 1 or more.
+            Number of entry hosts that are known now, 1 or more.
         now : float
             Current time, seconds of the boot clock.
 
--- a/sycamorespoke/retries/_budgets.py
+++ b/sycamorespoke/retries/_budgets.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from sycamorespoke.retries import _window
+from sycamorespoke.retries import _host_count, _window
 
 # A sound upstream that stands still goes on within this time. Until then, it may still
 # read a request that its host has given up.
@@ -48,12 +48,26 @@
     window_s: float = 10.0
     _lock: threading.Lock = attrs.field(factory=threading.Lock, init=False, repr=False)
     _windows_by_service: dict = attrs.field(factory=dict, init=False)
+    _host_count: object = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        memory_s = self.window_s + MAX_SILENCE_S
+        self._host_count = _host_count.HostCount(memory_s)
 
     def deposit(self, service, now):
         """Add a request to the budget of a service at ``now``."""
         with self._lock:
             self._get(service).add_request(now)
 
+    def record_hosts(self, hosts, now):
+        """Record how many entry hosts are known at ``now``, 1 or more.
+
+        The share of this host grows only once the retries of hosts that are no longer
+        known no longer count.
+        """
+        with self._lock:
+            self._host_count.record(hosts, now)
+
     def withdraw(self, service, hosts, now, deadline_s=float("inf")):
         """Withdraw a retry from the budget of a service.
 
@@ -62,7 +76,7 @@
         service : str
             Name of the service.
         hosts : int
-            Number of entry hosts that share the slack, 1 or more.
+            Number of entry hosts that are known now, 1 or more.
         now : float
             Current time, seconds of the boot clock.
         deadline_s : float, default=inf
@@ -75,7 +89,8 @@
         """
         with self._lock:
             window = self._get(service)
-            if not window.has_retry(self.slack / hosts, now):
+            sharing = self._host_count.record(hosts, now)
+            if not window.has_retry(self.slack / sharing, now):
                 return None
             read_s = min(deadline_s + MAX_SILENCE_S, now + MAX_UNREAD_S)
             window.add_retry(read_s)
--- a/tests/platform/test_silent_upstreams.py
+++ b/tests/platform/test_silent_upstreams.py
@@ -77,7 +77,7 @@
 class Deployment:
     """Hosts, upstreams in processes of their own, and callers."""
 
-    def __init__(self, folder, stack):
+    def __init__(self, folder, stack, **settings):
         self.store = object_store.FakeObjectStore()
         stack.callback(self.store.close)
         self.store.put("config", "main", make_configuration())
@@ -87,9 +87,8 @@
             self.upstreams.append(stack.enter_context(contextlib.closing(upstream)))
         gateways = []
         stack.callback(lambda: [gateway.close() for gateway in gateways])
-        fleet_hosts.start_hosts(
-            self, folder, gateways, count=HOSTS, retry_slack=RETRY_SLACK
-        )
+        settings_by_name = {"retry_slack": RETRY_SLACK, **settings}
+        fleet_hosts.start_hosts(self, folder, gateways, count=HOSTS, **settings_by_name)
         ports = itertools.cycle(gateway.ports["listen"] for gateway in gateways)
         self.callers = [Caller(next(ports), number) for number in range(CALLERS)]
         stack.callback(self.stop_callers)
--- a/tests/retries/test_budgets.py
+++ b/tests/retries/test_budgets.py
@@ -12,6 +12,7 @@
 INTERVAL_S = 0.005
 ENDS_S = 40.0
 SILENCES = ((12.0, 13.4), (23.0, 24.4))
+LOST_S = 12.0
 
 
 def find_read_s(sent_s):
@@ -22,13 +23,15 @@
     return sent_s
 
 
-def play(begun_s):
+def play(begun_s, found_again_s=LOST_S):
     """Send retries whenever the budget allows; return when requests and retries came.
 
     Parameters
     ----------
     begun_s : float
         Time from which each request is to be sent again, seconds.
+    found_again_s : float, default=LOST_S
+        Until when each host knows itself alone, from ``LOST_S`` on, seconds.
     """
     budgets = [retries.RetryBudgets(RATIO, SLACK, WINDOW_S) for _ in range(HOSTS)]
     requests_s, reads_s, unread = [], [], []
@@ -37,11 +40,13 @@
     ):
         now = step * INTERVAL_S
         requests_s.append(now)
+        hosts = 1 if LOST_S <= now < found_again_s else HOSTS
+        budget.record_hosts(hosts, now)
         budget.deposit("s", now)
         while unread and unread[0][0] <= now:
             read_s, owner, retry = unread.pop(0)
             owner.record_read(retry, read_s)
-        retry = budget.withdraw("s", HOSTS, now) if now >= begun_s else None
+        retry = budget.withdraw("s", hosts, now) if now >= begun_s else None
         if retry is not None:
             reads_s.append(find_read_s(now))
             unread.append((reads_s[-1], budget, retry))
@@ -74,6 +79,32 @@
     assert count_between(reads_s, begun_s, begun_s + 5.0) >= 0.8 * SLACK
 
 
+@pytest.mark.parametrize("found_again_s", [12.5, 14.0, 23.0])
+@pytest.mark.parametrize("begun_s", [1.0, 12.0, 13.0])
+def test_list_of_hosts_that_is_lost_raises_no_share(begun_s, found_again_s):
+    requests_s, reads_s = play(begun_s, found_again_s)
+    assert compute_worst_excess(requests_s, reads_s) <= 0.0
+    assert count_between(reads_s, begun_s, begun_s + 5.0) >= 0.8 * SLACK
+
+
+def withdraw_all(budget, hosts, now):
+    """Withdraw and read retries until the budget allows no more; return how many."""
+    for count in itertools.count():
+        retry = budget.withdraw("s", hosts, now)
+        if retry is None:
+            return count
+        budget.record_read(retry, now)
+
+
+def test_share_of_a_host_that_ended_is_free_once_its_retries_no_longer_count():
+    ended, other = (retries.RetryBudgets(0.0, 10.0, WINDOW_S) for _ in range(2))
+    used = withdraw_all(ended, 2, 10.0)
+    assert used + withdraw_all(other, 2, 10.0) == 10
+    other.record_hosts(1, 10.5)
+    assert withdraw_all(other, 1, 11.0) == 0
+    assert withdraw_all(other, 1, 30.0) == 10
+
+
 def test_slack_is_divided_by_the_hosts_also_where_they_are_many():
     hosts, slack = 200, 50.0
     budgets = [retries.RetryBudgets(RATIO, slack) for _ in range(hosts)]
