Test: a request that one host refused is a retry at the next

Suspected while reading, not found: with hosts whose pictures of the upstreams differ, a request refused by one host reaches an upstream through the next with no retry withdrawn. It is withdrawn by the host that refuses: without one it states the upstream's refusal, which ends the attempts. The test passed on the code as it was (arrivals 1 without slack, 2 with a slack of one) and guards it.

--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -9,7 +9,7 @@
 import attrs
 import pytest
 
-from sycamorespoke import decisions, messages, serving
+from sycamorespoke import decisions, messages, retries, serving
 from sycamorespoke.gateway import _forward_format, _model
 from tests.fakes import in_process_gateway, scripted_upstream
 from tests.soak import proxy
@@ -233,6 +233,23 @@
     assert sum(counted) == 1
 
 
+@pytest.mark.parametrize(("slack", "arrivals"), [(0.0, 1), (1.0, 2)])
+def test_request_refused_by_one_host_is_a_retry_at_the_next(make_pair, slack, arrivals):
+    pair = make_pair(refuse, refuse)
+    pair.lose_links()
+    hosts = [pair.harness.start_gateway([each]) for each in pair.upstreams]
+    first, second = (pair.start_forwarded(host) for host in hosts)
+    pair.report("host-2", address=first.address)
+    reports = pair.cut.forwarding.peers._reports_by_host
+    reports["host-3"] = attrs.evolve(
+        reports["host-2"], host="host-3", address=second.address
+    )
+    for host in (pair.cut, *hosts):
+        host.gateway.budgets = retries.RetryBudgets(0.0, slack)
+    assert pair.cut.request("/safe/x")[0] == 503
+    assert sum(len(each.requests) for each in pair.upstreams) == arrivals
+
+
 def test_reply_names_only_services_that_are_reached(make_pair):
     pair = make_pair(serve, serve)
     assert pair.peer.request("/safe/x")[0] == 200
