Roll-outs go on in a later era of the store

What callers saw: requests at a version that had been rolled back, as the order that its operator wrote again, after the store came back from an older copy, has another CreatedRev and no status. Cause: an order was known by that revision alone, so hosts began the roll-out anew, with no age, evidence or share. Change: the order that an object held last in an earlier era, or one with the number of its creation, is the same roll-out in a later era, with an ID for each; a copied order does not replace one that the copy lacks; an end that the store lacks is pending again, and its write that went to another order counts for none. Orders created again within an era stay new ones. Known roll-outs get a module.

--- a/sycamorespoke/gateway/_rollout_states.py
+++ b/sycamorespoke/gateway/_rollout_states.py
@@ -78,9 +78,7 @@
             result = self.writer.write(order, state)
             _log_written(order, state, result)
             if result.outcome is clients.WriteOutcome.APPLIED:
-                revision = result.stored.revision if result.stored else order.revision
-                written = attrs.evolve(order, state=state, revision=revision)
-                self.known.record_orders([written], now)
+                self._record_written(order, state, result.stored, now)
                 return
             if result.outcome is not clients.WriteOutcome.CONFLICT:
                 return
@@ -88,6 +86,15 @@
             if order is None:
                 return
 
+    def _record_written(self, order, state, stored, now):
+        if stored is not None and stored.id != order.id:
+            # A later era of the store gave the revision to another order.
+            self.known.record_orders([stored], now)
+            return
+        revision = stored.revision if stored else order.revision
+        written = attrs.evolve(order, state=state, revision=revision)
+        self.known.record_orders([written], now)
+
     def _adopt(self, order, stored, now):
         """Return the changed order if its state is still to be written."""
         if stored is None:
--- a/sycamorespoke/rollouts/_orders.py
+++ b/sycamorespoke/rollouts/_orders.py
@@ -44,7 +44,7 @@
         Software version that is brought in.
     created : int
         Revision at which the order was created; tells an order from an earlier one
-        for the same version.
+        for the same version. In a later era of the store an order has another one.
     """
 
     service: str
--- a/sycamorespoke/rollouts/_rollouts.py
+++ b/sycamorespoke/rollouts/_rollouts.py
@@ -9,6 +9,7 @@
 from sycamorespoke.rollouts import (
     _durations,
     _host_rollout,
+    _known_rollouts,
     _listed_versions,
     _orders,
     _plan,
@@ -16,9 +17,6 @@
     _verdict,
 )
 
-# Rollouts that are remembered after others have replaced them.
-MAX_REMEMBERED = 64
-
 
 @attrs.frozen
 class SentRequest:
@@ -56,7 +54,7 @@
         self.boot_id = secrets.token_hex(4)
         self._lock = threading.Lock()
         self._current_by_service = {}
-        self._rollouts_by_id = collections.OrderedDict()
+        self._known = _known_rollouts.KnownRollouts()
         self._listed = _listed_versions.ListedVersions()
         self._durations = _durations.Durations()
         self._in_flight_by_version = collections.Counter()
@@ -83,21 +81,38 @@
                 self._record_order(order, now)
 
     def _record_order(self, order, now):
+        self._continue_known(order, now)
         current = self._current_by_service.get(order.id.service)
         if current is not None and order.revision < current.order.revision:
             return
-        rollout = self._rollouts_by_id.get(order.id)
+        rollout = self._known.get(order.id)
         if rollout is None:
             rollout = _host_rollout.HostRollout(order, now)
-            self._rollouts_by_id[order.id] = rollout
+            self._known.add(order.id, rollout)
             _reports.log(
                 "rollout began", order, duration_s=order.duration_s, state=order.state
             )
+        elif rollout is not current and order.revision <= rollout.order.revision:
+            # It was replaced by the current one, also if the store lacks that one.
+            return
         self._current_by_service[order.id.service] = rollout
+        self._adopt(rollout, order, now)
+        self._known.record_last(rollout)
+
+    def _continue_known(self, order, now):
+        """Let a known rollout go on with an order of a later era of the store."""
+        if self._known.get(order.id) is not None:
+            return
+        rollout = self._known.find_continued(order)
+        if rollout is None:
+            return
+        self._known.add(order.id, rollout)
+        _reports.log("rollout goes on in a new era", order, state=order.state)
+        self._adopt(rollout, order, now)
+
+    def _adopt(self, rollout, order, now):
         if rollout.adopt_order(order, now):
             _reports.log("rollout ended", order, state=order.state, told_by="store")
-        while len(self._rollouts_by_id) > MAX_REMEMBERED:
-            self._rollouts_by_id.popitem(last=False)
 
     def plan(self, request, upstreams, hosts_by_name, confirmed_s, now):
         """Decide which upstreams of a service a request may use, in which order.
@@ -161,7 +176,7 @@
         Of an order that was replaced, the end may not be known here. Its version was
         completed if, besides the one that is brought in, no other is left.
         """
-        ends_by_version = self._list_earlier_ends(current)
+        ends_by_version = self._known.list_earlier_ends(current)
         kept = [
             each
             for each in upstreams
@@ -179,18 +194,6 @@
         has_old = any(not current.is_trial(each) for each in completed)
         return completed if has_old else kept
 
-    def _list_earlier_ends(self, current):
-        """Return how the other orders of a service ended, by version."""
-        rollouts = sorted(
-            self._rollouts_by_id.values(), key=lambda each: each.order.id.created
-        )
-        return {
-            rollout.order.id.version: rollout.end
-            for rollout in rollouts
-            if rollout.order.id.service == current.order.id.service
-            and rollout.order.id.version != current.order.id.version
-        }
-
     def cancel_reservation(self, plan):
         """Take back what a plan reserved and its request did not use."""
         if plan.reserved_for is not None:
@@ -270,7 +273,7 @@
     def get_end(self, rollout_id):
         """Return how a rollout ended; ``None`` if it goes on or is not known."""
         with self._lock:
-            rollout = self._rollouts_by_id.get(rollout_id)
+            rollout = self._known.get(rollout_id)
             return rollout and rollout.end
 
     def make_reports(self, now):
@@ -296,7 +299,7 @@
         """
         rollout_id = _orders.RolloutId(reply.service, reply.version, reply.created)
         with self._lock:
-            rollout = self._rollouts_by_id.get(rollout_id)
+            rollout = self._known.get(rollout_id)
             if rollout is None or not reply.is_holder:
                 return
             rollout.judged_s = max(rollout.judged_s, now)
--- a/tests/gateway/test_rollout_states.py
+++ b/tests/gateway/test_rollout_states.py
@@ -3,7 +3,7 @@
 import attrs
 import pytest
 
-from sycamorespoke import clients, messages, rollouts, serving
+from sycamorespoke import clients, domain, messages, rollouts, serving
 from sycamorespoke.gateway import (
     _model,
     _rollout_states,
@@ -140,3 +140,28 @@
     task = start(leases, order=attrs.evolve(ORDER, state=ROLLED_BACK))
     task.step()
     assert leases.objects == {}
+
+
+def test_end_is_written_again_to_an_order_of_a_later_era(start):
+    task = start(lease_objects.FakeLeaseStore())
+    task.decide(ROLLED_BACK)
+    task.step()
+    created = domain.make_revision(1, 3)
+    again = attrs.evolve(ORDER, id=attrs.evolve(ID, created=created), revision=created)
+    task.writer.order = again
+    task.known.record_orders([again], serving.read_clock())
+    task.step()
+    assert task.writer.states == [ROLLED_BACK, ROLLED_BACK]
+    assert task.writer.order.id == again.id
+
+
+def test_state_that_another_order_got_is_not_taken_for_written(start):
+    task = start(lease_objects.FakeLeaseStore())
+    created = domain.make_revision(1, 5)
+    other = attrs.evolve(ORDER, id=attrs.evolve(ID, version="v3", created=created))
+    other = attrs.evolve(other, revision=domain.make_revision(1, 6))
+    result = clients.WriteResult(clients.WriteOutcome.APPLIED, other)
+    task.writer.write = lambda order, state: result
+    task.decide(ROLLED_BACK)
+    task.step(3)
+    assert task.known.list_pending() == [other]
--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -133,6 +133,33 @@
     assert test_program.wait_until(lambda: read_state(fleet) == "rolled_back")
 
 
+@pytest.mark.processes
+def test_bad_version_gets_nothing_after_an_older_copy_lacks_its_roll_back(deployment):
+    fleet, _, _ = deployment
+    fleet.store.era = 1
+    fleet.failing_versions = {"v2"}
+    time.sleep(1.0)
+    store_copy = fleet.store.copy()
+    order(fleet)
+    assert test_program.wait_until(lambda: read_state(fleet) == "rolled_back")
+    written = {
+        key: each["Spec"]
+        for key, each in fleet.store.objects.items()
+        if key[0] in ("servers", "rollouts") and key not in store_copy.objects
+    }
+    fleet.store.is_unavailable = True
+    time.sleep(0.4)
+    fleet.store.restore(store_copy)
+    fleet.store.put("others", "x", {})
+    for (kind, name), spec in written.items():
+        fleet.store.put(kind, name, spec)
+    fleet.store.is_unavailable = False
+    since_s = time.monotonic()
+    assert test_program.wait_until(lambda: read_state(fleet) == "rolled_back")
+    time.sleep(2.0)
+    assert count_arrivals(fleet, since_s, "v2") == 0
+
+
 def make_stored(**changes):
     fields = {
         "name": "s",
