Hosts register again, and write the shared key again, in a later era

What was seen: after the store came back from a copy from before a host's start, its entry was missing for good (a new test with three real hosts), so others sent it no messages; with no key, the next host to start would make another one that nobody shares. Cause: a host registered once. Change: a thread goes on after the first registration; a host that a list no longer shows registers once more in each later era, and each looks at the key once, by a conditional create with the key in use; another key is logged and kept, and the host goes on with its own.

--- a/sycamorespoke/gateway/_peering.py
+++ b/sycamorespoke/gateway/_peering.py
@@ -9,13 +9,17 @@
 import loguru
 
 from sycamorespoke import decisions, messages, serving
-from sycamorespoke.gateway import _model, _reader_exchange, _relay, _target_ages
+from sycamorespoke.gateway import (
+    _model,
+    _reader_exchange,
+    _registration,
+    _relay,
+    _target_ages,
+)
 
 KEY_BYTES = 32
 REPLY_THREADS = 2
 RETRY_S = 0.5
-# Section of the view with the entry hosts.
-HOSTS = "hosts"
 SETTLE_POLL_S = 0.05
 # Pause of readers after each response with events in large deployments.
 STORE_PAUSE_S = 0.1
@@ -54,6 +58,8 @@
         groups.
     rollout_exchange : rollouts.RolloutExchange or None, default=None
         Reports of rollouts of software versions, if these are followed.
+    history : clients.StoreHistory or None, default=None
+        Tells the era of the store.
     """
 
     host: _model.Host
@@ -69,8 +75,10 @@
     reachability: object
     is_load_shared: object
     rollout_exchange: object = None
+    history: object = None
     _plan: decisions.ReaderPlan = attrs.field(init=False)
     _target_ages: object = attrs.field(init=False)
+    _registration: object = attrs.field(init=False)
     _planned_hosts_by_name: dict | None = attrs.field(init=False, default=None)
     _planned_configuration: object = attrs.field(init=False, default=None)
 
@@ -79,14 +87,19 @@
         self._target_ages = _target_ages.TargetAges(
             self.host.name, self.views, self.table
         )
+        self._registration = _registration.Registration(
+            self.host, self.registry, self.views, self.history
+        )
 
     def join(self, stop_requested):
         """Register this host and serve the others, in a background thread.
 
+        A host whose entry a later era of the store lacks registers again.
+
         Parameters
         ----------
         stop_requested : threading.Event
-            Ends the attempts to register.
+            Ends the thread.
         """
         threading.Thread(
             target=self._run, args=(stop_requested,), name="join", daemon=True
@@ -94,7 +107,7 @@
 
     def leave(self):
         """Remove this host from the registry."""
-        if not self.registry.unregister(self.host.name):
+        if not self._registration.leave():
             loguru.logger.info("host could not be unregistered")
 
     def update_plan(self, view):
@@ -143,7 +156,9 @@
 
     def _list_known_hosts(self):
         view = self.views.get()
-        return view.hosts if HOSTS in view.confirmed_s_by_section else None
+        return (
+            view.hosts if _registration.HOSTS in view.confirmed_s_by_section else None
+        )
 
     def choose_timing(self, freshness):
         """Choose the `decisions.WatchTiming` of a section of the view.
@@ -166,14 +181,24 @@
         while not stop_requested.is_set():
             try:
                 if self._try_join(stop_requested):
-                    return
+                    break
             except Exception:
                 loguru.logger.exception("registering this host failed")
             stop_requested.wait(RETRY_S)
+        self._keep_registered(stop_requested)
+
+    def _keep_registered(self, stop_requested):
+        while not stop_requested.is_set():
+            try:
+                self._registration.step(serving.read_clock())
+            except Exception:
+                loguru.logger.exception("registering this host again failed")
+            wait_s = self._registration.compute_wait_s(RETRY_S, serving.read_clock())
+            stop_requested.wait(wait_s)
 
     def _try_join(self, stop_requested):
-        key = self.registry.get_or_create_peer_key(secrets.token_hex(KEY_BYTES))
-        if key is None or not self.registry.register(self.host):
+        key = self._registration.join(secrets.token_hex(KEY_BYTES))
+        if key is None:
             return False
         loguru.logger.info("host registered")
         messages.Server(
--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -365,6 +365,7 @@
             self.reachability,
             self.gateway.chooser.placer.is_load_shared,
             self._make_rollout_exchange(),
+            self.deployment.source.history,
         )
 
     def _make_rollout_exchange(self):
--- a/tests/platform/test_store_from_older_copy.py
+++ b/tests/platform/test_store_from_older_copy.py
@@ -2,6 +2,7 @@
 
 import collections
 import http.client
+import json
 import threading
 import time
 
@@ -162,3 +163,30 @@
     for engine in engines:
         fences = [order["Fence"] for order in engine.orders]
         assert fences == sorted(fences)
+
+
+def test_hosts_and_key_that_an_older_copy_lacks_are_written_again(store, start_host):
+    store.put("config", "main", make_configuration(1, "first"))
+    store_copy = store.copy()
+    gateways = [start_host(f"h{number}") for number in range(3)]
+    assert all(gateway.wait_ready() for gateway in gateways)
+    names = {f"h{number}" for number in range(3)}
+
+    def list_names(kind):
+        return {
+            name for stored_kind, name in list(store.objects) if stored_kind == kind
+        }
+
+    assert test_program.wait_until(lambda: list_names("syk-hosts") == names)
+    key = store.objects["syk-keys", "peers"]["Spec"]
+    # The hosts have their own list from then on.
+    assert test_program.wait_until(
+        lambda: all(
+            len(json.loads(each.get("operators", "/dump")[1])["hosts"]) == len(names)
+            for each in gateways
+        )
+    )
+    restore(store, store_copy, lambda: None)
+    assert test_program.wait_until(lambda: list_names("syk-hosts") == names)
+    assert test_program.wait_until(lambda: list_names("syk-keys") == {"peers"})
+    assert store.objects["syk-keys", "peers"]["Spec"] == key
