Records of streams and crash reports are written again in a later era

What was seen: after the store came back from an older copy, a host's records of streams, and what it had reported of ended upstreams, stayed missing until they changed; a report that had been deleted stayed there. Cause: hosts compared with what an earlier era had confirmed. Change: what is confirmed counts in the era in which it was written; a host with nothing to write writes nothing. Evidence: three new tests fail with the comparison of eras taken out of the code, and pass with it, with one write for each object and era.

--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -98,6 +98,7 @@
             self.views,
             self.crash_monitor,
             deployment.crash_records,
+            deployment.source.history,
         )
         self.directory = _origin_directory.OriginDirectory(
             gateway_settings.name, self.views
@@ -109,6 +110,7 @@
             self.directory.origins,
             self.software_versions,
             deployment.stream_records,
+            deployment.source.history,
         )
         self.directory.use_store(self.stored_origins)
         self.host = _model.Host(
--- a/sycamorespoke/gateway/_stored_origins.py
+++ b/sycamorespoke/gateway/_stored_origins.py
@@ -6,7 +6,7 @@
 import loguru
 import msgspec
 
-from sycamorespoke import decisions, serving
+from sycamorespoke import clients, decisions, serving
 from sycamorespoke.gateway import _stream_origins
 
 MIN_INTERVAL_S = 0.2
@@ -47,16 +47,20 @@
         Has ``read(name)``, which returns a JSON value, ``None`` if there is none, and
         raises ``LookupError`` if that is not known; ``write(name, value)`` returns
         whether the source confirmed it.
+    history : clients.StoreHistory or None, default=None
+        Tells the era of the store; what an earlier one had confirmed may be lost.
     """
 
-    def __init__(self, host, views, origins, software_versions, objects):
+    def __init__(self, host, views, origins, software_versions, objects, history=None):
         self.host = host
         self.views = views
         self.origins = origins
         self.software_versions = software_versions
         self.objects = objects
         self._has_read_own = False
+        self.history = history or clients.StoreHistory()
         self._written_ids = frozenset()
+        self._written_era = 0
         # Whether this host ranks first, by request, for one list of hosts.
         self._is_first_by_request = {}
         self._ranked_hosts = {}
@@ -81,10 +85,12 @@
         records = self._select_records(now)
         ids = frozenset(request_id for request_id, _ in records)
         # Expired records are left there until others are written or none is left.
-        if ids == self._written_ids or (ids and ids < self._written_ids):
+        is_written = ids == self._written_ids or (ids and ids < self._written_ids)
+        era = self.history.era
+        if is_written and (era == self._written_era or not self._written_ids):
             return
         if self.objects.write(self.host, _encode(records, now)):
-            self._written_ids = ids
+            self._written_ids, self._written_era = ids, era
 
     def find(self, request_id, now):
         """Find the record of a stream in the store.
@@ -128,6 +134,7 @@
 
     def _read_own(self, now):
         """Take over what this host wrote before it was lost."""
+        era = self.history.era
         try:
             value = self.objects.read(self.host)
         except LookupError:
@@ -140,7 +147,7 @@
             self.software_versions.record_used(
                 origin.service, origin.software_version, now
             )
-        self._written_ids = frozenset(records_by_id)
+        self._written_ids, self._written_era = frozenset(records_by_id), era
         self._has_read_own = True
 
     def _select_records(self, now):
--- a/sycamorespoke/quarantine/_quarantine.py
+++ b/sycamorespoke/quarantine/_quarantine.py
@@ -10,7 +10,7 @@
 
 import loguru
 
-from sycamorespoke import decisions, serving
+from sycamorespoke import clients, decisions, serving
 from sycamorespoke.quarantine import _records
 
 MIN_INTERVAL_S = 0.25
@@ -43,9 +43,11 @@
     records : object
         Has ``write(name, value)`` and ``delete(name)``, which return whether the
         source confirmed the change.
+    history : clients.StoreHistory or None, default=None
+        Tells the era of the store; what an earlier one had confirmed may be lost.
     """
 
-    def __init__(self, host, views, monitor, records):
+    def __init__(self, host, views, monitor, records, history=None):
         self.host = host
         self.views = views
         self.monitor = monitor
@@ -54,7 +56,9 @@
         # previous one has reported.
         self.report_name = f"{host}.{secrets.token_hex(PROCESS_NUMBER_BYTES)}"
         self._broken = collections.deque(maxlen=MAX_REPORTED_REQUESTS)
+        self.history = history or clients.StoreHistory()
         self._written = None
+        self._written_era = 0
         self._suspected_since_s_by_content = {}
         self._quarantined_contents = frozenset()
         self._lifted_s_by_content = {}
@@ -160,12 +164,17 @@
             self._list_known_sound(suspected_by_others, now),
         )
         is_empty = not report.broken_requests and not report.sound_contents
-        if report == self._written or (is_empty and self._written is None):
+        era = self.history.era
+        if is_empty and self._written is None:
+            return
+        if report == self._written and era == self._written_era:
             return
         if is_empty:
-            self._written = None if self.records.delete(report.name) else self._written
-        elif self.records.write(report.name, report.to_value(now)):
-            self._written = report
+            is_done = self.records.delete(report.name)
+        else:
+            is_done = self.records.write(report.name, report.to_value(now))
+        if is_done:
+            self._written, self._written_era = report, era
 
     def _list_known_sound(self, contents, now):
         sound = self.monitor.sound_contents.select(contents, now)
--- a/tests/gateway/test_stored_origins.py
+++ b/tests/gateway/test_stored_origins.py
@@ -1,7 +1,7 @@
 import attrs
 import pytest
 
-from sycamorespoke import decisions
+from sycamorespoke import clients, decisions
 from sycamorespoke.gateway import (
     _model,
     _software_versions,
@@ -59,8 +59,9 @@
             ],
             0.0,
         )
+        self.history = clients.StoreHistory()
         self.stored = _stored_origins.StoredOrigins(
-            name, views, self.origins, self.software_versions, objects
+            name, views, self.origins, self.software_versions, objects, self.history
         )
         self.data_centres = {f"h{n}": f"dc-{n % 3}" for n in range(hosts)}
 
@@ -166,6 +167,19 @@
     assert objects.writes == 2
 
 
+def test_records_are_written_again_once_in_a_later_era():
+    objects = Objects()
+    host = Host(objects)
+    (request_id,) = host.list_first(1)
+    host.begin(request_id)
+    step(host, 1.0, 1.2)
+    objects.value_by_name.clear()
+    host.history.record_era(1, 1.3)
+    step(host, 1.4, 1.6, 1.8)
+    assert Host(objects).stored.find(request_id, 2.0).origin == V1
+    assert objects.writes == 2
+
+
 def test_nothing_is_guessed_while_the_store_is_away():
     objects = Objects()
     host = Host(objects)
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sycamorespoke import decisions
+from sycamorespoke import clients, decisions
 from sycamorespoke.gateway import _model, _views
 from sycamorespoke.quarantine import _monitor, _quarantine, _records
 
@@ -70,6 +70,7 @@
     def __init__(self, count):
         self.now = 100.0
         self.records = SharedRecords()
+        self.history = clients.StoreHistory()
         self.running = set()
         self.hosts_by_name = {
             name: _model.Host(name, "dc-1", "127.0.0.1:1")
@@ -88,7 +89,9 @@
             lambda service: None,
             lambda upstream: upstream.id in self.running,
         )
-        self.by_name[name] = _quarantine.Quarantine(name, views, monitor, self.records)
+        self.by_name[name] = _quarantine.Quarantine(
+            name, views, monitor, self.records, self.history
+        )
 
     def end_upstream(self, upstream_id, lost_by_host):
         """End an upstream under requests, some time after the one before."""
@@ -469,3 +472,31 @@
     for name in hosts.by_name.keys() - cut_off:
         quarantined = hosts.by_name[name].views.get().crashes.quarantined_by_content
         assert {each.id for each in quarantined} == {"bad"}
+
+
+def test_report_is_written_again_once_in_a_later_era():
+    hosts = Hosts(3)
+    hosts.end_upstream("i-0", {"h0": make_plain("bad")})
+    hosts.run(1.0)
+    before = dict(hosts.records.values_by_name)
+    writes = hosts.records.writes
+    hosts.records.values_by_name.clear()
+    hosts.history.record_era(1, hosts.now)
+    hosts.run(1.0)
+    assert hosts.records.values_by_name.keys() == before.keys()
+    assert hosts.records.writes == writes + 1
+
+
+def test_report_that_was_deleted_and_is_back_is_deleted_again():
+    hosts = Hosts(3)
+    hosts.end_upstream("i-0", {"h0": make_plain("bad")})
+    hosts.run(1.0)
+    before = dict(hosts.records.values_by_name)
+    assert before
+    hosts.by_name["h1"].monitor.record_whole(make_plain("bad"), hosts.now)
+    hosts.run(40.0)
+    assert not hosts.records.values_by_name
+    hosts.records.values_by_name.update(before)
+    hosts.history.record_era(1, hosts.now)
+    hosts.run(1.0)
+    assert not hosts.records.values_by_name
