Announcement of loading engines is written again in a later era

What was seen: the announcement of engines that load or have loaded weights was written once, so a store that came back from an older copy lacked it, or held an earlier one, until it changed. Cause: the holder compared with what an earlier era had got. Change: it counts for the era in which it was announced; only the holder of the lease writes, at its steps, and nothing if it has never announced.

--- a/sycamorespoke/gateway/_weight_rollout.py
+++ b/sycamorespoke/gateway/_weight_rollout.py
@@ -66,6 +66,8 @@
         self.running_loads = _running_loads.RunningLoads()
         self._versions_by_boot = {}
         self._announced = _orders.LoadAnnouncement()
+        # Era of the store in which it was announced; None before any.
+        self._announced_era = None
         self._retry_at_s_by_boot = {}
         self._lock = threading.Lock()
         self._pause = threading.Event()
@@ -186,7 +188,8 @@
     def _announce(self):
         """Announce to the other hosts which engines load or have loaded weights.
 
-        Nothing is written if that has not changed.
+        Nothing is written if that has not changed since the last announcement in the
+        same era of the store.
         """
         running = self.running_loads.list_all()
         with self._lock:
@@ -198,9 +201,13 @@
         announcement = _orders.LoadAnnouncement(
             sorted(self.running_loads.list_counted()), versions_by_boot
         )
-        if announcement == self._announced or not self.task_lease.is_held():
+        era = self.task_lease.keeper.history.era
+        is_known = self._announced_era in (None, era)
+        if announcement == self._announced and is_known:
             return
-        self._announced = announcement
+        if not self.task_lease.is_held():
+            return
+        self._announced, self._announced_era = announcement, era
         if self.leases.announce(LOADING_NAME, announcement.to_value()):
             self._pause.wait(ANNOUNCE_LEAD_S)
 
--- a/tests/gateway/test_weight_rollout.py
+++ b/tests/gateway/test_weight_rollout.py
@@ -264,3 +264,25 @@
     assert run_until(
         actor, lambda: all(each.version == 2 for each in silent.values()), timeout_s
     )
+
+
+def test_announcement_is_written_again_once_in_a_later_era(start):
+    leases = lease_objects.FakeLeaseStore()
+    actor = start(FakeEngines(i0=FakeEngine()), leases, target_version=1)
+    proxy = actor.proxy()
+    task_lease = proxy.task_lease.get()
+    task_lease.is_held = lambda: True
+    now = serving.read_clock()
+
+    def step(count=3):
+        for _ in range(count):
+            proxy.step(now).get(timeout=5.0)
+        return len(leases.announced)
+
+    assert step() == 0
+    (upstream,) = proxy.views.get().get().upstreams_by_id.values()
+    proxy.record_loaded(upstream, MODEL, 1).get(timeout=5.0)
+    assert step() == 1
+    task_lease.keeper.history.record_era(1, now)
+    assert step() == 2
+    assert leases.announced[0] == leases.announced[1]
