Versions of the product's own interface include the era of the platform

Cause: the client of the platform compared versions as bare numbers. Change: it reads Store-Era and puts the era into each version and revision of the host list; a conditional write on a version of another era is a conflict without a call, one that a new era received is uncertain, a watch across eras returns the current object, and a response of an earlier era is not used. Leases of steward and entry hosts follow its history. The stand-in and the fake come back from older copies. Why: a number given out again is a later version now, and no number is sent for a state of another era.

--- a/sycamorespoke/clients/_platform.py
+++ b/sycamorespoke/clients/_platform.py
@@ -1,6 +1,7 @@
 """Client for the object service of the platform."""
 
 import json
+import time
 import typing
 import urllib.parse
 
@@ -9,9 +10,15 @@
 import urllib3
 
 from sycamorespoke import domain
-from sycamorespoke.clients import _checked_http, _json_documents
+from sycamorespoke.clients import (
+    _checked_http,
+    _header_values,
+    _json_documents,
+    _store_history,
+)
 
 CONNECT_TIMEOUT_S = 0.5
+STORE_ERA = "Store-Era"
 LISTING_UNSUPPORTED = "the platform does not support listing objects"
 
 
@@ -24,7 +31,8 @@
     value : object
         Any JSON value; ``None`` in the result of a write.
     version : int
-        Version assigned by the platform, above 0; 0 in the result of a deletion.
+        Version assigned by the platform, above 0, with the era of the store; 0 in the
+        result of a deletion.
     """
 
     value: typing.Any
@@ -75,6 +83,14 @@
     reason: str
 
 
+@attrs.frozen
+class _Reply:
+    """A response, and the era that it states or, without one, the newest known."""
+
+    response: typing.Any
+    era: int
+
+
 class PlatformClient:
     """Client for the object service of the platform; thread-safe.
 
@@ -86,16 +102,26 @@
         Read timeout, in seconds, above 0. A watch adds its ``wait_s``.
     connections : int, default=8
         Maximum number of idle connections, 1 to 1000.
+    clock : callable, default=time.monotonic
+        Returns the current monotonic time, in seconds.
+
+    Attributes
+    ----------
+    history : StoreHistory
+        What the responses show of the history of the store.
 
     Notes
     -----
-    Methods return sentinel values with a reason instead of raising.
+    Methods return sentinel values with a reason instead of raising. All versions
+    include the era of the store, see `domain.make_revision`.
     """
 
-    def __init__(self, base_url, timeout_s=2.0, connections=8):
+    def __init__(self, base_url, timeout_s=2.0, connections=8, clock=time.monotonic):
         self.base_url = base_url
         self.timeout_s = timeout_s
         self.connections = connections
+        self.clock = clock
+        self.history = _store_history.StoreHistory()
         self._pool = _checked_http.CheckedPoolManager(
             maxsize=connections, retries=False
         )
@@ -123,7 +149,7 @@
         name : str
             Name of the object.
         after : int
-            Known version; 0 if none is known.
+            Known version; 0 if none is known. One of another era is never waited on.
         wait_s : float
             Maximum time to wait, in seconds, 0 to 60.
 
@@ -132,9 +158,7 @@
         StoredObject or Unchanged or Missing or Unavailable
             The current object, or the reason why it was not read.
         """
-        query = urllib.parse.urlencode({"after": after, "wait": wait_s})
-        url = f"{self._object_url(name)}?{query}"
-        return self._read(url, self.timeout_s + wait_s)
+        return self._watch(self._object_url(name), after, wait_s)
 
     def put(self, name, value, version):
         """Write an object if it still has the expected version.
@@ -195,8 +219,15 @@
                 else Unavailable(LISTING_UNSUPPORTED)
             )
         try:
-            return msgspec.convert(result.value, _ObjectList).versions_by_name
-        except msgspec.ValidationError as error:
+            numbers_by_name = msgspec.convert(
+                result.value, _ObjectList
+            ).versions_by_name
+            era = domain.get_era(result.version)
+            return {
+                name: domain.make_revision(era, number)
+                for name, number in numbers_by_name.items()
+            }
+        except (msgspec.ValidationError, ValueError) as error:
             return Unavailable(f"malformed response from the platform: {error}")
 
     def watch_hosts(self, after, wait_s):
@@ -214,62 +245,74 @@
         domain.HostList or Unchanged or Unavailable
             The current list of the platform, which may lag behind the actual hosts.
         """
-        query = urllib.parse.urlencode({"after": after, "wait": wait_s})
-        url = f"{self.base_url}/v1/hosts?{query}"
-        result = self._read(url, self.timeout_s + wait_s)
+        result = self._watch(f"{self.base_url}/v1/hosts", after, wait_s)
         if not isinstance(result, StoredObject):
             return result
         try:
-            return parse_host_list(result.value)
-        except msgspec.ValidationError as error:
+            hosts = parse_host_list(result.value)
+            era = domain.get_era(result.version)
+            revision = domain.make_revision(era, hosts.revision)
+            return attrs.evolve(hosts, revision=revision)
+        except (msgspec.ValidationError, ValueError) as error:
             return Unavailable(f"malformed response from the platform: {error}")
 
     def _object_url(self, name):
         return f"{self.base_url}/v1/objects/{urllib.parse.quote(name)}"
 
+    def _watch(self, url, after, wait_s):
+        era = domain.get_era(after)
+        if after and era != self.history.era:
+            return self._read(url, self.timeout_s)
+        query = urllib.parse.urlencode(
+            {"after": domain.get_number(after), "wait": wait_s}
+        )
+        result = self._read(f"{url}?{query}", self.timeout_s + wait_s)
+        if isinstance(result, Unchanged) and after and era != self.history.era:
+            # The number stands for another change now.
+            return self._read(url, self.timeout_s)
+        return result
+
     def _read(self, url, timeout_s):
-        response = self._send("GET", url, None, {}, timeout_s)
-        if isinstance(response, Unavailable | Uncertain):
-            return Unavailable(response.reason)
+        reply = self._send("GET", url, None, {}, timeout_s)
+        if isinstance(reply, Unavailable | Uncertain):
+            return Unavailable(reply.reason)
+        response = reply.response
         if response.status == 304:
             return Unchanged()
         if response.status == 404:
-            return Missing()
+            return Missing(version=domain.make_revision(reply.era, 0))
         if response.status != 200:
             return Unavailable(f"the platform returned {response.status}")
         try:
             return StoredObject(
-                _json_documents.decode_document(response.data), _parse_version(response)
+                _json_documents.decode_document(response.data), _parse_version(reply)
             )
         except ValueError as error:
             return Unavailable(f"malformed response from the platform: {error}")
 
     def _write(self, method, name, body, version):
+        # Version 0 states that the object is missing now, in whichever era.
+        if version and domain.get_era(version) != self.history.era:
+            return Conflict("the store has another era than the version")
+        number = domain.get_number(version)
         headers = {"Content-Type": "application/json"}
-        if version:
-            headers["If-Match"] = f'"{version}"'
+        if number:
+            headers["If-Match"] = f'"{number}"'
         else:
             headers["If-None-Match"] = "*"
         url = self._object_url(name)
-        response = self._send(method, url, body, headers, self.timeout_s)
-        if isinstance(response, Unavailable | Uncertain):
-            return response
-        if response.status == 412:
-            return Conflict()
-        if response.status == 404:
-            return Missing()
-        if response.status in (200, 201):
-            return StoredObject(None, _parse_version(response))
-        if response.status == 204:
-            return StoredObject(None, 0)
-        if response.status in (500, 502, 504):
-            return Uncertain(f"the platform returned {response.status}")
-        return Unavailable(f"the platform returned {response.status}")
+        reply = self._send(method, url, body, headers, self.timeout_s)
+        if isinstance(reply, Unavailable | Uncertain):
+            return reply
+        is_other_era = number and reply.era != domain.get_era(version)
+        if is_other_era and reply.response.status < 300:
+            return Uncertain("the store came back from an older copy")
+        return _parse_write(reply)
 
     def _send(self, method, url, body, headers, timeout_s):
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s)
         try:
-            return self._pool.request(
+            response = self._pool.request(
                 method, url, body=body, headers=headers, timeout=timeout
             )
         except (
@@ -279,6 +322,19 @@
             return Unavailable(f"cannot connect to the platform: {error}")
         except urllib3.exceptions.HTTPError as error:
             return Uncertain(f"no response from the platform: {error}")
+        return self._qualify(response)
+
+    def _qualify(self, response):
+        text = response.headers.get(STORE_ERA)
+        if text is None:
+            return _Reply(response, self.history.era)
+        era = _header_values.parse_integer(text)
+        if era is None or era > domain.MAX_ERA:
+            return Uncertain("the era of the store cannot be read")
+        self.history.record_era(era, self.clock())
+        if era < self.history.era:
+            return Uncertain("the response is of an earlier era")
+        return _Reply(response, era)
 
 
 def parse_host_list(value):
@@ -326,5 +382,24 @@
         return None
 
 
-def _parse_version(response):
-    return int(response.headers.get("ETag", '"0"').strip('"'))
+def _parse_write(reply):
+    status = reply.response.status
+    if status == 412:
+        return Conflict()
+    if status == 404:
+        return Missing(version=domain.make_revision(reply.era, 0))
+    if status in (200, 201):
+        try:
+            return StoredObject(None, _parse_version(reply))
+        except ValueError as error:
+            return Uncertain(f"malformed response from the platform: {error}")
+    if status == 204:
+        return StoredObject(None, 0)
+    if status in (500, 502, 504):
+        return Uncertain(f"the platform returned {status}")
+    return Unavailable(f"the platform returned {status}")
+
+
+def _parse_version(reply):
+    number = int(reply.response.headers.get("ETag", '"0"').strip('"'))
+    return domain.make_revision(reply.era, number)
--- a/sycamorespoke/membership/_permit_issuer.py
+++ b/sycamorespoke/membership/_permit_issuer.py
@@ -29,7 +29,7 @@
         self.get_view = get_view
         self.clock = clock
         self.keeper = _lease_keeper.LeaseKeeper(
-            f"permits-{data_centre}", holder, platform, clock
+            f"permits-{data_centre}", holder, platform, clock, history=platform.history
         )
         self._lock = threading.Lock()
         self._ledgers_by_upstream = {}
--- a/sycamorespoke/standins/_platform.py
+++ b/sycamorespoke/standins/_platform.py
@@ -38,6 +38,13 @@
     body: bytes
 
 
+@attrs.frozen
+class _Copy:
+    values_by_name: dict[str, _Value]
+    version: int
+    host_revisions: list
+
+
 @attrs.frozen
 class _HostRevision:
     visible_at: float
@@ -53,6 +60,11 @@
     options : PlatformOptions, optional
         Options; the defaults if not given.
 
+    Attributes
+    ----------
+    era : int
+        How often it has come back from an older copy, stated in all responses.
+
     Notes
     -----
     Faults: with ``stale_reads``, a plain ``GET`` returns the previous version of an
@@ -67,6 +79,7 @@
         self._values_by_name = {}
         self._previous_by_name = {}
         self._version = 0
+        self.era = 0
         self._host_revisions = [_HostRevision(0.0, 0, [])]
         self._requests_by_kind = collections.Counter()
         self._writes_by_name = collections.Counter()
@@ -94,6 +107,31 @@
             self._host_revisions.append(revision)
             self._changed.notify_all()
 
+    def copy(self):
+        """Return a copy of all objects and the host list, for `restore`."""
+        with self._changed:
+            return _Copy(
+                dict(self._values_by_name), self._version, list(self._host_revisions)
+            )
+
+    def restore(self, older):
+        """Come back from an older copy: what was written since is gone.
+
+        The next changes get versions that were given out before.
+
+        Parameters
+        ----------
+        older : object
+            A result of `copy`.
+        """
+        with self._changed:
+            self._values_by_name = dict(older.values_by_name)
+            self._previous_by_name = {}
+            self._version = older.version
+            self._host_revisions = list(older.host_revisions)
+            self.era += 1
+            self._changed.notify_all()
+
     def count(self):
         """Return the requests by kind and the writes by object name."""
         with self._changed:
@@ -107,10 +145,17 @@
 
     def handle_down(self):
         """Return a 503, as the platform does while it is down."""
-        return _wsgi.make_json_response(503, {"error": "down"})
+        return self._state_era(_wsgi.make_json_response(503, {"error": "down"}))
 
     def handle(self, request):
         """Handle a request."""
+        return self._state_era(self._handle(request))
+
+    def _state_era(self, response):
+        headers = {**response.headers, "Store-Era": str(self.era)}
+        return attrs.evolve(response, headers=headers)
+
+    def _handle(self, request):
         if request.path == HOSTS_PATH:
             return self._handle_hosts(request)
         if request.path == OBJECTS_PATH:
--- a/sycamorespoke/steward/_shard.py
+++ b/sycamorespoke/steward/_shard.py
@@ -44,7 +44,7 @@
         self.get_view = get_view
         self.clock = clock
         self.keeper = membership.LeaseKeeper(
-            f"steward-{data_centre}", holder, platform, clock
+            f"steward-{data_centre}", holder, platform, clock, history=platform.history
         )
         self.sent_orders = []
 
--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -3,7 +3,7 @@
 import json
 import threading
 
-from sycamorespoke import clients
+from sycamorespoke import clients, domain
 from sycamorespoke.claims import _layout
 
 
@@ -30,12 +30,15 @@
         Number of writes that took effect.
     concurrent_writer : callable or None
         Called for the fault ``"rival"``.
+    history : clients.StoreHistory
+        Era of the store, as all its clients know it.
     """
 
     def __init__(self, faults=()):
         self.faults = list(faults)
         self.is_down = False
         self.writes = 0
+        self.history = clients.StoreHistory()
         self._values_by_name = {}
         self._versions_by_name = {}
         self._version = 0
@@ -44,11 +47,29 @@
         self._previous_by_name = {}
         self._lock = threading.Lock()
 
+    def copy(self):
+        """Return a copy of all objects, for `restore`."""
+        with self._lock:
+            return (
+                self._version,
+                self._values_by_name.copy(),
+                dict(self._versions_by_name),
+            )
+
+    def restore(self, older, now=0.0):
+        """Come back from an older copy, which gives versions out again."""
+        with self._lock:
+            self._version, values_by_name, numbers_by_name = older
+            self._values_by_name = values_by_name.copy()
+            self._versions_by_name = dict(numbers_by_name)
+            self._previous_by_name = {}
+            self.history.record_era(self.history.era + 1, now)
+
     def get(self, name):
         with self._lock:
             fault = self._next_fault(name)
             if fault == "stale":
-                return self._previous_by_name.get(name, clients.Missing())
+                return self._previous_by_name.get(name, self._make_missing())
             if fault in ("ok", "rival"):
                 return self._get(name)
             return clients.Unavailable(fault)
@@ -75,8 +96,8 @@
             if fault not in ("ok", "rival"):
                 return clients.Unavailable(fault)
             if name not in self._values_by_name:
-                return clients.Missing()
-            if self._versions_by_name[name] != version:
+                return self._make_missing()
+            if self._get_version(name) != version:
                 return clients.Conflict()
             del self._values_by_name[name], self._versions_by_name[name]
             return clients.StoredObject(None, 0)
@@ -86,8 +107,8 @@
             if self._next_fault() not in ("ok", "stale", "rival"):
                 return clients.Unavailable("down")
             return {
-                name: version
-                for name, version in self._versions_by_name.items()
+                name: self._get_version(name)
+                for name in self._versions_by_name
                 if name.startswith(prefix)
             }
 
@@ -97,7 +118,8 @@
             return clients.Unavailable("down")
         with self._lock:
             current = self._get(name)
-        version = current.version if isinstance(current, clients.StoredObject) else 0
+        is_missing = isinstance(current, clients.Missing)
+        version = 0 if is_missing and not after else current.version
         return current if version != after else clients.Unchanged()
 
     def land_late(self):
@@ -120,16 +142,24 @@
 
     def _get(self, name):
         if name not in self._values_by_name:
-            return clients.Missing()
+            return self._make_missing()
         value = json.loads(self._values_by_name[name])
-        return clients.StoredObject(value, self._versions_by_name[name])
+        return clients.StoredObject(value, self._get_version(name))
+
+    def _get_version(self, name):
+        return domain.make_revision(self.history.era, self._versions_by_name[name])
+
+    def _make_missing(self):
+        return clients.Missing(version=domain.make_revision(self.history.era, 0))
 
     def _put(self, name, text, version):
-        if self._versions_by_name.get(name, 0) != version:
+        if version and domain.get_era(version) != self.history.era:
+            return clients.Conflict()
+        if self._versions_by_name.get(name, 0) != domain.get_number(version):
             return clients.Conflict()
         self._previous_by_name[name] = self._get(name)
         self._version += 1
         self.writes += 1
         self._values_by_name[name] = text
         self._versions_by_name[name] = self._version
-        return clients.StoredObject(None, self._version)
+        return clients.StoredObject(None, self._get_version(name))
--- a/tests/fakes/slow_platform.py
+++ b/tests/fakes/slow_platform.py
@@ -52,6 +52,7 @@
 
     def __init__(self, platform):
         self.platform = platform
+        self.history = platform.history
         self.is_down = False
 
     def get(self, name):
