Claims: a host writes again what the store lost of its recent claims

What callers saw: a booking could run twice. Cause: a claim was known only by the store; one that came back from before the claim granted the same key once more, also at the host that had sent the request. Why: no claim is decided at a host on a state that lacks what this host knows.

--- a/sycamorespoke/claims/_shard_writer.py
+++ b/sycamorespoke/claims/_shard_writer.py
@@ -6,6 +6,7 @@
 import attrs
 
 from sycamorespoke import clients, decisions, domain
+from sycamorespoke.claims import _recent_claims
 
 WRITE_ATTEMPTS = 30
 CONFLICT_PAUSE_S = 0.002
@@ -64,7 +65,9 @@
     The last value is cached, so that a write needs a read only while other hosts
     write the shard too. After a write with an uncertain result, no operation gets
     a result before the object has a later version than the one on which that write
-    was conditional: until then the uncertain write may still take effect.
+    was conditional: until then the uncertain write may still take effect. In a new
+    era of the store, what this host knows of recent claims is written again before
+    any other operation is applied.
     """
 
     def __init__(
@@ -83,6 +86,7 @@
         self._last_written_version = 0
         self._uncertain_version = NO_VERSION
         self._had_uncertain_write = False
+        self._recent = _recent_claims.RecentClaims()
 
     @property
     def has_background(self):
@@ -126,6 +130,8 @@
         if step is None:
             self._refuse(claims, operations)
             return False
+        self._remember(step, operations)
+        self._restore()
         self.background = []
         self._count_background(background)
         results = step.results[len(background) :]
@@ -169,13 +175,30 @@
         return None
 
     def _apply_operations(self, operations):
-        return decisions.apply_claim_operations(
+        now = self.wall_clock()
+        era = domain.get_era(self._cached.version)
+        restorations = self._recent.make_restorations(era, now)
+        step = decisions.apply_claim_operations(
             self._cached.value,
-            operations,
-            self.wall_clock(),
+            [*restorations, *operations],
+            now,
             retention_s=self.retention_s,
             shard_bytes=self.shard_bytes,
         )
+        return attrs.evolve(step, results=step.results[len(restorations) :])
+
+    def _restore(self):
+        # Only an outcome that is final can have come from a value of an earlier era.
+        if domain.get_era(self._cached.version) < self.platform_client.history.era:
+            self._cached = None
+            step = self._commit([])
+            if step is not None:
+                self._remember(step, [])
+
+    def _remember(self, step, operations):
+        key_hashes = [operation.token.key_hash for operation in operations]
+        era = domain.get_era(self._cached.version)
+        self._recent.record(key_hashes, step.value["entries"], era, self.wall_clock())
 
     def _needs_write(self, step):
         # An uncertain write that is conditional on this version, or on a later one
@@ -186,7 +209,7 @@
         self.stats.reads += 1
         result = self.platform_client.get(self._object_name())
         if isinstance(result, clients.Missing):
-            result = clients.StoredObject(None, 0)
+            result = clients.StoredObject(None, result.version)
         if not isinstance(result, clients.StoredObject):
             self.stats.unavailable += 1
             return False
--- a/sycamorespoke/decisions/__init__.py
+++ b/sycamorespoke/decisions/__init__.py
@@ -52,6 +52,7 @@
     Recorded,
     RecordOutcome,
     ReleaseClaim,
+    RestoreClaim,
     hash_claim_key,
     hash_request,
 )
@@ -320,6 +321,7 @@
     "Recorded",
     "ReleaseClaim",
     "ResourceKind",
+    "RestoreClaim",
     "RetryBudget",
     "SentOrder",
     "SetOutOfService",
--- a/sycamorespoke/decisions/_claim_operations.py
+++ b/sycamorespoke/decisions/_claim_operations.py
@@ -96,6 +96,23 @@
     token: ClaimToken
 
 
+@attrs.frozen
+class RestoreClaim:
+    """Operation: write a claim again that an older copy of the store may lack.
+
+    Parameters
+    ----------
+    key_hash : str
+        Key of the claim.
+    fields : tuple
+        The claim as the store had confirmed it. It is not restored over another
+        claim, nor over a recorded outcome.
+    """
+
+    key_hash: str
+    fields: tuple
+
+
 @attrs.frozen
 class Claimed:
     """Result: the claim is held, and the request may be sent once.
--- a/sycamorespoke/decisions/_claims.py
+++ b/sycamorespoke/decisions/_claims.py
@@ -51,7 +51,7 @@
     ----------
     value : dict or None
         Current value, ``None`` if the shard does not exist yet.
-    operations : sequence of Claim, RecordOutcome or ReleaseClaim
+    operations : sequence of Claim, RecordOutcome, ReleaseClaim or RestoreClaim
         Operations to apply.
     now : float
         Current wall-clock time, in seconds since the epoch.
@@ -205,6 +205,16 @@
     return _claim_operations.Applied()
 
 
+@_apply.register
+def _(operation: _claim_operations.RestoreClaim, shard, now):
+    known = _ClaimEntry(*operation.fields)
+    entry = shard.get(operation.key_hash)
+    is_earlier = entry is None or (entry.nonce == known.nonce and entry.is_open)
+    if entry is None or (is_earlier and not known.is_open):
+        shard.set(operation.key_hash, known)
+    return _claim_operations.Applied()
+
+
 def _answer_repeated(token, entry, now):
     if entry.fingerprint != token.fingerprint:
         return domain.Refusal(
