Published documents: the era is part of the revision that a change gets

What callers saw: rules published after the platform came back from an older copy got the revision of lost ones, so hosts took them for those that they have and went on with the lost text; hosts without peers refused all requests while the platform held the older copy. Cause: the operator's command counted on from the revision that it read, and a lower revision always counted as a stale read. Change: a change gets a revision of the era in which the document was read, above all of earlier eras, so that a newer document is adopted at once and an older copy is not. A lower revision read in an era later than that of the one in force, and than the last that confirmed it, shows that the platform has nothing newer.

--- a/sycamorespoke/commands/_publish.py
+++ b/sycamorespoke/commands/_publish.py
@@ -151,7 +151,8 @@
             if isinstance(archived, NothingApplied):
                 return archived
         applied_at = self.clock.wall_time()
-        value = decisions.apply_change(change, before, author, writer, applied_at)
+        era = self.platform.history.era
+        value = decisions.apply_change(change, before, author, writer, applied_at, era)
         outcome = self._commit(name, before, value, version)
         if name == RULES and isinstance(outcome, Committed):
             # A failure here is harmless: whoever replaces the revision archives it
--- a/sycamorespoke/decisions/_publication.py
+++ b/sycamorespoke/decisions/_publication.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from sycamorespoke.decisions import _stored_objects
+from sycamorespoke.decisions import _revisions, _stored_objects
 
 MAX_RECENT_RECORDS = 20
 
@@ -59,7 +59,7 @@
 
 
 @functools.singledispatch
-def apply_change(change, stored, author, writer, applied_at):
+def apply_change(change, stored, author, writer, applied_at, era=0):
     """Compute the value of a stored object after a change.
 
     Parameters
@@ -74,11 +74,13 @@
         Unique token of the command.
     applied_at : str
         Date and time in UTC, ISO 8601.
+    era : int, default=0
+        Era of the store in which the value was read.
 
     Returns
     -------
     StoredRules or StoredServiceState
-        Value at the next revision.
+        Value at the next revision, which is that of no value of an earlier era.
 
     Examples
     --------
@@ -92,14 +94,15 @@
 
 
 @apply_change.register
-def _(change: PublishRules, stored, author, writer, applied_at):
+def _(change: PublishRules, stored, author, writer, applied_at, era=0):
+    revision = _revisions.compute_next_revision(stored.revision, era)
     return _stored_objects.StoredRules(
-        stored.revision + 1, writer, author, applied_at, change.text
+        revision, writer, author, applied_at, change.text
     )
 
 
 @apply_change.register
-def _(change: SetOutOfService, stored, author, writer, applied_at):
+def _(change: SetOutOfService, stored, author, writer, applied_at, era=0):
     attribute = {
         ResourceKind.DATA_CENTRE: "data_centres_out",
         ResourceKind.UPSTREAM: "upstreams_out",
@@ -107,7 +110,7 @@
     names = getattr(stored, attribute) - {change.name}
     if change.is_out:
         names |= {change.name}
-    revision = stored.revision + 1
+    revision = _revisions.compute_next_revision(stored.revision, era)
     state = "out" if change.is_out else "in"
     text = f"{change.kind.value} {change.name} {state}"
     record = _stored_objects.ChangeRecord(revision, writer, author, applied_at, text)
--- a/sycamorespoke/decisions/_revisions.py
+++ b/sycamorespoke/decisions/_revisions.py
@@ -1,4 +1,6 @@
-"""Choice between two revisions of a document."""
+"""Revisions of documents that operators publish."""
+
+from sycamorespoke import domain
 
 
 def choose_newer_revision(current, offered):
@@ -25,3 +27,30 @@
     4
     """
     return offered if offered.revision > current.revision else current
+
+
+def compute_next_revision(revision, era):
+    """Compute the revision of a document that replaces another one.
+
+    Parameters
+    ----------
+    revision : int
+        Revision of the document that was read from the store.
+    era : int
+        Era of the store. The document that was read may be one of an older copy, and
+        later ones of an earlier era may be in force.
+
+    Returns
+    -------
+    int
+        A revision above all of that document and of earlier eras.
+
+    Examples
+    --------
+    >>> compute_next_revision(4, 0)
+    5
+    >>> domain.get_era(compute_next_revision(4, 2))
+    2
+    """
+    era = max(era, domain.get_era(revision))
+    return domain.make_revision(era, domain.get_number(revision) + 1)
--- a/sycamorespoke/membership/_actor.py
+++ b/sycamorespoke/membership/_actor.py
@@ -34,11 +34,14 @@
         The latest revision.
     requested_s : float
         Monotonic time at which the read was sent to the platform, in seconds.
+    era : int, default=0
+        Era of the platform's store.
     """
 
     kind: messages.DocumentKind
     revision: int
     requested_s: float
+    era: int = 0
 
 
 @attrs.frozen
@@ -105,7 +108,9 @@
 
 @apply_message.register
 def _(message: RevisionConfirmed, state):
-    state.record_confirmation(message.kind, message.revision, message.requested_s)
+    state.record_confirmation(
+        message.kind, message.revision, message.requested_s, message.era
+    )
 
 
 @apply_message.register
--- a/sycamorespoke/membership/_state.py
+++ b/sycamorespoke/membership/_state.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from sycamorespoke import decisions, messages
+from sycamorespoke import decisions, domain, messages
 from sycamorespoke.membership import _documents, _view
 
 # Time without a heartbeat after which a peer is removed.
@@ -79,6 +79,7 @@
         self.documents_by_kind = _documents.empty_documents()
         self._platform_confirmed_s = _view.NEVER_S
         self._requested_s_by_kind = dict.fromkeys(messages.DocumentKind, _view.NEVER_S)
+        self._confirmed_era_by_kind = dict.fromkeys(messages.DocumentKind, 0)
         self._replies_by_name = {}
         self._in_flight_by_name = {}
         self._reports_by_name = {}
@@ -103,7 +104,7 @@
         self.documents_by_kind[document.kind] = adopted
         return adopted is not current
 
-    def record_confirmation(self, kind, revision, requested_s):
+    def record_confirmation(self, kind, revision, requested_s, era=0):
         """Record the latest revision of a document according to the platform.
 
         Parameters
@@ -114,9 +115,15 @@
             Revision that the platform stores.
         requested_s : float
             Monotonic time at which the read was sent to the platform, in seconds.
+        era : int, default=0
+            Era of the platform's store.
         """
-        # A revision below the adopted one is a stale read and confirms nothing.
-        if revision != self.documents_by_kind[kind].revision:
+        adopted = self.documents_by_kind[kind].revision
+        if revision == adopted:
+            self._confirmed_era_by_kind[kind] = max(
+                self._confirmed_era_by_kind[kind], era
+            )
+        elif not self._is_older_copy(kind, revision, era):
             return
         known = self._requested_s_by_kind[kind]
         self._requested_s_by_kind[kind] = max(known, requested_s)
@@ -195,6 +202,13 @@
         )
         return Snapshot(view, dict(self.documents_by_kind))
 
+    def _is_older_copy(self, kind, revision, era):
+        # A revision below the adopted one is a stale read and confirms nothing, unless
+        # the store has lost the adopted one: then it has nothing newer.
+        adopted = self.documents_by_kind[kind].revision
+        known_era = max(domain.get_era(adopted), self._confirmed_era_by_kind[kind])
+        return revision < adopted and era > known_era
+
     def _is_up_to_date_with(self, heartbeat):
         return not find_newer_kinds(heartbeat, self.documents_by_kind)
 
--- a/sycamorespoke/membership/_watcher.py
+++ b/sycamorespoke/membership/_watcher.py
@@ -5,7 +5,7 @@
 
 from loguru import logger
 
-from sycamorespoke import clients, messages
+from sycamorespoke import clients, domain, messages
 from sycamorespoke.membership import _actor, _documents
 
 WATCH_TIMEOUT_S = 0.8
@@ -48,6 +48,7 @@
         self.clock = clock
         self._version = 0
         self._revision = 0
+        self._era = 0
         self._last_full_read_s = float("-inf")
         self._stopped = threading.Event()
         self._thread = threading.Thread(
@@ -128,6 +129,7 @@
         if isinstance(response, clients.Missing):
             self._revision = 0
             self._version = 0
+            self._era = domain.get_era(response.version)
         elif not isinstance(response, clients.Unchanged):
             document = self._parse_response(response)
             if isinstance(document, _documents.InvalidDocument):
@@ -136,11 +138,17 @@
             if document.revision != before:
                 self.send_to_actor(_actor.DocumentReceived(document))
             self._revision = document.revision
+            self._era = self._get_era(response)
         self.send_to_actor(
-            _actor.RevisionConfirmed(self.kind, self._revision, requested_s)
+            _actor.RevisionConfirmed(self.kind, self._revision, requested_s, self._era)
         )
         return PAUSE_S
 
+    def _get_era(self, response):
+        if self.kind is messages.DocumentKind.HOSTS:
+            return domain.get_era(response.revision)
+        return domain.get_era(response.version)
+
     def _parse_response(self, response):
         if self.kind is messages.DocumentKind.HOSTS:
             return _documents.make_hosts_document(response)
