Host lists of an older copy do not take back hosts in force

What callers would see: an upstream or a host that was added in the seconds that the platform lost disappears at all hosts until it is written again. Cause: the list of the new era replaced the one in force as a whole, and its revision cannot tell an older copy from a later list. Change: entries of the new list are in force at once, and hosts that it lacks are kept for 10 s after the first read of the era; peers still get the list of the platform. Neighbours are chosen again for each list, not for each revision, as a revision no longer stands for one set of hosts.

--- a/sycamorespoke/membership/_state.py
+++ b/sycamorespoke/membership/_state.py
@@ -3,7 +3,7 @@
 import attrs
 
 from sycamorespoke import decisions, domain, messages
-from sycamorespoke.membership import _documents, _view
+from sycamorespoke.membership import _documents, _retained_hosts, _view
 
 # Time without a heartbeat after which a peer is removed.
 PEER_RETENTION_S = 60.0
@@ -83,8 +83,9 @@
         self._replies_by_name = {}
         self._in_flight_by_name = {}
         self._reports_by_name = {}
+        self._retained_hosts = _retained_hosts.RetainedHosts()
         self._neighbours = None
-        self._neighbours_revision = -1
+        self._neighbours_hosts = None
 
     def adopt(self, document):
         """Adopt a document if its revision is higher than the current one.
@@ -101,8 +102,12 @@
         """
         current = self.documents_by_kind[document.kind]
         adopted = decisions.choose_newer_revision(current, document)
+        if adopted is current:
+            return False
+        if document.kind is messages.DocumentKind.HOSTS:
+            adopted = self._retained_hosts.merge(current, adopted)
         self.documents_by_kind[document.kind] = adopted
-        return adopted is not current
+        return True
 
     def record_confirmation(self, kind, revision, requested_s, era=0):
         """Record the latest revision of a document according to the platform.
@@ -118,8 +123,11 @@
         era : int, default=0
             Era of the platform's store.
         """
-        adopted = self.documents_by_kind[kind].revision
-        if revision == adopted:
+        if kind is messages.DocumentKind.HOSTS:
+            self.documents_by_kind[kind] = self._retained_hosts.expire(
+                self.documents_by_kind[kind], requested_s
+            )
+        if revision == self.documents_by_kind[kind].revision:
             self._confirmed_era_by_kind[kind] = max(
                 self._confirmed_era_by_kind[kind], era
             )
@@ -235,8 +243,8 @@
         )
 
     def _choose_neighbours(self, hosts):
-        if hosts.revision != self._neighbours_revision:
-            self._neighbours_revision = hosts.revision
+        if hosts is not self._neighbours_hosts:
+            self._neighbours_hosts = hosts
             self._neighbours = decisions.choose_neighbours(
                 self.name, self.data_centre, hosts
             )
