Quarantine that an older copy of the platform lacks stays in force

What callers saw: contents that had ended an upstream again and again were sent once more. Cause: a record that the platform lost counted as one that was lifted, at all hosts. Change: a record known only of an earlier era is kept, and about one host at each refresh writes it again, so that hosts that start later have it; a record that the new era holds as it was keeps its age, and a write or a deletion of a lost one expects that it is missing. Evidence: the test with 3 and with 9 hosts and the one on the age failed before (no contents in quarantine); all pass. The third, that it can still be lifted, passed before too.

--- a/sycamorespoke/entry/_crash_objects.py
+++ b/sycamorespoke/entry/_crash_objects.py
@@ -1,5 +1,6 @@
 """Shared objects about upstreams that end, in the platform's object service."""
 
+import random
 import threading
 
 import attrs
@@ -37,6 +38,7 @@
     """A record of the platform; ``record`` is ``None`` if it is malformed."""
 
     version: int
+    value: object
     record: object = None
 
 
@@ -69,6 +71,8 @@
         self._refreshed_s = float("-inf")
         self._retry_at_s = float("-inf")
         self._watched = 0
+        # Era of the last list; what is known only of earlier ones is lost.
+        self._listed_era = 0
 
     def start(self, stop_requested):
         """Wait for changes in a background thread until ``stop_requested`` is set."""
@@ -98,6 +102,7 @@
             self._retry_at_s = now + UNAVAILABLE_PAUSE_S
             return
         self._refreshed_s = now
+        self._restore_lost(now)
         records = (stored.record for stored in self._stored_by_name.values())
         crashes = quarantine.CrashRecords.from_items(
             record for record in records if record is not None
@@ -117,25 +122,44 @@
         """Delete a record; return whether it is gone."""
         version = self._get_version(name)
         if not version:
+            self._stored_by_name.pop(name, None)
             return True
         result = self.platform_client.delete(PREFIX + name, version)
         return self._report_change(result) or isinstance(result, clients.Missing)
 
     def _get_version(self, name):
         stored = self._stored_by_name.get(name)
-        return stored.version if stored is not None else 0
+        return 0 if stored is None or self._is_earlier(stored) else stored.version
+
+    def _is_earlier(self, stored):
+        return domain.get_era(stored.version) < self._listed_era
+
+    def _restore_lost(self, now):
+        """Write records again that an older copy of the store lacks."""
+        lost = {
+            name: stored.record
+            for name, stored in self._stored_by_name.items()
+            if stored.record is not None and self._is_earlier(stored)
+        }
+        hosts = max(len(self.get().hosts), 1)
+        for name, record in lost.items():
+            # About one host for each record at a time.
+            if random.random() < 1 / hosts:
+                self.write(name, _format(record, now))
 
     def _read_all(self, now):
         """Read the changed records; return whether all could be read."""
         versions_by_name = self.platform_client.list(PREFIX)
         if isinstance(versions_by_name, clients.Unavailable):
             return False
+        self._listed_era = self.platform_client.history.era
         versions_by_name = {
             name.removeprefix(PREFIX): version
             for name, version in versions_by_name.items()
         }
         for name in self._stored_by_name.keys() - versions_by_name.keys():
-            del self._stored_by_name[name]
+            if not self._is_earlier(self._stored_by_name[name]):
+                del self._stored_by_name[name]
         changed = {
             name
             for name, version in versions_by_name.items()
@@ -151,8 +175,14 @@
         result = self.platform_client.get(PREFIX + name)
         if not isinstance(result, clients.StoredObject) or result.version < version:
             return False
+        stored = self._stored_by_name.get(name)
+        is_known = stored is not None and stored.value == result.value
+        if is_known and self._is_earlier(stored):
+            # Its age is that of the first read.
+            self._stored_by_name[name] = attrs.evolve(stored, version=result.version)
+            return True
         record = _parse(name, result.value, now)
-        self._stored_by_name[name] = _Stored(result.version, record)
+        self._stored_by_name[name] = _Stored(result.version, result.value, record)
         return True
 
     def _report_change(self, result):
@@ -201,6 +231,12 @@
                 pause_s = UNAVAILABLE_PAUSE_S
 
 
+def _format(record, now):
+    if isinstance(record, quarantine.CrashReport):
+        return record.to_value(now)
+    return record.to_value()
+
+
 def _parse(name, value, now):
     """Parse a record; a malformed one, such as of another release, is left out."""
     try:
--- a/tests/entry/test_crash_objects.py
+++ b/tests/entry/test_crash_objects.py
@@ -1,5 +1,7 @@
 """Records of upstreams that end, shared by entry hosts through the platform."""
 
+import random
+
 import attrs
 import pytest
 
@@ -180,3 +182,59 @@
     hosts.store.put(_crash_objects.PREFIX + "n", {"other": 1}, 0)
     hosts.store.put(_crash_objects.PREFIX + record.name, record.to_value(), 0)
     assert hosts.list_quarantined() == {frozenset({BAD})}
+
+
+@pytest.mark.parametrize("count", [3, 9])
+def test_quarantine_stays_in_force_when_the_platform_is_back_from_an_older_copy(count):
+    random.seed(7)
+    hosts = EntryHosts(count)
+    hosts.run(1.0)
+    older = hosts.store.copy()
+    for n in range(3):
+        hosts.end_service({n: "bad"})
+    hosts.run(VERDICT_S)
+    hosts.store.restore(older)
+    assert hosts.list_quarantined() == {frozenset({BAD})}
+    # Hosts write the lost records again for those that start later.
+    hosts.run(10 * _crash_objects.REFRESH_INTERVAL_S)
+    for name in hosts.names:
+        hosts.start(name)
+    assert hosts.list_quarantined() == {frozenset({BAD})}
+
+
+def test_quarantine_that_the_platform_lost_ends_in_its_time():
+    random.seed(7)
+    hosts = EntryHosts(3)
+    hosts.run(1.0)
+    older = hosts.store.copy()
+    for n in range(3):
+        hosts.end_service({n: "bad"})
+    hosts.run(VERDICT_S)
+    ends_s = {
+        each.seen_s
+        for host in hosts.by_name.values()
+        for each in host.objects.crashes.quarantined_by_content.values()
+    }
+    hosts.store.restore(older)
+    hosts.run(10 * _crash_objects.REFRESH_INTERVAL_S)
+    assert ends_s == {
+        each.seen_s
+        for host in hosts.by_name.values()
+        for each in host.objects.crashes.quarantined_by_content.values()
+    }
+
+
+def test_quarantine_can_be_lifted_after_the_platform_is_back():
+    random.seed(7)
+    hosts = EntryHosts(3)
+    older = hosts.store.copy()
+    for n in range(3):
+        hosts.end_service({n: "bad"})
+    hosts.run(VERDICT_S)
+    hosts.store.restore(older)
+    hosts.run(10 * _crash_objects.REFRESH_INTERVAL_S)
+    hosts.by_name["entry-1"].monitor.record_whole((BAD,), hosts.now)
+    hosts.run(3.0)
+    assert hosts.list_quarantined() == {frozenset()}
+    hosts.run(3 * _crash_objects.REFRESH_INTERVAL_S)
+    assert hosts.list_quarantined() == {frozenset()}
