--- a/sycamorespoke/membership/_state.py
+++ b/sycamorespoke/membership/_state.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from sycamorespoke import decisions, messages
-from sycamorespoke.membership import _documents, _view
+from sycamorespoke import decisions, domain, messages
+from sycamorespoke.membership import _documents, _retained_hosts, _view
 
 # Time without a heartbeat after which a peer is removed.
 PEER_RETENTION_S = 60.0
@@ -79,11 +79,13 @@
         self.documents_by_kind = _documents.empty_documents()
         self._platform_confirmed_s = _view.NEVER_S
         self._requested_s_by_kind = dict.fromkeys(messages.DocumentKind, _view.NEVER_S)
+        self._confirmed_era_by_kind = dict.fromkeys(messages.DocumentKind, 0)
         self._replies_by_name = {}
         self._in_flight_by_name = {}
         self._reports_by_name = {}
+        self._retained_hosts = _retained_hosts.RetainedHosts()
         self._neighbours = None
-        self._neighbours_revision = -1
+        self._neighbours_hosts = None
 
     def adopt(self, document):
         """Adopt a document if its revision is higher than the current one.
@@ -100,10 +102,14 @@
         """
         current = self.documents_by_kind[document.kind]
         adopted = decisions.choose_newer_revision(current, document)
+        if adopted is current:
+            return False
+        if document.kind is messages.DocumentKind.HOSTS:
+            adopted = self._retained_hosts.merge(current, adopted)
         self.documents_by_kind[document.kind] = adopted
-        return adopted is not current
+        return True
 
-    def record_confirmation(self, kind, revision, requested_s):
+    def record_confirmation(self, kind, revision, requested_s, era=0):
         """Record the latest revision of a document according to the platform.
 
         Parameters
@@ -114,9 +120,18 @@
             Revision that the platform stores.
         requested_s : float
             Monotonic time at which the read was sent to the platform, in seconds.
+        era : int, default=0
+            Era of the platform's store.
         """
-        # A revision below the adopted one is a stale read and confirms nothing.
-        if revision != self.documents_by_kind[kind].revision:
+        if kind is messages.DocumentKind.HOSTS:
+            self.documents_by_kind[kind] = self._retained_hosts.expire(
+                self.documents_by_kind[kind], requested_s
+            )
+        if revision == self.documents_by_kind[kind].revision:
+            self._confirmed_era_by_kind[kind] = max(
+                self._confirmed_era_by_kind[kind], era
+            )
+        elif not self._is_older_copy(kind, revision, era):
             return
         known = self._requested_s_by_kind[kind]
         self._requested_s_by_kind[kind] = max(known, requested_s)
@@ -195,6 +210,13 @@
         )
         return Snapshot(view, dict(self.documents_by_kind))
 
+    def _is_older_copy(self, kind, revision, era):
+        # A revision below the adopted one is a stale read and confirms nothing, unless
+        # the store has lost the adopted one: then it has nothing newer.
+        adopted = self.documents_by_kind[kind].revision
+        known_era = max(domain.get_era(adopted), self._confirmed_era_by_kind[kind])
+        return revision < adopted and era > known_era
+
     def _is_up_to_date_with(self, heartbeat):
         return not find_newer_kinds(heartbeat, self.documents_by_kind)
 
@@ -221,8 +243,8 @@
         )
 
     def _choose_neighbours(self, hosts):
-        if hosts.revision != self._neighbours_revision:
-            self._neighbours_revision = hosts.revision
+        if hosts is not self._neighbours_hosts:
+            self._neighbours_hosts = hosts
             self._neighbours = decisions.choose_neighbours(
                 self.name, self.data_centre, hosts
             )
