Fake store: an answer states the era in which it was made

Cause: the header was read after the request was handled, so that an answer from before a return of the store could state the era after it, which no store does. Change: both are read under one lock, which a watch gives up while it waits; the fake can give out revisions for changes that nobody reads.

--- a/tests/fakes/object_store.py
+++ b/tests/fakes/object_store.py
@@ -56,14 +56,17 @@
             def _serve(self):
                 length = int(self.headers.get("Content-Length") or 0)
                 body = json.loads(self.rfile.read(length)) if length else None
-                status, content = fake_store.handle(self.command, self.path, body)
+                # A watch that waits gives the lock up meanwhile.
+                with fake_store.changed:
+                    status, content = fake_store.handle(self.command, self.path, body)
+                    era = fake_store.era
                 if fake_store.drops_responses:
                     self.close_connection = True
                     return
                 data = fake_store.encode(content)
                 self.send_response(status)
-                if fake_store.era is not None:
-                    self.send_header("Store-Era", str(fake_store.era))
+                if era is not None:
+                    self.send_header("Store-Era", str(era))
                 self.send_header("Content-Length", str(len(data)))
                 self.end_headers()
                 self.wfile.write(data)
@@ -142,6 +145,11 @@
             self._restores += 1
             self.changed.notify_all()
 
+    def advance(self, revision):
+        """Give out the revisions up to one, for changes that nobody reads."""
+        with self.changed:
+            self.revision = max(self.revision, revision)
+
     def handle(self, method, path, body):
         """Handle a request; return the status and the JSON value of the response."""
         self.requests.append((method, path))
