Soak: the store comes back from an older copy

Change: the store of the soak states an era; a fault lets it go away (refused, reset, 503) and come back from a copy 0.5 to 5 s old, the operator and the upstreams write theirs again, and at times the newest configuration gets the revision of an earlier one. Each run begins with a rollout in which this happens, alone, twice, beside a host that is suspended or killed. New guarantees: one fencing number, one holder, none falls at an engine, no turns of two holders within a lease; an added route is served in 2.5 s and never taken back. The deployment's hosts, configurations and checks have modules of their own; no check that was there changes.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -109,7 +109,7 @@
     ----------
     number : int
         Number of the caller, which makes its request IDs unique.
-    hosts : list of gateway_deployment.Host
+    hosts : list of hosts.Host
         Hosts to choose from.
     seed : int
         Seed of the random choices.
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -11,7 +11,7 @@
 
 from sycamorespoke.platform import _names
 from tests.fakes import scripted_upstream
-from tests.soak import upstreams
+from tests.soak import run_log, upstreams
 
 MODEL = "m"
 FIRST_VERSION = 1
@@ -128,6 +128,7 @@
             _refuse(request, 421)
             return
         order = json.loads(request.body)
+        self._log_order(order)
         weights = self.weights
         is_late = self.generator.random() < LATE_SHARE
         if self.orders is Orders.LATE and is_late:
@@ -139,6 +140,11 @@
             _drop_response(request)
         scripted_upstream.respond(request, status, b"")
 
+    def _log_order(self, order):
+        now = time.monotonic()
+        received = run_log.Order(self.id, now, order["Holder"], order["Fence"])
+        self.log.add_order(received)
+
     def _accept(self, weights, order):
         """Accept an order if it holds; return the status of the response."""
         status = weights.accept(order)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from tests.soak import engines, proxy, upstreams
+from tests.soak import engines, proxy, store_copies, upstreams
 
 FIRST_START_S = 0.5
 MIN_DURATION_S = 0.3
@@ -19,6 +19,7 @@
 MIN_NEXT_VERSION_S = 2.0
 MAX_NEXT_VERSION_S = 9.0
 # Hosts have to avoid a leaving upstream only from a while after it has told them.
+MAX_STORE_AWAY_S = 1.5
 EXTRA_DURATION_S_BY_FAULT = {"upstream says that it leaves": 3.0, "host links": 2.0}
 
 
@@ -33,6 +34,7 @@
     STORE_UNAVAILABLE = "store unavailable"
     STORE_DROPS_RESPONSES = "store drops responses"
     STORE_DISCARDS_HISTORY = "store discards its history"
+    STORE_RETURNS = "store comes back from an older copy"
     UPSTREAM_LINK = "upstream link"
     UPSTREAM_MISBEHAVES = "upstream misbehaves"
     UPSTREAM_RESTART = "upstream restart"
@@ -41,6 +43,7 @@
     CONFIGURATION = "configuration change"
     CONFIGURATION_STORM = "configuration storm"
     ISOLATION = "isolation change"
+    DATA_CENTRE = "data centre out"
     WEIGHT_VERSION = "weight version"
     ENGINE_ORDERS = "engine orders"
     ENGINE_WAITS = "engine waits"
@@ -57,6 +60,7 @@
         Fault.STORE_UNAVAILABLE,
         Fault.STORE_DROPS_RESPONSES,
         Fault.STORE_DISCARDS_HISTORY,
+        Fault.STORE_RETURNS,
     }
 )
 
@@ -72,6 +76,7 @@
     each for each in upstreams.Behaviour if each is not upstreams.Behaviour.NORMAL
 ]
 ORDERS = [each for each in engines.Orders if each is not engines.Orders.ANSWERED]
+STORE_AWAY = list(store_copies.Away)
 WAITS = [each for each in engines.Wait if each is not engines.Wait.NONE]
 
 
@@ -172,6 +177,8 @@
         fault = generator.choice(kinds)
         extra_s = EXTRA_DURATION_S_BY_FAULT.get(fault.value, 0.0)
         duration_s = generator.uniform(MIN_DURATION_S, MAX_DURATION_S) + extra_s
+        if fault is Fault.STORE_RETURNS:
+            duration_s = min(duration_s, MAX_STORE_AWAY_S)
         duration_s = min(duration_s, ends_s - at_s)
         count = host_count if fault.value.startswith(("host", "store link")) else None
         target = generator.randrange(count or upstream_count)
@@ -201,6 +208,8 @@
         deployment.store.drops_responses = True
     elif fault is Fault.STORE_DISCARDS_HISTORY:
         deployment.store.discard_history()
+    elif fault is Fault.STORE_RETURNS:
+        deployment.store_returns.go_away(planned)
     elif fault is Fault.UPSTREAM_LINK:
         deployment.upstreams[target].disturb_link(variant)
     elif fault is Fault.UPSTREAM_MISBEHAVES:
@@ -223,6 +232,8 @@
         deployment.storm_configurations()
     elif fault is Fault.ISOLATION:
         deployment.change_isolation()
+    elif fault is Fault.DATA_CENTRE:
+        deployment.change_data_centres_out()
     else:
         deployment.change_configuration()
 
@@ -241,6 +252,8 @@
         deployment.store.is_unavailable = False
     elif fault is Fault.STORE_DROPS_RESPONSES:
         deployment.store.drops_responses = False
+    elif fault is Fault.STORE_RETURNS:
+        deployment.store_returns.come_back(planned)
     elif fault is Fault.UPSTREAM_LINK:
         deployment.upstreams[target].restore_link()
     elif fault is Fault.UPSTREAM_MISBEHAVES:
@@ -261,6 +274,8 @@
 
 
 def _choose_variant(fault, generator):
+    if fault is Fault.STORE_RETURNS:
+        return generator.choice(STORE_AWAY)
     if fault in (Fault.STORE_LINK, Fault.UPSTREAM_LINK):
         return generator.choice(LINK_MODES)
     if fault is Fault.HOST_LINKS:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,18 +11,19 @@
 
 from tests.soak import (
     callers,
+    deployment_guarantees,
     faults,
     gateway_deployment,
-    guarantees,
-    isolation_guarantees,
+    return_plans,
     shutdown_guarantees,
     upstreams,
-    weight_guarantees,
 )
 
 CALLERS = 6
 PROMPT_CALLERS = 6
-# Each run begins with a rollout of weights, which takes this long.
+# Each run begins with a rollout of weights in which the store comes back from an older
+# copy, and one without faults of the store, which take this long.
+RETURN_SECONDS = 15.0
 ROLLOUT_SECONDS = 13.0
 # The hosts have current rules and views within this time after the last fault.
 RECOVERY_S = 6.0
@@ -61,13 +62,24 @@
 
 
 def plan(seed, seconds):
-    """Plan a rollout, followed by all kinds of faults for a number of seconds."""
-    rollout = faults.plan_rollout(seed, ROLLOUT_SECONDS, gateway_deployment.HOSTS)
+    """Plan two rollouts, in the first of which the store comes back from an older copy.
+
+    All kinds of faults follow for a number of seconds.
+    """
+    hosts = gateway_deployment.HOSTS
     upstream_count = gateway_deployment.UPSTREAMS + gateway_deployment.ENGINES
-    others = faults.plan_faults(seed, seconds, gateway_deployment.HOSTS, upstream_count)
-    return rollout + [
-        attrs.evolve(each, at_s=each.at_s + ROLLOUT_SECONDS) for each in others
-    ]
+    returns = return_plans.plan_returns(seed, RETURN_SECONDS, hosts)
+    rollout = faults.plan_rollout(seed, ROLLOUT_SECONDS, hosts)
+    others = faults.plan_faults(seed, seconds, hosts, upstream_count)
+    return (
+        returns
+        + _delay(rollout, RETURN_SECONDS)
+        + _delay(others, RETURN_SECONDS + ROLLOUT_SECONDS)
+    )
+
+
+def _delay(planned, delay_s):
+    return [attrs.evolve(each, at_s=each.at_s + delay_s) for each in planned]
 
 
 def run_seed(seed, seconds):
@@ -102,39 +114,9 @@
         time.sleep(RECOVERY_S)
         _send_fatal_request(deployment, seed)
         after = _send_after_faults(deployment, seed)
-        # Requests that a host has abandoned may still reach an upstream, so the
-        # log is only read now.
-        runs = deployment.log.list()
-        violations += guarantees.check(outcomes + after, runs)
-        # The contracts on what upstreams say bind the host that sends.
-        sent = guarantees.name_senders(outcomes, _end_hosts(deployment))
-        violations += guarantees.check_leaving(
-            sent, runs, {each.name: each.signalled_s for each in deployment.hosts}
-        )
-        violations += guarantees.check_versions(outcomes)
-        violations += guarantees.check_backoff(
-            sent,
-            runs,
-            deployment.log.list_refusals(),
-            {each.name: each.signalled_s + each.cut_s for each in deployment.hosts},
-            deployment.list_link_faults_by_id(),
-        )
-        violations += weight_guarantees.check_begins(
-            sent, runs, deployment.acked_s_by_version, _list_disturbances(deployment)
-        )
-        violations += weight_guarantees.check_engines(
-            {each.id: each.weights.version for each in deployment.engines},
-            deployment.get_weight_version(),
-        )
-        violations += isolation_guarantees.check_scopes(
-            runs, gateway_deployment.ISOLATED_ACCOUNT, deployment.is_isolated
-        )
-        violations += guarantees.check_memory(
-            {each.name: each.peaks_mb for each in deployment.hosts},
-            gateway_deployment.MEMORY_MB,
-        )
-        violations += guarantees.check_fatal(deployment.ended_s)
-        violations += guarantees.check_recovery(after)
+        # The observing threads ask hosts until then.
+        deployment.stop_observing()
+        violations += deployment_guarantees.check(deployment, outcomes, after)
         served = sum(each.is_complete and each.status == 200 for each in outcomes)
         taken_up = [each for each in outcomes if each.resumes]
         went_on = sum(each.is_complete and each.status == 200 for each in taken_up)
@@ -152,23 +134,6 @@
     ]
 
 
-def _list_disturbances(deployment):
-    hosts = deployment.hosts
-    return weight_guarantees.Disturbances(
-        {each.name: each.signalled_s + each.started_s for each in hosts},
-        {each.name: each.cut_s + each.store_cut_s for each in hosts},
-        deployment.store_disturbed_s,
-        deployment.list_link_faults_by_id(),
-    )
-
-
-def _end_hosts(deployment):
-    """End all hosts; return which host sent each request that was forwarded."""
-    for host in deployment.hosts:
-        host.end()
-    return deployment.list_senders_by_request()
-
-
 def _inject_faults(deployment, planned):
     """Start and end the faults on time; restart hosts that have exited."""
     transitions = [
--- a/tests/soak/run_log.py
+++ b/tests/soak/run_log.py
@@ -58,13 +58,46 @@
     at_s: float
 
 
+@attrs.frozen
+class Order:
+    """Order that an engine received, also if it refused it.
+
+    Parameters
+    ----------
+    upstream : str
+        ID of the engine.
+    at_s : float
+        Monotonic time, in seconds.
+    holder : str
+        Host that sent it.
+    fence : int
+        Fencing number.
+    """
+
+    upstream: str
+    at_s: float
+    holder: str
+    fence: int
+
+
 class RunLog:
-    """Thread-safe log of the runs and refusals of all upstreams."""
+    """Thread-safe log of the runs, refusals and orders of all upstreams."""
 
     def __init__(self):
         self._lock = threading.Lock()
         self._runs = []
         self._refusals = []
+        self._orders = []
+
+    def add_order(self, order):
+        """Add an order."""
+        with self._lock:
+            self._orders.append(order)
+
+    def list_orders(self):
+        """Return a copy of the orders so far."""
+        with self._lock:
+            return list(self._orders)
 
     def add_refusal(self, refusal):
         """Add a refusal."""
