--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -30,6 +30,7 @@
     HOST_KILL = "host kill"
     HOST_PAUSE = "host pause"
     HOST_LINKS = "host links"
+    HOLDER_STOP = "holder stop"
     STORE_LINK = "store link"
     STORE_UNAVAILABLE = "store unavailable"
     STORE_DROPS_RESPONSES = "store drops responses"
@@ -180,7 +181,8 @@
         if fault is Fault.STORE_RETURNS:
             duration_s = min(duration_s, MAX_STORE_AWAY_S)
         duration_s = min(duration_s, ends_s - at_s)
-        count = host_count if fault.value.startswith(("host", "store link")) else None
+        is_at_host = fault.value.startswith(("host", "holder", "store link"))
+        count = host_count if is_at_host else None
         target = generator.randrange(count or upstream_count)
         variant = _choose_variant(fault, generator)
         planned.append(PlannedFault(fault, at_s, duration_s, target, variant))
@@ -198,6 +200,8 @@
         deployment.hosts[target].signal(signal.SIGKILL)
     elif fault is Fault.HOST_PAUSE:
         deployment.hosts[target].signal(signal.SIGSTOP)
+    elif fault is Fault.HOLDER_STOP:
+        deployment.find_holder(target).signal(signal.SIGTERM)
     elif fault is Fault.HOST_LINKS:
         deployment.hosts[target].set_links(variant)
     elif fault is Fault.STORE_LINK:
--- a/tests/soak/gateway_deployment.py
+++ b/tests/soak/gateway_deployment.py
@@ -97,6 +97,12 @@
         """Wait until all hosts are ready; return whether they are."""
         return all(host.wait_ready() for host in self.hosts)
 
+    def find_holder(self, default):
+        """Return the host that sent the last order, or the one of a number."""
+        orders = self.log.list_orders()
+        name = orders[-1].holder if orders else f"h{default}"
+        return next(host for host in self.hosts if host.name == name)
+
     def change_configuration(self):
         """Write the next version of the configuration, otherwise unchanged."""
         with self._writing:
--- a/tests/soak/return_plans.py
+++ b/tests/soak/return_plans.py
@@ -16,10 +16,14 @@
 MIN_AGAIN_S = 0.3
 MAX_AGAIN_S = 1.5
 # The next changes come after the others have written theirs again.
-MIN_NEXT_S = 1.2
-MAX_NEXT_S = 3.0
-MIN_NEXT_VERSION_S = 4.0
-MAX_NEXT_VERSION_S = 8.0
+MIN_NEXT_S = 4.0
+MAX_NEXT_S = 6.0
+# A host that holds the lease is stopped while orders are sent, and the next one has
+# taken the lease when the store goes away.
+MIN_STOP_S = 1.0
+MAX_STOP_S = 1.5
+MIN_TAKEN_S = 0.5
+MAX_TAKEN_S = 1.5
 
 
 class Company(enum.Enum):
@@ -29,6 +33,7 @@
     RETURN = "another return"
     PAUSE = "a host is suspended"
     KILL = "a host is killed"
+    HOLDER_STOP = "the holder of the lease is stopped before"
 
 
 def plan_returns(seed, ends_s, host_count):
@@ -51,7 +56,10 @@
     generator = random.Random(f"returns {seed}")
     company = generator.choice(list(Company))
     named_s = generator.uniform(FIRST_NAMED_S, MAX_NAMED_S)
+    stop_s = named_s + generator.uniform(MIN_STOP_S, MAX_STOP_S)
     away_s = named_s + generator.uniform(0.0, MAX_AWAY_AFTER_S)
+    if company is Company.HOLDER_STOP:
+        away_s = stop_s + generator.uniform(MIN_TAKEN_S, MAX_TAKEN_S)
     returns = [_plan_return(away_s, generator)]
     if company is Company.RETURN:
         again_s = returns[0].ends_s + generator.uniform(MIN_AGAIN_S, MAX_AGAIN_S)
@@ -59,7 +67,7 @@
     lost_s = away_s - generator.uniform(MIN_LOST_S, MAX_LOST_S)
     back_s = returns[-1].ends_s
     next_s = back_s + generator.uniform(MIN_NEXT_S, MAX_NEXT_S)
-    version_s = back_s + generator.uniform(MIN_NEXT_VERSION_S, MAX_NEXT_VERSION_S)
+    version_s = back_s + generator.uniform(MIN_NEXT_S, MAX_NEXT_S)
     orders = faults.Fault.ENGINE_ORDERS, 0.0, ends_s, 0, engines.Orders.LATE
     return [
         faults.PlannedFault(*orders),
@@ -67,7 +75,7 @@
         _plan_change(faults.Fault.DATA_CENTRE, generator.uniform(0.0, away_s)),
         _plan_change(faults.Fault.CONFIGURATION, lost_s),
         *returns,
-        *_plan_company(company, returns[0], generator, host_count),
+        *_plan_company(company, stop_s, returns[0], generator, host_count),
         _plan_change(faults.Fault.CONFIGURATION, next_s),
         _plan_change(faults.Fault.WEIGHT_VERSION, version_s),
     ]
@@ -80,16 +88,19 @@
     return faults.PlannedFault(fault, at_s, duration_s, 0, variant)
 
 
-def _plan_company(company, store_return, generator, host_count):
-    """Return the fault of a host that begins while the store is away, if any."""
+def _plan_company(company, stop_s, store_return, generator, host_count):
+    """Return the fault of a host beside a return of the store, if any."""
     fault = {
         Company.PAUSE: faults.Fault.HOST_PAUSE,
         Company.KILL: faults.Fault.HOST_KILL,
+        Company.HOLDER_STOP: faults.Fault.HOLDER_STOP,
     }.get(company)
     if fault is None:
         return []
     duration_s = generator.uniform(faults.MIN_DURATION_S, faults.MAX_DURATION_S)
     at_s = generator.uniform(store_return.at_s, store_return.ends_s)
+    if company is Company.HOLDER_STOP:
+        at_s = stop_s
     target = generator.randrange(host_count)
     return [faults.PlannedFault(fault, at_s, duration_s, target)]
 
--- a/tests/soak/test_store_returns.py
+++ b/tests/soak/test_store_returns.py
@@ -50,7 +50,7 @@
             tuple(
                 each.fault
                 for each in planned
-                if each.fault.value.startswith("host")
+                if each.fault.value.startswith(("host", "holder"))
                 or each.fault is faults.Fault.STORE_RETURNS
             )
         )
@@ -60,6 +60,7 @@
         (store_return, store_return),
         (store_return, faults.Fault.HOST_PAUSE),
         (store_return, faults.Fault.HOST_KILL),
+        (store_return, faults.Fault.HOLDER_STOP),
     }
 
 
