--- a/tests/soak/deployment_guarantees.py
+++ b/tests/soak/deployment_guarantees.py
@@ -4,6 +4,7 @@
     configuration_guarantees,
     configurations,
     guarantees,
+    host_entry_guarantees,
     hosts,
     isolation_guarantees,
     order_guarantees,
@@ -77,6 +78,12 @@
             probed, deployment.acks, deployment.store_returns.returns, disturbances
         ),
         *configuration_guarantees.check_versions_kept(probed),
+        *host_entry_guarantees.check_entries(
+            deployment.store_returns.returns,
+            deployment.copies.host_lists,
+            {each.name for each in deployment.hosts},
+            disturbances,
+        ),
     ]
 
 
--- a/tests/soak/test_store_returns.py
+++ b/tests/soak/test_store_returns.py
@@ -7,6 +7,7 @@
 from tests.soak import (
     configuration_guarantees,
     faults,
+    host_entry_guarantees,
     order_guarantees,
     probes,
     return_plans,
@@ -154,3 +155,24 @@
         attrs.evolve(PROBE, sent_s=20.05),
     ):
         assert configuration_guarantees.check_versions_kept([served, other]) == []
+
+
+def check_entries(names, at_s=25.3, **disturbances):
+    return host_entry_guarantees.check_entries(
+        [RETURN],
+        [store_copies.HostList(at_s, frozenset(names))],
+        {"h0", "h1"},
+        weight_guarantees.Disturbances(**disturbances),
+    )
+
+
+def test_host_without_an_entry_after_a_return_is_reported():
+    assert check_entries({"h0", "h1"}) == []
+    assert len(check_entries({"h0"})) == 1
+    assert check_entries({"h0"}, at_s=25.1) == []
+    assert check_entries({"h0"}, processes_s_by_host={"h1": [17.3]}) == []
+    assert check_entries({"h0"}, links_s_by_host={"h1": [25.0]}) == []
+    assert check_entries({"h0"}, store_s=[25.0]) == []
+    # Its own return, and another host, excuse nothing.
+    assert check_entries({"h0"}, store_s=[20.1, 20.2])
+    assert check_entries({"h0"}, processes_s_by_host={"h0": [22.0], "h1": [17.1]})
