--- a/sycamorespoke/clients/_platform.py
+++ b/sycamorespoke/clients/_platform.py
@@ -13,6 +13,7 @@
 from sycamorespoke.clients import (
     _checked_http,
     _header_values,
+    _host_lists,
     _json_documents,
     _store_history,
 )
@@ -249,7 +250,7 @@
         if not isinstance(result, StoredObject):
             return result
         try:
-            hosts = parse_host_list(result.value)
+            hosts = _host_lists.parse_host_list(result.value)
             era = domain.get_era(result.version)
             revision = domain.make_revision(era, hosts.revision)
             return attrs.evolve(hosts, revision=revision)
@@ -337,51 +338,10 @@
         return _Reply(response, era)
 
 
-def parse_host_list(value):
-    """Parse the host list of the platform.
-
-    Parameters
-    ----------
-    value : dict
-        The JSON value, as in docs/PROTOCOLS.md.
-
-    Returns
-    -------
-    domain.HostList
-        The hosts by name. Hosts that cannot be parsed are skipped, so that a role
-        unknown to this release does not hide the other hosts.
-
-    Raises
-    ------
-    msgspec.ValidationError
-        If the value is not a host list.
-    """
-    host_list = msgspec.convert(value, _HostList)
-    hosts = [_parse_host(item) for item in host_list.hosts]
-    return domain.HostList(
-        host_list.revision, {host.name: host for host in hosts if host is not None}
-    )
-
-
 class _ObjectList(msgspec.Struct):
     versions_by_name: dict[str, int]
 
 
-class _HostList(msgspec.Struct):
-    revision: int
-    hosts: list[typing.Any]
-
-
-def _parse_host(item):
-    if not isinstance(item, dict):
-        return None
-    present_fields = {key: value for key, value in item.items() if value is not None}
-    try:
-        return msgspec.convert(present_fields, domain.Host)
-    except msgspec.ValidationError:
-        return None
-
-
 def _parse_write(reply):
     status = reply.response.status
     if status == 412:
--- a/tests/clients/test_platform.py
+++ b/tests/clients/test_platform.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from sycamorespoke import clients, domain
-from sycamorespoke.clients import _platform
+from sycamorespoke.clients import _host_lists
 
 HOST = {
     "name": "seeb-entry-1",
@@ -58,6 +58,6 @@
 @pytest.mark.parametrize("damage", [{"role": "balancer"}, {"name": 5}, {"state": 1}])
 def test_parse_host_list_skips_malformed_host(damage):
     value = {"revision": 3, "hosts": [HOST | damage, HOST]}
-    hosts = _platform.parse_host_list(value)
+    hosts = _host_lists.parse_host_list(value)
     assert (hosts.revision, list(hosts.by_name)) == (3, ["seeb-entry-1"])
     assert hosts.by_name["seeb-entry-1"].group == ""
