Claims that the store lost are written again without a request

What callers saw: a booking ran again at another host for as long as the first one did not use its shard. Cause: a host restored claims only with the next operation on the shard. Evidence: with the thread not started, the two cases of the new test fail (the store has none of two claims 5 s later); with it they pass, also when the store is away at first. Why: no request is needed to learn of the era. Still red and listed: the same request at another host before that write.

--- a/sycamorespoke/claims/_claims.py
+++ b/sycamorespoke/claims/_claims.py
@@ -9,7 +9,13 @@
 import pykka
 
 from sycamorespoke import decisions, domain
-from sycamorespoke.claims import _layout, _shard_writer, _waiter, _writer
+from sycamorespoke.claims import (
+    _layout,
+    _restorer,
+    _shard_writer,
+    _waiter,
+    _writer,
+)
 
 # Interval between the retries of a flush.
 FLUSH_PAUSE_S = 0.05
@@ -63,6 +69,9 @@
         Size in bytes at which a shard accepts no further claims, 1000 to 1000000.
     wall_clock : callable, default=time.time
         Returns the current time in seconds since the epoch.
+    count_hosts : callable, optional
+        Returns the number of hosts with claims, 1 by default. They share the rate at
+        which lost claims are restored.
 
     Notes
     -----
@@ -80,6 +89,7 @@
         retention_s=decisions.CLAIM_RETENTION_S,
         shard_bytes=decisions.CLAIM_SHARD_BYTES,
         wall_clock=time.time,
+        count_hosts=lambda: 1,
     ):
         self.platform_client = platform_client
         self.holder = holder
@@ -97,6 +107,10 @@
             _writer.Writer.start(self._make_shard_writer, layout, stats)
             for stats in self._stats
         ]
+        self._restorer = _restorer.Restorer(
+            platform_client.history, self._writer_refs, count_hosts
+        )
+        self._restorer.start()
 
     def claim(self, key_hash, fingerprint, now, deadline_s=30.0, wait_s=2.0):
         """Claim a key before its request is sent.
@@ -184,6 +198,7 @@
     def stop(self):
         """Stop the writers; call `flush` first."""
         self._is_stopped = True
+        self._restorer.stop()
         for ref in self._writer_refs:
             ref.stop(block=False)
 
--- a/sycamorespoke/claims/_shard_writer.py
+++ b/sycamorespoke/claims/_shard_writer.py
@@ -66,8 +66,7 @@
     write the shard too. After a write with an uncertain result, no operation gets
     a result before the object has a later version than the one on which that write
     was conditional: until then the uncertain write may still take effect. In a new
-    era of the store, what this host knows of recent claims is written again before
-    any other operation is applied.
+    era of the store, recent claims are written again before any other operation.
     """
 
     def __init__(
@@ -100,6 +99,18 @@
             return 0
         return self._cached.value["bytes"]
 
+    @property
+    def may_have_lost_claims(self):
+        """Whether the store was not seen to have all recent claims since its return."""
+        era = self.platform_client.history.era
+        return bool(self._recent.make_restorations(era, self.wall_clock()))
+
+    def restore(self):
+        """Write again what the store may have lost of recent claims."""
+        self._cached = None
+        if (step := self._commit([])) is not None:
+            self._remember(step, [])
+
     def clear_cache(self):
         """Drop the cached value; the next write reads the object again."""
         self._cached = None
@@ -131,7 +142,9 @@
             self._refuse(claims, operations)
             return False
         self._remember(step, operations)
-        self._restore()
+        # Only an outcome that is final can have come from a value of an earlier era.
+        if domain.get_era(self._cached.version) < self.platform_client.history.era:
+            self.restore()
         self.background = []
         self._count_background(background)
         results = step.results[len(background) :]
@@ -187,14 +200,6 @@
         )
         return attrs.evolve(step, results=step.results[len(restorations) :])
 
-    def _restore(self):
-        # Only an outcome that is final can have come from a value of an earlier era.
-        if domain.get_era(self._cached.version) < self.platform_client.history.era:
-            self._cached = None
-            step = self._commit([])
-            if step is not None:
-                self._remember(step, [])
-
     def _remember(self, step, operations):
         key_hashes = [operation.token.key_hash for operation in operations]
         era = domain.get_era(self._cached.version)
@@ -257,8 +262,7 @@
 
     def _find_recorded(self, operations):
         # An outcome is final even before it is written, so it can be replayed.
-        outcomes = {}
-        recorded = {}
+        outcomes, recorded = {}, {}
         for operation in operations:
             token = operation.token
             key = (token.key_hash, token.fingerprint)
--- a/sycamorespoke/claims/_writer.py
+++ b/sycamorespoke/claims/_writer.py
@@ -50,6 +50,19 @@
     """
 
 
+@attrs.frozen
+class CheckLost:
+    """Message: return whether an older copy of the store may lack claims."""
+
+
+@attrs.frozen
+class RestoreShard:
+    """Message: restore the claims of one shard that the store may lack.
+
+    The reply is whether there are more.
+    """
+
+
 class Writer(pykka.ThreadingActor):
     """Write the shards assigned to it, one conditional update at a time.
 
@@ -99,6 +112,10 @@
             self._write(message.shard, time.monotonic())
         elif isinstance(message, Retry):
             return self._retry()
+        elif isinstance(message, CheckLost):
+            return bool(self._find_lossy_shards())
+        elif isinstance(message, RestoreShard):
+            return self._restore_shard()
         return None
 
     def on_stop(self):
@@ -165,5 +182,19 @@
                 self._schedule(shard)
         return self._count_waiting()
 
+    def _find_lossy_shards(self):
+        return [
+            shard
+            for shard, writer in self._writers_by_shard.items()
+            if writer.may_have_lost_claims
+        ]
+
+    def _restore_shard(self):
+        shards = self._find_lossy_shards()
+        if shards:
+            self._writers_by_shard[shards[0]].restore()
+            self._limit_cache(shards[0])
+        return bool(self._find_lossy_shards())
+
     def _count_waiting(self):
         return sum(len(writer.background) for writer in self._writers_by_shard.values())
--- a/sycamorespoke/entry/_program.py
+++ b/sycamorespoke/entry/_program.py
@@ -61,7 +61,11 @@
         self.pump = relay.Pump()
         self.table = _upstreams.UpstreamTable()
         self.monitors = _monitor.MonitorSet(self.engine_client, self.table)
-        self.claims = claims.Claims(self.platform_client, entry_settings.name)
+        self.claims = claims.Claims(
+            self.platform_client,
+            entry_settings.name,
+            count_hosts=self._count_entry_hosts,
+        )
         self.admission = admission.Admission(domain.Configuration())
         self._configuration = self.admission.configuration
         self._configuration_lock = threading.Lock()
@@ -214,6 +218,10 @@
                 return False
         return True
 
+    def _count_entry_hosts(self):
+        entries = self._get_view().hosts.select(domain.HostRole.ENTRY)
+        return max(len(entries), 1)
+
     def _select_alive_peers(self, view, now):
         entries = view.hosts.select(domain.HostRole.ENTRY)
         return [host for host in entries if decisions.is_alive(view, host.name, now)]
--- a/tests/claims/test_claims_older_copy.py
+++ b/tests/claims/test_claims_older_copy.py
@@ -1,10 +1,12 @@
 """The store comes back from before a claim or its outcome was written."""
 
+import random
 import time
 
 import pytest
 
 from sycamorespoke import claims, decisions, domain
+from sycamorespoke.claims import _restorer
 from tests import fakes
 
 KEY = decisions.hash_claim_key("abrr", "bibs", "key-1")
@@ -88,3 +90,34 @@
     assert isinstance(claim(hosts[0]), claims.Claimed)
     platform.restore(older)
     assert not isinstance(claim(hosts[1]), claims.Claimed)
+
+
+def read_entries(platform):
+    stored = platform.get("claims/0")
+    return stored.value["entries"] if hasattr(stored, "value") else {}
+
+
+@pytest.mark.parametrize("is_down", [False, True])
+def test_claims_that_the_store_lost_are_written_again_without_a_request(
+    platform, hosts, is_down
+):
+    older = platform.copy()
+    claim(hosts[0])
+    claim(hosts[1], OTHER_KEY)
+    platform.restore(older)
+    platform.is_down = is_down
+    time.sleep(0.5)
+    platform.is_down = False
+    ends_s = time.monotonic() + WAIT_S
+    while time.monotonic() < ends_s and len(read_entries(platform)) < 2:
+        time.sleep(0.05)
+    assert set(read_entries(platform)) == {KEY, OTHER_KEY}
+    assert claim(hosts[1]).kind is domain.ErrorKind.IN_PROGRESS
+
+
+def test_hosts_share_the_rate_at_which_they_restore_claims():
+    source = random.Random(7)
+    pauses_s = [_restorer.choose_pause_s(20, source) for _ in range(2000)]
+    writes_per_s = 20 * len(pauses_s) / sum(pauses_s)
+    assert writes_per_s == pytest.approx(_restorer.MAX_WRITES_PER_S, rel=0.05)
+    assert len(set(pauses_s)) > 1000
