A quarantine that a later era of the store lacks goes on

What callers of the whole deployment would see: contents that end upstreams reach them again once the store came back from an older copy. Cause: a verdict that was gone from the list counted as lifted, and hosts forgot what spoke against the contents. Change: a verdict has the revision at which it was listed; one that was last listed in an earlier era stays in the view and is written again, by turns as a first verdict is; one that goes away within an era is lifted as before. Open: the log says "quarantine lifted" as the list arrives, in _view_updater.

--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -71,7 +71,7 @@
         self.metrics = telemetry.Metrics(
             {"host": gateway_settings.name}, self.state.refresh_gauges
         )
-        self.views = _views.Views()
+        self.views = _views.Views(deployment.source.history)
         self.table = _table.UpstreamTable(
             gateway_settings.name, gateway_settings.data_centre
         )
--- a/sycamorespoke/gateway/_views.py
+++ b/sycamorespoke/gateway/_views.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from sycamorespoke import decisions, quarantine
+from sycamorespoke import clients, decisions, quarantine
 from sycamorespoke.gateway import _model, _target_versions
 
 CONFIGURATION = "configuration"
@@ -102,9 +102,16 @@
 
 
 class Views:
-    """Holds the current view; thread-safe."""
+    """Holds the current view; thread-safe.
 
-    def __init__(self):
+    Parameters
+    ----------
+    history : clients.StoreHistory or None, default=None
+        Tells the era of the store.
+    """
+
+    def __init__(self, history=None):
+        self.history = history or clients.StoreHistory()
         self._lock = threading.Lock()
         self._view = View()
 
@@ -182,8 +189,15 @@
             return True
 
     def replace_fields(self, **fields):
-        """Replace fields of the view by name, see `View`."""
+        """Replace fields of the view by name, see `View`.
+
+        A quarantine that a later era of the store lacks stays among the ``crashes``.
+        """
         with self._lock:
+            if "crashes" in fields:
+                fields["crashes"] = fields["crashes"].keep_lost(
+                    self._view.crashes, self.history.era
+                )
             self._view = attrs.evolve(self._view, **fields)
 
     def confirm(self, section, now):
--- a/sycamorespoke/platform/_deployment.py
+++ b/sycamorespoke/platform/_deployment.py
@@ -72,4 +72,4 @@
 
 
 def _parse_crash_record(stored, now):
-    return quarantine.parse_crash_record(stored.name, stored.spec, now)
+    return quarantine.parse_crash_record(stored.name, stored.spec, now, stored.revision)
--- a/sycamorespoke/quarantine/_quarantine.py
+++ b/sycamorespoke/quarantine/_quarantine.py
@@ -59,6 +59,8 @@
         self.history = history or clients.StoreHistory()
         self._written = None
         self._written_era = 0
+        # Since when quarantines are known that the store may lack.
+        self._lost_since_s_by_content = {}
         self._suspected_since_s_by_content = {}
         self._quarantined_contents = frozenset()
         self._lifted_s_by_content = {}
@@ -94,6 +96,7 @@
         self._report(view, now)
         self._decide(view, sound_contents, now)
         self._lift_disproved(view, now)
+        self._write_lost(view, now)
         self._remove_expired(view, now)
 
     def _run(self, stop_requested, prepare):
@@ -219,6 +222,30 @@
             is_lifted = self.records.delete(quarantined[content].name)
             _log_content("quarantine disproved", content, written=is_lifted)
 
+    def _write_lost(self, view, now):
+        """Write quarantines again that a later era of the store may lack."""
+        lost = self._list_lost(view)
+        for content in self._lost_since_s_by_content.keys() - lost.keys():
+            del self._lost_since_s_by_content[content]
+        disproved = self.monitor.sound_contents.select(lost, now)
+        for content in lost.keys() - disproved:
+            name = lost[content].name
+            since_s = self._lost_since_s_by_content.setdefault(content, now)
+            if now - since_s < DELIVERY_S + self._compute_turn_s(view, name):
+                continue
+            # Not before the next turn, by when the change has been delivered.
+            self._lost_since_s_by_content[content] = now
+            is_written = self.records.write(name, lost[content].to_value())
+            _log_content("quarantine written again", content, written=is_written)
+
+    def _list_lost(self, view):
+        """Return the quarantines that were last seen in an earlier era."""
+        return {
+            content: each
+            for content, each in view.crashes.quarantined_by_content.items()
+            if each.is_of_earlier_era(self.history.era)
+        }
+
     def _remove_expired(self, view, now):
         expired = [
             each.name
@@ -228,8 +255,10 @@
         ]
         expired += [
             each.name
-            for each in view.crashes.quarantined_by_content.values()
-            if self._is_expired(view, each, _records.QUARANTINE_S, now)
+            for content, each in view.crashes.quarantined_by_content.items()
+            # One that the store may lack is written again first.
+            if content not in self._lost_since_s_by_content
+            and self._is_expired(view, each, _records.QUARANTINE_S, now)
         ]
         for name in expired:
             self.records.delete(name)
--- a/sycamorespoke/quarantine/_records.py
+++ b/sycamorespoke/quarantine/_records.py
@@ -107,11 +107,18 @@
         The contents.
     seen_s : float
         When this host received the object, seconds of the boot clock.
+    revision : int, default=0
+        Revision at which the store held it; 0 if the store has no eras.
     """
 
     name: str
     content: decisions.Content
     seen_s: float = 0.0
+    revision: int = 0
+
+    def is_of_earlier_era(self, era):
+        """Return whether it is not known that the store holds it in an era."""
+        return domain.get_era(self.revision) < era
 
     def to_value(self):
         """Return the contents as a JSON value."""
@@ -163,6 +170,31 @@
         quarantined = (each for each in items if isinstance(each, QuarantinedContent))
         return cls(tuple(reports), {each.content: each for each in quarantined})
 
+    def keep_lost(self, previous, era):
+        """Add the quarantines that ended only because the store came back older.
+
+        Parameters
+        ----------
+        previous : CrashRecords
+            What was known before.
+        era : int
+            Era of the store.
+
+        Returns
+        -------
+        CrashRecords
+            With those of ``previous`` that were last seen in an earlier era.
+        """
+        lost = {
+            content: each
+            for content, each in previous.quarantined_by_content.items()
+            if content not in self.quarantined_by_content
+            and each.is_of_earlier_era(era)
+        }
+        if not lost:
+            return self
+        return CrashRecords(self.reports, {**lost, **self.quarantined_by_content})
+
     def find_quarantined(self, contents):
         """Return the first `QuarantinedContent` of some contents, or ``None``."""
         for content in contents:
@@ -191,7 +223,7 @@
     return QuarantinedContent(hashlib.sha256(text.encode()).hexdigest(), content)
 
 
-def parse_crash_record(name, value, now):
+def parse_crash_record(name, value, now, revision=0):
     """Parse the JSON value of a `CrashReport` or `QuarantinedContent`.
 
     Parameters
@@ -202,6 +234,8 @@
         JSON value.
     now : float
         Time at which it was received, seconds of the boot clock.
+    revision : int, default=0
+        Revision of the object; 0 if the store has no eras.
 
     Returns
     -------
@@ -226,7 +260,7 @@
         for kind, key in QUARANTINED_KEY_BY_KIND.items():
             if key in value:
                 content = decisions.Content(kind, msgspec.convert(value[key], str))
-                return QuarantinedContent(name, content, now)
+                return QuarantinedContent(name, content, now, revision)
         report = msgspec.convert(value, _ReportValue)
     except msgspec.ValidationError as error:
         raise ValueError(f"not a crash record: {error}") from error
--- a/tests/platform/test_store_from_older_copy.py
+++ b/tests/platform/test_store_from_older_copy.py
@@ -190,3 +190,25 @@
     assert test_program.wait_until(lambda: list_names("syk-hosts") == names)
     assert test_program.wait_until(lambda: list_names("syk-keys") == {"peers"})
     assert store.objects["syk-keys", "peers"]["Spec"] == key
+
+
+def test_verdict_that_an_older_copy_lacks_goes_on(store, start_host):
+    store.put("config", "main", make_configuration(1, "first"))
+    gateways = [start_host(f"h{number}") for number in range(3)]
+    assert all(gateway.wait_ready() for gateway in gateways)
+    store_copy = store.copy()
+    store.put("syk-crashes", "verdict", {"quarantined_request": "bad"})
+
+    def is_in_force():
+        dumps = [json.loads(each.get("operators", "/dump")[1]) for each in gateways]
+        return all(each["quarantined"] for each in dumps)
+
+    assert test_program.wait_until(is_in_force)
+    restore(store, store_copy, lambda: None)
+    end_s = time.monotonic() + 4.0
+    while time.monotonic() < end_s:
+        assert is_in_force()
+        time.sleep(0.05)
+    assert store.objects["syk-crashes", "verdict"]["Spec"] == {
+        "quarantined_request": "bad"
+    }
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sycamorespoke import clients, decisions
+from sycamorespoke import clients, decisions, domain
 from sycamorespoke.gateway import _model, _views
 from sycamorespoke.quarantine import _monitor, _quarantine, _records
 
@@ -54,13 +54,14 @@
         """Return how many contents have ever been in quarantine."""
         return len(self._verdicts)
 
-    def deliver(self, views, now):
+    def deliver(self, views, now, era=0):
         items = []
         for name, value in self.values_by_name.items():
             if self.seen_s_by_name[name] is None:
                 self.seen_s_by_name[name] = now
             seen_s = self.seen_s_by_name[name]
-            items.append(_records.parse_crash_record(name, value, seen_s))
+            revision = domain.make_revision(era, 1)
+            items.append(_records.parse_crash_record(name, value, seen_s, revision))
         views.replace_fields(crashes=_records.CrashRecords.from_items(items))
 
 
@@ -82,7 +83,7 @@
 
     def start(self, name):
         """Start a host, or another process of it."""
-        views = _views.Views()
+        views = _views.Views(self.history)
         views.replace_fields(hosts_by_name=self.hosts_by_name, upstreams_by_id={})
         monitor = _monitor.CrashMonitor(
             views.is_registered,
@@ -117,7 +118,7 @@
         while self.now < ends_s:
             self.now += STEP_S
             for quarantine in list(self.by_name.values()):
-                self.records.deliver(quarantine.views, self.now)
+                self.records.deliver(quarantine.views, self.now, self.history.era)
                 quarantine.step(self.now)
 
     def list_quarantined(self):
@@ -500,3 +501,55 @@
     hosts.history.record_era(1, hosts.now)
     hosts.run(1.0)
     assert not hosts.records.values_by_name
+
+
+def make_quarantine(count):
+    hosts = Hosts(count)
+    for n in range(3):
+        hosts.end_upstream(f"i-{n}", {f"h{n}": make_plain("bad")})
+    hosts.run(VERDICT_S)
+    assert hosts.list_quarantined() == {frozenset({"bad"})}
+    return hosts
+
+
+@pytest.mark.parametrize("count", [3, 40])
+def test_verdict_that_an_older_copy_lacks_goes_on_and_is_written_again(count):
+    hosts = make_quarantine(count)
+    hosts.records.values_by_name.clear()
+    # What hosts report again is not enough for a verdict.
+    for each in hosts.by_name.values():
+        each._broken.clear()
+    hosts.history.record_era(1, hosts.now)
+    writes = hosts.records.writes
+    for _ in range(12):
+        assert hosts.list_quarantined() == {frozenset({"bad"})}
+    (value,) = hosts.records.values_by_name.values()
+    assert value == {"quarantined_request": "bad"}
+    # A few hosts may have their turn before the first write is delivered.
+    assert 1 <= hosts.records.writes - writes <= 3
+    hosts.start("new")
+    hosts.run(STEP_S)
+    assert hosts.list_quarantined() == {frozenset({"bad"})}
+
+
+def test_verdict_that_is_lifted_in_a_later_era_ends():
+    hosts = make_quarantine(3)
+    hosts.history.record_era(1, hosts.now)
+    hosts.run(1.0)
+    hosts.by_name["h1"].monitor.record_whole(make_plain("bad"), hosts.now)
+    hosts.run(VERDICT_S)
+    assert hosts.list_quarantined() == {frozenset()}
+
+
+def test_verdict_that_a_host_disproves_as_the_copy_lacks_it_ends():
+    hosts = make_quarantine(3)
+    hosts.records.values_by_name.clear()
+    hosts.history.record_era(1, hosts.now)
+    hosts.by_name["h1"].monitor.record_whole(make_plain("bad"), hosts.now)
+    for _ in range(16):
+        hosts.now += STEP_S
+        for each in hosts.by_name.values():
+            hosts.records.deliver(each.views, hosts.now, hosts.history.era)
+        for each in hosts.by_name.values():
+            each.step(hosts.now)
+    assert hosts.list_quarantined() == {frozenset()}
