A host that leaves does not wait for a registration that is under way

What callers could have seen: a stop waited for the lock of a registration, with a silent store some seconds (as read, not run), before its listener closed. Cause: leaving and registering again shared a lock. Change: no lock; a registration that ends after the host left removes the entry itself, so that it is not left behind, as could also happen at the start before. Evidence: the new test has the host leave during the write: its entry is gone afterwards.

--- a/sycamorespoke/gateway/_registration.py
+++ b/sycamorespoke/gateway/_registration.py
@@ -1,7 +1,5 @@
 """Registration of this host, and the shared key, also in later eras of the store."""
 
-import threading
-
 import attrs
 import loguru
 
@@ -31,7 +29,9 @@
 
 
 class Registration:
-    """Registers this host once in each era of the store; thread-safe.
+    """Registers this host once in each era of the store.
+
+    One thread calls all but `leave`, which does not wait for it.
 
     Parameters
     ----------
@@ -56,7 +56,6 @@
         self._key_due = _Due()
         self._host_due = _Due()
         self._has_left = False
-        self._lock = threading.Lock()
 
     def join(self, proposed_key):
         """Register this host.
@@ -71,21 +70,19 @@
         str or None
             Shared key of peer messages; ``None`` if this host is not registered.
         """
-        with self._lock:
-            key = self.registry.get_or_create_peer_key(proposed_key)
-            # What was written before the store came back from a copy may be lost.
-            era = self.history.era
-            if key is None or not self.registry.register(self.host):
-                return None
-            self._key = key
-            self._key_due.era = self._host_due.era = era
-            return key
+        key = self.registry.get_or_create_peer_key(proposed_key)
+        # What was written before the store came back from a copy may be lost.
+        era = self.history.era
+        if key is None or not self._register():
+            return None
+        self._key = key
+        self._key_due.era = self._host_due.era = era
+        return key
 
     def leave(self):
         """Remove this host from the registry; return whether it is gone."""
-        with self._lock:
-            self._has_left = True
-            return self.registry.unregister(self.host.name)
+        self._has_left = True
+        return self.registry.unregister(self.host.name)
 
     def step(self, now):
         """Write again what a later era of the store lacks, if it is this host's turn.
@@ -95,14 +92,13 @@
         now : float
             Current time, seconds of the boot clock.
         """
-        with self._lock:
-            if self._key is None or self._has_left:
-                return
-            listed = self.views.get().hosts_by_name
-            if self.host.name in listed:
-                self._hosts_before = frozenset(listed)
-            self._restore_key(now)
-            self._register_again(now)
+        if self._key is None or self._has_left:
+            return
+        listed = self.views.get().hosts_by_name
+        if self.host.name in listed:
+            self._hosts_before = frozenset(listed)
+        self._restore_key(now)
+        self._register_again(now)
 
     def compute_wait_s(self, longest_s, now):
         """Compute the time until `step` may have something to do, seconds.
@@ -144,12 +140,23 @@
         era = self.history.era
         if not self._host_due.is_due(era, now, self._compute_turn_s(era), now):
             return
-        is_registered = self.registry.register(self.host)
+        is_registered = self._register()
         self._host_due.due_s = now + self._compute_interval_s()
         if is_registered:
             self._host_due.era = era
             loguru.logger.bind(era=era).info("host registered again")
 
+    def _register(self):
+        """Register unless this host leaves; return whether it is registered."""
+        if self._has_left:
+            return False
+        is_registered = self.registry.register(self.host)
+        if self._has_left:
+            # It left meanwhile: its entry may have been removed before it was written.
+            self.registry.unregister(self.host.name)
+            return False
+        return is_registered
+
     def _compute_interval_s(self):
         return len(self._list_names()) / MAX_WRITES_PER_S
 
--- a/tests/gateway/test_registration.py
+++ b/tests/gateway/test_registration.py
@@ -124,6 +124,22 @@
     assert set(fleet.hosts.values) == {"h0", "h2"}
 
 
+def test_host_that_leaves_as_it_registers_again_is_not_listed():
+    fleet = Fleet(NAMES[:3])
+    fleet.history.record_era(2, 10.0)
+    del fleet.hosts.values["h1"]
+    fleet.list_hosts()
+    create = fleet.hosts.create
+
+    def create_late(name, value):
+        fleet.by_name[name].leave()
+        return create(name, value)
+
+    fleet.hosts.create = create_late
+    fleet.run(10.0, 12.0)
+    assert set(fleet.hosts.values) == {"h0", "h2"}
+
+
 @pytest.mark.parametrize("listed_s", [10.0, 11.0, 16.0])
 def test_all_hosts_register_again_at_a_bounded_rate(listed_s):
     fleet = Fleet(NAMES)
