Hosts register again before a list without them is in use

Cause: the view retains hosts that an older copy lacks for 2 s, and a host registered again only once it had gone from the list: for a moment each host would know itself alone, with all connections, rates and write shares that are divided by hosts. Change: each host asks in its turn in a new era, by a create that conflicts without a write if its entry is there; hosts are retained for 10 s, longer than 300 hosts take at 100 a second; what the source itself removes in the new era is gone at once. An end of quarantine is logged from the view that is in use. Evidence: the new test (registers while the list retains it) fails on the code before; tests of registration, objects, quarantine and older copies pass.

--- a/sycamorespoke/gateway/_host_registry.py
+++ b/sycamorespoke/gateway/_host_registry.py
@@ -33,7 +33,9 @@
         value = self.encode(host)
         result = self.hosts.create(host.name, value)
         if result.outcome is clients.WriteOutcome.CONFLICT:
-            # The host registered earlier, possibly with another address.
+            if result.stored is not None and result.stored.spec == value:
+                return True
+            # The host registered earlier, with another address.
             return self.hosts.write(host.name, value)
         return result.outcome is clients.WriteOutcome.APPLIED
 
--- a/sycamorespoke/gateway/_registration.py
+++ b/sycamorespoke/gateway/_registration.py
@@ -132,13 +132,10 @@
             loguru.logger.bind(era=era).error("store holds another shared key")
 
     def _register_again(self, now):
-        view = self.views.get()
-        is_listed = self.host.name in view.hosts_by_name
-        if is_listed or HOSTS not in view.confirmed_s_by_section:
-            self._host_due.due_era = self._host_due.era
-            return
+        # Also while it is listed: a list retains hosts that an older copy lacks.
         era = self.history.era
-        if not self._host_due.is_due(era, now, self._compute_turn_s(era), now):
+        turn_s = self._compute_turn_s(era)
+        if not self._host_due.is_due(era, self.history.era_seen_s, turn_s, now):
             return
         is_registered = self._register()
         self._host_due.due_s = now + self._compute_interval_s()
--- a/sycamorespoke/gateway/_view_updater.py
+++ b/sycamorespoke/gateway/_view_updater.py
@@ -28,6 +28,10 @@
 }
 # Time that an operator or a host has to remove what an older copy brought back.
 HELD_BACK_S = 2.0
+# Time that an operator or a host has to write again what an older copy lacks.
+RETAINED_S = 2.0
+# Hosts register again in turns.
+RETAINED_HOST_S = 10.0
 # Upstreams that no longer run are removed after some reports that they fail to send.
 HELD_BACK_UPSTREAM_S = 15.0
 # Sections that every host reads itself when it starts.
@@ -137,7 +141,9 @@
             ),
             self._make_subscription(_views.VERSIONS, self._handle_versions),
             self._make_subscription(
-                "hosts", self._handle_hosts, removed=_make_removed_items()
+                "hosts",
+                self._handle_hosts,
+                removed=_make_removed_items(RETAINED_HOST_S),
             ),
             self._make_subscription("leases", self._handle_leases),
             self._make_subscription(
@@ -246,7 +252,8 @@
         previous = self.views.get().crashes
         crashes = quarantine.CrashRecords.from_items(items_by_name.values())
         self.views.replace_fields(crashes=crashes)
-        crashes.log_changes(previous)
+        # Verdicts that an older copy of the store lacks stay in the view.
+        self.views.get().crashes.log_changes(previous)
 
     def _handle_announcement(self, announcement, now):
         self._versions_by_boot = announcement.versions_by_boot
@@ -277,9 +284,9 @@
     ).info("upstream changed")
 
 
-def _make_removed_items():
+def _make_removed_items(retained_s=RETAINED_S):
     """Make the memory of a kind whose items are alike if their names are."""
-    return objects.RemovedItems(lambda item: None, HELD_BACK_S)
+    return objects.RemovedItems(lambda item: None, HELD_BACK_S, retained_s)
 
 
 def _get_boot_id(upstream):
--- a/sycamorespoke/objects/_follower.py
+++ b/sycamorespoke/objects/_follower.py
@@ -39,8 +39,8 @@
         when it goes missing around an outage of the source.
     removed : RemovedItems or NoRemovedItems
         Remembers removed items. With `RemovedItems`, what is known outlives an older
-        copy of the source: items that the copy lacks are retained for
-        `RETAIN_MISSING_S`, and those that it brings back are held back.
+        copy of the source: items that the copy lacks are retained for a while, and
+        those that it brings back are held back.
     """
 
     section: str
@@ -217,7 +217,8 @@
         if change.is_deleted:
             name = _source.get_name(change.value)
             self._malformed_names.discard(name)
-            if name in self.items_by_name and self._retain_missing(name, now):
+            is_known = name in self.items_by_name
+            if is_known and self._may_be_back() and self._retain_missing(name, now):
                 return False
             self._removed.forget(name)
             is_removed = self._remove(name, now)
@@ -232,24 +233,27 @@
         return True
 
     def _retain_missing(self, name, now):
-        since_s = self._find_retained_since_s(self.items_by_name[name])
-        if since_s is None:
-            return False
         until_s = self._missing_until_s_by_name.get(name)
         if until_s is None:
-            until_s = since_s + RETAIN_MISSING_S
+            until_s = self._find_retained_until_s(self.items_by_name[name])
             if now >= until_s:
                 return False
             self._missing_until_s_by_name[name] = until_s
             self._log("missing object retained", name=name)
         return now < until_s
 
-    def _find_retained_since_s(self, item):
-        """Return since when a missing item would be retained; ``None`` if it is not."""
+    def _find_retained_until_s(self, item):
+        """Return until when an item would be retained that goes missing."""
         retains = self.subscription.retains_missing
-        if retains is not None:
-            return self._available_since_s if retains(item) else None
-        return self._era_since_s if self._removed.outlives_copies else None
+        if retains is None:
+            return self._era_since_s + self._removed.retained_s
+        if not retains(item):
+            return float("-inf")
+        return self._available_since_s + RETAIN_MISSING_S
+
+    def _may_be_back(self):
+        """Return whether an item that the source removes may have expired there."""
+        return self.subscription.retains_missing is not None
 
     def _is_held_back(self, name, item, now):
         if name in self.items_by_name:
--- a/sycamorespoke/objects/_removed_items.py
+++ b/sycamorespoke/objects/_removed_items.py
@@ -5,6 +5,7 @@
 import attrs
 
 MAX_REMEMBERED = 1000
+RETAINED_S = 2.0
 # Far longer than any copy of the source is old.
 MEMORY_S = 600.0
 
@@ -31,7 +32,7 @@
 class NoRemovedItems:
     """Remembers nothing: what a source lists in a new era counts at once."""
 
-    outlives_copies = False
+    retained_s = 0.0
 
     def begin_era(self, now):
         """Do nothing, as all methods here."""
@@ -64,11 +65,13 @@
     held_back_s : float
         How long an item that is back in a new era is held back unless it is written
         again, seconds; its writer or the source removes it again within this time.
+    retained_s : float, default=2.0
+        How long an item that is missing in a new era is retained, seconds; its writer
+        writes it again within this time.
     """
 
-    outlives_copies = True
-
-    def __init__(self, identify, held_back_s):
+    def __init__(self, identify, held_back_s, retained_s=RETAINED_S):
+        self.retained_s = retained_s
         self.identify = identify
         self.held_back_s = held_back_s
         self._removed_by_name = collections.OrderedDict()
