Items held back: none replaces what was written again, and two returns free none

What callers would see: requests at the address of a start that is gone, until its entry changes again. Cause (found by the review): an item that was written again, seen by a list and not by a watch, stayed among those held back, and replaced the newer one at the end of the time; a second return within that time gave the same copy another revision, which counted as written again. Change: another revision ends the holding back; each era judges its copy anew.

--- a/sycamorespoke/objects/_removed_items.py
+++ b/sycamorespoke/objects/_removed_items.py
@@ -81,6 +81,8 @@
     def begin_era(self, now):
         """Record that the source is back from an older copy, at ``now``, seconds."""
         self._until_s = now + self.held_back_s
+        # The items of this copy are judged anew, by what had been removed.
+        self._held_back_by_name.clear()
 
     def record(self, name, item, now):
         """Record that an item was removed."""
@@ -115,6 +117,8 @@
         """
         held = self._held_back_by_name.get(name)
         if held is not None:
+            if held.revision != revision:
+                self.forget(name)
             return held.revision == revision
         if now >= self._until_s or not self._was_removed(name, item, now):
             return False
--- a/tests/objects/test_older_copy.py
+++ b/tests/objects/test_older_copy.py
@@ -147,3 +147,44 @@
     harness = make_harness(list_responses_of_a_removal(*responses))
     harness.steps(3 + len(responses))
     assert list(harness.follower.items_by_name) == ["a"]
+
+
+def test_item_that_is_written_again_is_not_replaced_by_the_one_held_back():
+    written = make_listing(2, 9, ("a", 9, 21))
+    harness = make_harness(
+        list_responses_of_a_removal(
+            LISTED,
+            objects.Unavailable("cut"),
+            written,
+            make_nothing(2, 9),
+            objects.Unavailable("cut"),
+            written,
+        )
+    )
+    harness.steps(6)
+    harness.now += HELD_BACK_S
+    harness.steps(len(harness.script.responses))
+    assert harness.published[-1] == {"a": 21}
+
+
+def test_item_that_was_removed_is_held_back_through_two_older_copies():
+    harness = make_harness(
+        list_responses_of_a_removal(
+            LISTED, objects.HistoryGone(), make_listing(3, 8, ("a", 8, 11))
+        )
+    )
+    harness.steps(6)
+    assert harness.follower.items_by_name == {}
+
+
+def test_item_that_the_source_removes_in_the_new_era_is_gone_at_once():
+    harness = make_harness(
+        [
+            make_listing(1, 9, ("a", 9, 11)),
+            objects.HistoryGone(),
+            make_listing(2, 9, ("a", 9, 11)),
+            make_change(2, 10, "a", 11, is_deleted=True),
+        ]
+    )
+    harness.steps(4)
+    assert harness.published[-1] == {}
