Fencing numbers are above the revision on which their write is conditional

What engines would see: one number from two hosts. Cause (found by the review): a write of an earlier era that is carried out late may meet the number of a later holder's record and replace it by its own; a host that never saw the holder's takes the number that the holder has. Change: in an era a number follows from the revision of the lease on which the write is conditional, which each write raises, whatever its record says; more numbers are left to an era than changes a return can lose.

--- a/sycamorespoke/decisions/_lease_state.py
+++ b/sycamorespoke/decisions/_lease_state.py
@@ -5,8 +5,8 @@
 import attrs
 
 LEASE_DURATION_S = 6.0
-# Fencing numbers of an era; those of the next one are above all of them.
-NUMBERS_PER_ERA = 1_000_000
+# More than the changes of the store that a return from an older copy can lose.
+NUMBERS_PER_ERA = 10_000_000
 # Fraction of its duration after which a lease is renewed.
 RENEW_RATIO = 1 / 3
 RENEW_INTERVAL_S = LEASE_DURATION_S * RENEW_RATIO
--- a/sycamorespoke/decisions/_leases.py
+++ b/sycamorespoke/decisions/_leases.py
@@ -67,8 +67,7 @@
         number = state.held.fencing_number
         renewal = previous.renewal + 1 if previous else 0
     else:
-        first_number = state.era * _lease_state.NUMBERS_PER_ERA
-        number = 1 + max(state.highest_number, first_number)
+        number = 1 + max(state.highest_number, _compute_last_number(state))
         renewal = 0
     return _lease_state.LeaseRecord(
         state.holder, number, state.duration_s, renewal, era=state.era
@@ -231,6 +230,18 @@
     return attrs.evolve(state, must_read=True, unresolved_write_s=earliest_s)
 
 
+def _compute_last_number(state):
+    """Return a number that no fencing number given out before is above.
+
+    Each write of the lease raises its version, whatever its record says: one of an
+    earlier era may be carried out late and replace that of a later holder.
+    """
+    if state.era == 0:
+        return 0
+    number = domain.get_number(state.seen.version)
+    return state.era * _lease_state.NUMBERS_PER_ERA + number
+
+
 def _record_number(state, record):
     number = record.fencing_number if record is not None else 0
     return attrs.evolve(state, highest_number=max(state.highest_number, number))
