A new era is known with its own time; a key from before it is written again

Cause (found by the review): history.era was set before era_seen_s, which others read without the lock; and a host took the era after it had written the shared key, so that a return between the two left the key lost. Change: time before era, era before key. No test of ours fails without it: the first is not reachable in this interpreter, as read.

--- a/sycamorespoke/clients/_store_history.py
+++ b/sycamorespoke/clients/_store_history.py
@@ -47,8 +47,9 @@
             if era <= self.era and self._has_era:
                 return
             is_change = self._has_era
-            before, self.era, self._has_era = self.era, era, True
+            # Others read without the lock: no new era with the time of the last one.
             self.era_seen_s = now
+            before, self.era, self._has_era = self.era, era, True
             if not is_change:
                 return
             self.era_changes += 1
--- a/sycamorespoke/gateway/_registration.py
+++ b/sycamorespoke/gateway/_registration.py
@@ -70,9 +70,9 @@
         str or None
             Shared key of peer messages; ``None`` if this host is not registered.
         """
-        key = self.registry.get_or_create_peer_key(proposed_key)
-        # What was written before the store came back from a copy may be lost.
+        # What is written before the store comes back from a copy may be lost.
         era = self.history.era
+        key = self.registry.get_or_create_peer_key(proposed_key)
         if key is None or not self._register():
             return None
         self._key = key
