--- a/tests/membership/test_lease_eras.py
+++ b/tests/membership/test_lease_eras.py
@@ -72,3 +72,17 @@
         held = [each for each in keepers if each.is_held(platform.now)]
         assert len(held) <= 1
     assert held[0].held.fencing_number > first
+
+
+def test_release_of_an_earlier_era_is_none():
+    platform = fakes.SlowPlatform()
+    keeper = make_steward(platform, "one").keeper
+    for _ in range(3):
+        keeper.step()
+    assert keeper.release({"i-1": 2.0})
+    assert keeper.released is not None
+    platform.restore(platform.copy(), platform.now)
+    keeper.platform.get("rules")
+    keeper.step()
+    assert keeper.seen_version > 0
+    assert keeper.released is None
--- a/tests/objects/test_direct_reads.py
+++ b/tests/objects/test_direct_reads.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from sycamorespoke import domain
 from sycamorespoke.gateway import _suspension
 from sycamorespoke.objects import _direct_reads, _source
 
@@ -273,3 +274,13 @@
     source.watch = watch
     reads._run_watch("servers", _direct_reads._PendingWatch(10))
     assert reads._log.confirmed_s <= 100.0 + _direct_reads.WATCH_S
+
+
+def test_watch_that_waits_since_an_earlier_era_brings_nothing_back():
+    source = CountedSource()
+    reads = _direct_reads.DirectReads(source, time.monotonic)
+    assert reads.watch("servers", 10, 0.05).changes == ()
+    source.change("servers", "gone")
+    source.change("hosts", "gone")
+    response = reads.watch("servers", domain.make_revision(1, 5), 0.3)
+    assert response.changes == ()
--- a/tests/objects/test_shared_source.py
+++ b/tests/objects/test_shared_source.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from sycamorespoke import messages
+from sycamorespoke import domain, messages
 from sycamorespoke.gateway import _peer_loads, _relay, _table
 from sycamorespoke.objects import _object_history, _shared_source, _source
 from tests.gateway import test_table
@@ -286,3 +286,13 @@
         assert not requester.step(pair.clock.now)
         assert requester.step(pair.clock.now)
         assert not pair.receiver.is_relayed(pair.clock.now)
+
+
+def test_relayed_page_shows_the_era_of_the_source(pair):
+    revision = domain.make_revision(2, 5)
+    pair.read(KIND, _source.Listing((), revision))
+    pair.relay()
+    assert pair.receiver.watch(KIND, 5, 1.0) == _source.Listing(
+        (), revision, pair.receiver._relayed_by_kind[KIND].confirmed_s
+    )
+    assert pair.receiver.history.era == 2
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -143,3 +143,17 @@
             holders.add(keeper.holder)
     assert [len(holders) for holders in holders_by_number.values()] == [1, 1, 1]
     assert list(holders_by_number) == sorted(holders_by_number)
+
+
+def test_lease_that_is_discarded_is_acquired_with_a_later_number(fake_store):
+    now = [0.0]
+    keeper = make_keeper(fake_store, "a", lambda: now[0])
+    for _ in range(2):
+        keeper.step()
+    assert keeper.held.fencing_number == 1
+    keeper.discard()
+    # A store that states no era, and has lost the record.
+    fake_store.objects.clear()
+    for _ in range(2):
+        keeper.step()
+    assert keeper.held.fencing_number == 2
