Quarantines that all hosts disproved end in a later era of the store

Callers saw: requests refused as quarantined for good, though every host had completed a response to them, if the store came back from a copy without the verdict.

Cause: the view keeps a verdict that a later era lacks until it is written again. A host that disproves it sent a delete for it, which changes nothing where the store lacks it, in each step, and wrote it again once its own proof was 30 s old.

Change: a disproved verdict that was last seen in an earlier era is left out of the view, and no delete is sent. If the copy holds it after all, the list of the new era delivers it again with a revision of that era, and it is deleted then.

Evidence: test_verdict_that_all_hosts_disprove_in_a_later_era_ends (3 and 9 hosts, with the verdict in the copy and without) failed before with {'bad'} in quarantine in all four cases and passes now. It allows no delete of the verdict if the copy lacks it, and one by each host if the copy holds it. Run: tests/quarantine and tests/entry/test_crash_objects.py.

--- a/sycamorespoke/gateway/_views.py
+++ b/sycamorespoke/gateway/_views.py
@@ -200,6 +200,12 @@
                 )
             self._view = attrs.evolve(self._view, **fields)
 
+    def discard_lost(self, contents):
+        """End the quarantines of some contents that a later era may lack."""
+        with self._lock:
+            crashes = self._view.crashes.discard_lost(contents, self.history.era)
+            self._view = attrs.evolve(self._view, crashes=crashes)
+
     def confirm(self, section, now):
         """Record that the source confirmed a section at ``now``."""
         with self._lock:
--- a/sycamorespoke/quarantine/_quarantine.py
+++ b/sycamorespoke/quarantine/_quarantine.py
@@ -37,7 +37,8 @@
         Name of this host.
     views : object
         Has ``get()``, whose result has the names of all ``hosts`` and the
-        `CrashRecords` ``crashes``.
+        `CrashRecords` ``crashes``; with a history that tells eras, also
+        ``discard_lost(contents)``, which ends quarantines that the store may lack.
     monitor : CrashMonitor
         Observes upstreams that end.
     records : object
@@ -218,7 +219,14 @@
     def _lift_disproved(self, view, now):
         """End the quarantine of contents on which this host saw a whole response."""
         quarantined = view.crashes.quarantined_by_content
-        for content in self.monitor.sound_contents.select(quarantined, now):
+        disproved = self.monitor.sound_contents.select(quarantined, now)
+        # Of these, what the store holds is delivered again, and then deleted.
+        lost = disproved & self._list_lost(view).keys()
+        if lost:
+            self.views.discard_lost(lost)
+        for content in lost:
+            _log_content("lost quarantine disproved", content)
+        for content in disproved - lost:
             is_lifted = self.records.delete(quarantined[content].name)
             _log_content("quarantine disproved", content, written=is_lifted)
 
--- a/sycamorespoke/quarantine/_records.py
+++ b/sycamorespoke/quarantine/_records.py
@@ -195,6 +195,28 @@
             return self
         return CrashRecords(self.reports, {**lost, **self.quarantined_by_content})
 
+    def discard_lost(self, contents, era):
+        """Leave out quarantines of some contents, if the store may lack them.
+
+        Parameters
+        ----------
+        contents : set of decisions.Content
+            The contents.
+        era : int
+            Era of the store.
+
+        Returns
+        -------
+        CrashRecords
+            Without those of ``contents`` that were last seen in an earlier era.
+        """
+        kept = {
+            content: each
+            for content, each in self.quarantined_by_content.items()
+            if content not in contents or not each.is_of_earlier_era(era)
+        }
+        return CrashRecords(self.reports, kept)
+
     def find_quarantined(self, contents):
         """Return the first `QuarantinedContent` of some contents, or ``None``."""
         for content in contents:
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -553,3 +553,26 @@
         for each in hosts.by_name.values():
             each.step(hosts.now)
     assert hosts.list_quarantined() == {frozenset()}
+
+
+@pytest.mark.parametrize("is_in_copy", [False, True])
+@pytest.mark.parametrize("count", [3, 9])
+def test_verdict_that_all_hosts_disprove_in_a_later_era_ends(count, is_in_copy):
+    hosts = make_quarantine(count)
+    if not is_in_copy:
+        hosts.records.values_by_name.clear()
+    hosts.history.record_era(1, hosts.now)
+    deleted = []
+    delete = hosts.records.delete
+    hosts.records.delete = lambda name: deleted.append(name) or delete(name)
+    for each in hosts.by_name.values():
+        each.monitor.record_whole(make_plain("bad"), hosts.now)
+    # The first step is before the list of the new era is delivered.
+    for each in hosts.by_name.values():
+        each.step(hosts.now)
+    hosts.run(STEP_S)
+    for _ in range(200):
+        assert hosts.list_quarantined() == {frozenset()}
+    assert not hosts.records.values_by_name
+    verdict = _records.make_quarantined_content(make_plain("bad")[0])
+    assert deleted.count(verdict.name) <= (count if is_in_copy else 0)
