A new order is no rollout of an earlier era that had been deleted

Callers saw: requests kept from a version that an operator had ordered anew.

Cause: an order of a later era went on with the last rollout of its object, however long ago that one had gone from the list, and however long the era had lasted.

Change: the rollouts know the store's history. Names that a list lacks in the era of their last order are remembered as gone; what only a later era lacks is not. States that are written are recorded one by one, as they are no list.

--- a/sycamorespoke/gateway/_program.py
+++ b/sycamorespoke/gateway/_program.py
@@ -134,7 +134,7 @@
         self.rollouts = None
         if gateway_settings.canary_share > 0:
             self.rollouts = rollouts.Rollouts(
-                gateway_settings.name, self.rollout_limits
+                gateway_settings.name, self.rollout_limits, deployment.source.history
             )
         self.gateway = self._make_gateway()
         self.server = serving.CallerServer(
--- a/sycamorespoke/gateway/_rollout_states.py
+++ b/sycamorespoke/gateway/_rollout_states.py
@@ -89,17 +89,17 @@
     def _record_written(self, order, state, stored, now):
         if stored is not None and stored.id != order.id:
             # A later era of the store gave the revision to another order.
-            self.known.record_orders([stored], now)
+            self.known.record_order(stored, now)
             return
         revision = stored.revision if stored else order.revision
         written = attrs.evolve(order, state=state, revision=revision)
-        self.known.record_orders([written], now)
+        self.known.record_order(written, now)
 
     def _adopt(self, order, stored, now):
         """Return the changed order if its state is still to be written."""
         if stored is None:
             return None
-        self.known.record_orders([stored], now)
+        self.known.record_order(stored, now)
         is_same = stored.id == order.id and not stored.is_ended
         return stored if is_same else None
 
--- a/sycamorespoke/rollouts/_rollouts.py
+++ b/sycamorespoke/rollouts/_rollouts.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from sycamorespoke import clients
 from sycamorespoke.rollouts import (
     _durations,
     _host_rollout,
@@ -46,15 +47,17 @@
         Name of this host.
     limits : Limits
         Limits on the use of a version on trial.
+    history : clients.StoreHistory or None, default=None
+        Tells the era of the store.
     """
 
-    def __init__(self, host, limits):
+    def __init__(self, host, limits, history=None):
         self.host = host
         self.limits = limits
         self.boot_id = secrets.token_hex(4)
         self._lock = threading.Lock()
         self._current_by_service = {}
-        self._known = _known_rollouts.KnownRollouts()
+        self._known = _known_rollouts.KnownRollouts(history or clients.StoreHistory())
         self._listed = _listed_versions.ListedVersions()
         self._durations = _durations.Durations()
         self._in_flight_by_version = collections.Counter()
@@ -71,14 +74,20 @@
 
         Parameters
         ----------
-        orders : iterable of RolloutOrder
-            The orders.
+        orders : collection of RolloutOrder
+            All of the orders.
         now : float
             Current time, seconds of the boot clock.
         """
         with self._lock:
             for order in orders:
                 self._record_order(order, now)
+            self._known.record_list(orders)
+
+    def record_order(self, order, now):
+        """Record one order as the store holds it, see `record_orders`."""
+        with self._lock:
+            self._record_order(order, now)
 
     def _record_order(self, order, now):
         self._continue_known(order, now)
@@ -103,7 +112,7 @@
         """Let a known rollout go on with an order of a later era of the store."""
         if self._known.get(order.id) is not None:
             return
-        rollout = self._known.find_continued(order)
+        rollout = self._known.find_continued(order, now)
         if rollout is None:
             return
         self._known.add(order.id, rollout)
--- a/tests/rollouts/test_later_era.py
+++ b/tests/rollouts/test_later_era.py
@@ -4,7 +4,8 @@
 import msgspec
 import pytest
 
-from sycamorespoke import domain, rollouts
+from sycamorespoke import clients, domain, rollouts
+from sycamorespoke.rollouts import _known_rollouts
 from tests.rollouts import test_rollouts
 
 NOW = test_rollouts.NOW
@@ -96,3 +97,56 @@
     record(known, attrs.evolve(make_order(5), revision=11))
     assert known.list_pending() == [again]
     assert known.get_end(again.id) is ROLLED_BACK
+
+
+def make_with_history(*orders):
+    history = clients.StoreHistory()
+    history.record_era(0, NOW - 60.0)
+    return history, test_rollouts.make_known(*orders, history=history)
+
+
+def test_new_order_after_one_that_was_deleted_in_an_earlier_era_is_a_new_one():
+    ended = make_order(5, state=ROLLED_BACK, revision=9)
+    history, known = make_with_history(ended)
+    record(known)
+    history.record_era(1, NOW)
+    record(known)
+    again = make_order(400, era=1)
+    known.record_orders([again], NOW + 86400.0)
+    assert known.list_pending() == [again]
+    assert known.get_end(again.id) is None
+
+
+@pytest.mark.parametrize("is_relisted", [False, True])
+def test_order_that_was_unreadable_as_the_store_went_is_not_a_new_one(is_relisted):
+    ended = make_order(5, state=ROLLED_BACK, revision=9)
+    history, known = make_with_history(ended)
+    record(known)
+    if is_relisted:
+        record(known, ended)
+    history.record_era(1, NOW)
+    again = make_order(8, era=1)
+    after_s = 0.0 if is_relisted else _known_rollouts.WRITTEN_AGAIN_S
+    known.record_orders([again], NOW + after_s)
+    assert known.get_end(again.id) is ROLLED_BACK
+
+
+def test_order_that_only_the_copy_lacked_is_not_a_new_one():
+    history, known = make_with_history(make_order(5, state=ROLLED_BACK, revision=9))
+    history.record_era(1, NOW)
+    record(known)
+    again = make_order(8, era=1)
+    known.record_orders([again], NOW + 2.0 * _known_rollouts.WRITTEN_AGAIN_S)
+    assert known.get_end(again.id) is ROLLED_BACK
+
+
+def test_state_that_is_written_to_one_order_removes_no_other_from_the_list():
+    ended = make_order(5, state=ROLLED_BACK, revision=9)
+    other = rollouts.RolloutId("t", "v7", 6)
+    other = rollouts.RolloutOrder("t", other, 16.0, 6)
+    history, known = make_with_history(ended, other)
+    known.record_order(attrs.evolve(other, state=COMPLETED, revision=10), NOW)
+    history.record_era(1, NOW)
+    again = make_order(8, era=1)
+    known.record_orders([again], NOW + 2.0 * _known_rollouts.WRITTEN_AGAIN_S)
+    assert known.get_end(again.id) is ROLLED_BACK
--- a/tests/rollouts/test_rollouts.py
+++ b/tests/rollouts/test_rollouts.py
@@ -16,8 +16,8 @@
 COMPLETED = rollouts.RolloutState.COMPLETED
 
 
-def make_known(*orders, listed=(OLD, NEW)):
-    known = rollouts.Rollouts("h1", rollouts.Limits(0.1, 50.0))
+def make_known(*orders, listed=(OLD, NEW), history=None):
+    known = rollouts.Rollouts("h1", rollouts.Limits(0.1, 50.0), history)
     known.record_upstreams([OLD], NOW - 50.0)
     known.record_upstreams(listed, NOW - 1.0)
     known.record_orders(orders, NOW - 1.0)
