--- a/tests/soak/configuration_guarantees.py
+++ b/tests/soak/configuration_guarantees.py
@@ -34,7 +34,7 @@
             late_by_key[key] = max(late_s, late_by_key.get(key, 0.0))
     return [
         f"the route of version {version} was still unknown at {host} "
-        f"{late_s + IN_FORCE_S:.1f} s after its acknowledgement or the last disturbance"
+        f"{late_s + IN_FORCE_S:.1f} s after its acknowledgement or the last fault"
         for (host, _, version), late_s in late_by_key.items()
     ]
 
