--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -12,6 +12,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 import platform_store
 
@@ -37,6 +38,7 @@
 TENANT = "tenant-a"
 START_TIMEOUT_S = 20.0
 OPERATORS_PORT = 9100
+LOGGED_BYTES = 600
 _SECTION = re.compile(r"\{\{#([^}]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
 _PLACE = re.compile(r"\{\{([^}|]+)(\|json)?\}\}")
 
@@ -101,12 +103,21 @@
     """One gateway process on a loopback address of its own."""
 
     def __init__(self, number, store_address, folder, memory_mb=300):
-        self.ip = find_free_ip(number)
+        self.number = number
+        self.store_address = store_address
+        self.memory_mb = memory_mb
         self.name = f"front-{number}"
         self.zone = ZONES[(number - 1) % len(ZONES)]
+        self.settings = folder / f"{self.name}.yaml"
+        self.log_path = folder / f"{self.name}.log"
+        self.process = None
+        self.configure()
+
+    def configure(self):
+        """Choose an address and ports, and write the settings file."""
+        self.ip = find_free_ip(self.number)
         self.front = f"{self.ip}:{free_port(self.ip)}"
         self.ready = f"{self.ip}:{free_port(self.ip)}"
-        ports = [free_port(self.ip), free_port(self.ip)]
         system = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         role = system["roles"]["gateway"]
         fields = {
@@ -114,17 +125,14 @@
             "Zone": self.zone,
             "Ip": self.ip,
             "Listen": {"Front": self.front, "Ready": self.ready},
-            "Provider": {"Address": store_address},
-            "PortRange": ports,
-            "Limits": {"MemoryMb": memory_mb, "MaxFds": 4100},
+            "Provider": {"Address": self.store_address},
+            "PortRange": [free_port(self.ip), free_port(self.ip)],
+            "Limits": {"MemoryMb": self.memory_mb, "MaxFds": 4100},
             "Bounds": BOUNDS,
         }
-        self.settings = folder / f"{self.name}.yaml"
         template = (ROOT / role["template"]).read_text()
         self.settings.write_text(render(template, fields))
         self.command = role["run"].split()
-        self.log_path = folder / f"{self.name}.log"
-        self.process = None
 
     def start(self):
         """Start the process."""
@@ -158,7 +166,9 @@
         until_s = time.monotonic() + START_TIMEOUT_S
         while time.monotonic() < until_s:
             if self.process.poll() is not None:
-                raise CannotRunError(f"{self.name} ended: {self.process.returncode}")
+                last = self.log_path.read_bytes()[-LOGGED_BYTES:]
+                status = self.process.returncode
+                raise CannotRunError(f"{self.name} ended: {status}, {last!r}")
             if self.is_ready():
                 return
             time.sleep(0.1)
@@ -210,7 +220,14 @@
         for gateway in self.gateways:
             gateway.start()
         for gateway in self.gateways:
-            gateway.wait_ready()
+            try:
+                gateway.wait_ready()
+            except CannotRunError:
+                # A port may have been taken since it was found free.
+                gateway.kill()
+                gateway.configure()
+                gateway.start()
+                gateway.wait_ready()
 
     def write_configuration(self, version, routes, services, tenants=None):
         """Write a desired state as the operator does."""
@@ -278,6 +295,10 @@
         record.write(f"could not run: {error}")
         print(f"could not run: {error}")
         sys.exit(2)
+    except Exception:
+        record.write(f"could not run: {traceback.format_exc()}")
+        print("could not run, see the record")
+        sys.exit(2)
     record.write("rule broken" if is_broken else "rule held")
     print("rule broken" if is_broken else "rule held")
     sys.exit(1 if is_broken else 0)
